--- /dev/null
+++ b/src/radishlanding/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/src/radishlanding/config/__init__.py
@@ -0,0 +1,23 @@
+"""The operators' configuration: templates, organisations, zones."""
+
+from radishlanding.config.check import check_document
+from radishlanding.config.diff import diff_documents
+from radishlanding.config.document import Document
+from radishlanding.config.kind import Kind
+from radishlanding.config.organisation import Organisation
+from radishlanding.config.template import Template
+from radishlanding.config.urgency import Urgency
+from radishlanding.config.watch import ConfigWatch
+from radishlanding.config.zone import Zone
+
+__all__ = [
+    "ConfigWatch",
+    "Document",
+    "Kind",
+    "Organisation",
+    "Template",
+    "Urgency",
+    "Zone",
+    "check_document",
+    "diff_documents",
+]
--- /dev/null
+++ b/src/radishlanding/config/kind.py
@@ -0,0 +1,10 @@
+"""Kinds of work."""
+
+import enum
+
+
+class Kind(enum.StrEnum):
+    """How a template's work is served."""
+
+    REQUEST = "request"
+    BATCH = "batch"
--- /dev/null
+++ b/src/radishlanding/config/watch.py
@@ -0,0 +1,106 @@
+"""Follows the configuration in the store."""
+
+import random
+
+import trio
+
+from radishlanding.config.document import Document
+from radishlanding.observe import EventLog
+from radishlanding.store import pack
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import unpack
+
+DOCUMENT_KEY = "config/document"
+POLL_PAUSE_S = 1.0
+
+_log = EventLog("radishlanding.config")
+
+
+class ConfigWatch:
+    """Hold the newest configuration that this process knows.
+
+    A lower revision never replaces a higher one. Where the store has gone
+    back to older content, the newest known document is written again.
+    """
+
+    __slots__ = ("_changed", "_store", "_version", "document")
+
+    def __init__(self, *, store):
+        """Start with an empty document of revision 0.
+
+        :param store: A :class:`radishlanding.store.Store`.
+        """
+        self._store = store
+        self._version = 0
+        self._changed = trio.Event()
+        self.document = Document()
+
+    async def run(self):
+        """Read the configuration once a second."""
+        while True:
+            try:
+                await self.refresh()
+            except StoreUnavailable as exc:
+                _log.debug("config_unread", reason=exc)
+            await trio.sleep(POLL_PAUSE_S * random.uniform(0.8, 1.0))
+
+    async def refresh(self):
+        """Read the configuration and return the revision in force.
+
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        stored = await self._read()
+        if stored.revision > self.document.revision:
+            self._adopt(stored)
+        elif stored.revision < self.document.revision:
+            await self._write_again(stored.revision)
+        return self.document.revision
+
+    async def _read(self):
+        kv = await self._store.get(DOCUMENT_KEY)
+        self._version = kv.version if kv else 0
+        return unpack(Document, kv.value) if kv else Document()
+
+    async def _write_again(self, stored_revision):
+        _log.error(
+            "config_went_back",
+            stored=stored_revision,
+            in_force=self.document.revision,
+        )
+        await self._store.swap(
+            DOCUMENT_KEY, pack(self.document), version=self._version
+        )
+        await self._read()
+
+    async def replace(self, document, *, expected):
+        """Write the next revision.
+
+        :param document: The document; its revision is set here.
+        :param expected: Revision that it was made from.
+        :returns: Whether it was accepted; false when another revision is
+            in force.
+        :raises StoreUnavailable: The store gave no answer; the change may
+            have been accepted.
+        """
+        await self.refresh()
+        if self.document.revision != expected:
+            return False
+        document.revision = expected + 1
+        accepted = await self._store.swap(
+            DOCUMENT_KEY, pack(document), version=self._version
+        )
+        if accepted:
+            self._adopt(document)
+        else:
+            await self.refresh()
+        return accepted
+
+    def _adopt(self, document):
+        self.document = document
+        _log.info("config_in_force", revision=document.revision)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_changed(self):
+        """Wait until another revision is in force."""
+        await self._changed.wait()
--- /dev/null
+++ b/src/radishlanding/journal/__init__.py
@@ -0,0 +1,9 @@
+"""The journal of a shard: commits, fence, snapshots."""
+
+from radishlanding.journal.fenced import Fenced
+from radishlanding.journal.gap import JournalGap
+from radishlanding.journal.journal import Journal
+from radishlanding.journal.keys import Keys
+from radishlanding.journal.segment import Segment
+
+__all__ = ["Fenced", "Journal", "JournalGap", "Keys", "Segment"]
--- /dev/null
+++ b/src/radishlanding/message/pong.py
@@ -0,0 +1,8 @@
+"""Answer a ping."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Pong:
+    """Answer a ping."""
--- /dev/null
+++ b/src/radishlanding/observe/__init__.py
@@ -0,0 +1,8 @@
+"""Logs and metrics of a process."""
+
+from radishlanding.observe.counters import Counters
+from radishlanding.observe.event_log import EventLog
+from radishlanding.observe.export import start_export
+from radishlanding.observe.setup import set_up_logging
+
+__all__ = ["Counters", "EventLog", "set_up_logging", "start_export"]
--- /dev/null
+++ b/src/radishlanding/observe/setup.py
@@ -0,0 +1,20 @@
+"""Sets up the standard logging of a process."""
+
+import logging
+import sys
+
+
+def set_up_logging(*, level, program, process_id):
+    """Send log lines with time, level and process to standard error.
+
+    :param level: Name of the lowest level that is written.
+    :param program: Name of the program.
+    :param process_id: Identity of this process in the site.
+    """
+    prefix = f"program={program} id={process_id}"
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=level.upper(),
+        format=f"time=%(created).3f level=%(levelname)s {prefix} %(message)s",
+        force=True,
+    )
--- /dev/null
+++ b/src/radishlanding/policy/__init__.py
@@ -0,0 +1,31 @@
+"""Decisions about placement and routing, apart from any encoding."""
+
+from radishlanding.policy.fair_queue import FairQueue
+from radishlanding.policy.least_outstanding import LeastOutstanding
+from radishlanding.policy.placement import Placement
+from radishlanding.policy.power_of_two import PowerOfTwo
+from radishlanding.policy.quarantine import Quarantine
+from radishlanding.policy.random_placement import RandomPlacement
+from radishlanding.policy.random_routing import RandomRouting
+from radishlanding.policy.retry_budget import RetryBudget
+from radishlanding.policy.round_robin import RoundRobin
+from radishlanding.policy.routing import Routing
+from radishlanding.policy.spread_placement import SpreadPlacement
+from radishlanding.policy.target_view import TargetView
+from radishlanding.policy.vm_view import VmView
+
+__all__ = [
+    "FairQueue",
+    "LeastOutstanding",
+    "Placement",
+    "PowerOfTwo",
+    "Quarantine",
+    "RandomPlacement",
+    "RandomRouting",
+    "RetryBudget",
+    "RoundRobin",
+    "Routing",
+    "SpreadPlacement",
+    "TargetView",
+    "VmView",
+]
--- /dev/null
+++ b/src/radishlanding/policy/fair_queue.py
@@ -0,0 +1,68 @@
+"""The order in which queued tasks are placed."""
+
+import collections
+
+from radishlanding.vm import Capacity
+
+
+class FairQueue:
+    """Serve urgent tasks first, then the organisation that uses least.
+
+    Use is the greatest share of the quota over the resources (dominant
+    resource fairness, Ghodsi et al., NSDI 2011).
+    """
+
+    __slots__ = ("_queues", "_quotas", "_used")
+
+    def __init__(self, *, quotas):
+        """Start with no use and an empty queue.
+
+        :param quotas: Quota of each organisation, as a
+            :class:`radishlanding.vm.Capacity`.
+        """
+        self._quotas = quotas
+        self._used = collections.defaultdict(Capacity)
+        self._queues = collections.defaultdict(collections.deque)
+
+    def use(self, job):
+        """Count a task of a job as running."""
+        self._used[job.organisation] += job.needs
+
+    def add(self, task, job):
+        """Queue a task of a job."""
+        key = (not job.is_urgent, job.organisation)
+        self._queues[key].append((task, job))
+
+    def take(self):
+        """Return the next task and its job, None when there is none.
+
+        A task over its organisation's quota is passed over, and what
+        waits behind it too.
+        """
+        while self._queues:
+            key = min(self._queues, key=self._rank)
+            queue = self._queues[key]
+            task, job = queue[0]
+            quota = self._quotas.get(job.organisation, Capacity())
+            if not (quota - self._used[job.organisation]).holds(job.needs):
+                del self._queues[key]
+                continue
+            queue.popleft()
+            if not queue:
+                del self._queues[key]
+            return task, job
+        return None
+
+    def _rank(self, key):
+        is_normal, organisation = key
+        quota = self._quotas.get(organisation, Capacity())
+        used = self._used[organisation]
+        pairs = (
+            (quota.millicores, used.millicores),
+            (quota.memory_mb, used.memory_mb),
+            (quota.accelerators, used.accelerators),
+        )
+        share = max(
+            (part / total for total, part in pairs if total), default=0
+        )
+        return is_normal, share, organisation
--- /dev/null
+++ b/src/radishlanding/policy/power_of_two.py
@@ -0,0 +1,27 @@
+"""Routing to the better of two targets."""
+
+
+class PowerOfTwo:
+    """Compare two random targets by expected wait.
+
+    Source: Mitzenmacher, The Power of Two Choices in Randomized Load
+    Balancing, IEEE TPDS 2001.
+    """
+
+    __slots__ = ("_random",)
+
+    def __init__(self, *, random):
+        """Use a generator of :mod:`random`."""
+        self._random = random
+
+    def choose(self, targets):
+        """Return the better of two targets; one with a free slot first."""
+        if not targets:
+            return None
+        pair = self._random.sample(targets, min(2, len(targets)))
+        return min(pair, key=_expected_wait)
+
+
+def _expected_wait(target):
+    is_full = target.outstanding >= target.slots
+    return is_full, (target.outstanding + 1) * max(target.latency_ms, 1.0)
--- /dev/null
+++ b/src/radishlanding/policy/quarantine.py
@@ -0,0 +1,46 @@
+"""Keeps work away from VMs that fail everything."""
+
+MIN_DISTINCT_TASKS = 3
+MIN_PAUSE_S = 10.0
+MAX_PAUSE_S = 600.0
+
+
+class Quarantine:
+    """Judge one VM by the tasks that fail on it."""
+
+    __slots__ = ("_failed_tasks", "_pause_s", "_until_s")
+
+    def __init__(self):
+        """Start without failures."""
+        self._failed_tasks = set()
+        self._pause_s = 0.0
+        self._until_s = 0.0
+
+    def failed(self, task_id, *, now_s):
+        """Note that a task failed; it may begin or prolong a pause.
+
+        :param task_id: Identity of the task.
+        :param now_s: Present time, in seconds.
+        """
+        self._failed_tasks.add(task_id)
+        if len(self._failed_tasks) >= MIN_DISTINCT_TASKS or self._pause_s:
+            self._pause_s = min(
+                MAX_PAUSE_S, max(MIN_PAUSE_S, self._pause_s * 2)
+            )
+            self._until_s = now_s + self._pause_s
+            self._failed_tasks.clear()
+
+    def succeeded(self):
+        """Note that a task succeeded; the VM is trusted again."""
+        self._failed_tasks.clear()
+        self._pause_s = 0.0
+        self._until_s = 0.0
+
+    def room_for_tasks(self, *, running, now_s):
+        """Return how many further tasks the VM may take, None for any.
+
+        After a pause one task at a time probes the VM.
+        """
+        if now_s < self._until_s:
+            return 0
+        return max(0, 1 - running) if self._pause_s else None
--- /dev/null
+++ b/src/radishlanding/request/__init__.py
@@ -0,0 +1,10 @@
+"""Requests, their claims and what callers are told of them."""
+
+from radishlanding.request.answer_book import AnswerBook
+from radishlanding.request.attempt import Attempt
+from radishlanding.request.claim import Claim
+from radishlanding.request.outcome import Outcome
+from radishlanding.request.request import Request
+from radishlanding.request.result import Result
+
+__all__ = ["AnswerBook", "Attempt", "Claim", "Outcome", "Request", "Result"]
--- /dev/null
+++ b/src/radishlanding/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Settings of one process, read from TOML."""
+
+from radishlanding.settings.agent import AgentSettings
+from radishlanding.settings.entry import EntrySettings
+from radishlanding.settings.load import check_settings
+from radishlanding.settings.load import load_settings
+from radishlanding.settings.load import SETTINGS_BY_PROGRAM
+from radishlanding.settings.operator import OperatorSettings
+from radishlanding.settings.run_program import run_program
+from radishlanding.settings.scheduler import SchedulerSettings
+
+__all__ = [
+    "SETTINGS_BY_PROGRAM",
+    "AgentSettings",
+    "EntrySettings",
+    "OperatorSettings",
+    "SchedulerSettings",
+    "check_settings",
+    "load_settings",
+    "run_program",
+]
--- /dev/null
+++ b/src/radishlanding/settings/load.py
@@ -0,0 +1,93 @@
+"""Loads and checks the settings of one process."""
+
+import dataclasses
+import ipaddress
+
+from radishlanding.findings import Collector
+from radishlanding.findings import read_toml
+from radishlanding.findings import structure
+from radishlanding.settings.agent import AgentSettings
+from radishlanding.settings.entry import EntrySettings
+from radishlanding.settings.operator import OperatorSettings
+from radishlanding.settings.scheduler import SchedulerSettings
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+SETTINGS_BY_PROGRAM = {
+    "agent": AgentSettings,
+    "entry": EntrySettings,
+    "operator": OperatorSettings,
+    "scheduler": SchedulerSettings,
+}
+_ADDRESSES = (
+    "announce_listen",
+    "entries",
+    "http_listen",
+    "peer_advertise",
+    "peer_listen",
+    "schedulers",
+    "store",
+    "worker",
+)
+_OPTIONAL = ("peer_advertise",)
+_LISTENING = ("announce_listen", "http_listen", "peer_listen")
+
+
+def _address_problem(text, *, may_be_zero):
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return f"{text!r} is not ip:port"
+    if not port.isdecimal() or not 0 <= int(port) <= 65535:
+        return f"{text!r} has no port from 0 to 65535"
+    if int(port) == 0 and not may_be_zero:
+        return f"{text!r} has port 0, which nothing can dial"
+    return ""
+
+
+def _check_address(name, value, collector):
+    if name in _OPTIONAL and not value:
+        return
+    values = value if isinstance(value, list) else [value]
+    if not values:
+        collector.add(key=name, problem="names no address")
+    for text in values:
+        problem = _address_problem(text, may_be_zero=name in _LISTENING)
+        if problem:
+            collector.add(key=name, problem=problem)
+
+
+def check_settings(cfg, *, source):
+    """Check the values of settings.
+
+    :param cfg: Settings of any program.
+    :param source: Name of the input for the findings.
+    :raises InvalidInput: Values are wrong; every finding is named.
+    """
+    collector = Collector(source=source)
+    for field in dataclasses.fields(cfg):
+        name, value = field.name, getattr(cfg, field.name)
+        if name in _ADDRESSES:
+            _check_address(name, value, collector)
+        elif name in ("id", "zone", "rack", "vm") and not value:
+            collector.add(key=name, problem="must not be empty")
+        elif name == "log_level" and value not in LOG_LEVELS:
+            levels = ", ".join(LOG_LEVELS)
+            collector.add(key=name, problem=f"must be one of {levels}")
+        elif isinstance(value, int | float) and value <= 0:
+            collector.add(key=name, problem="must be positive")
+    collector.raise_any()
+
+
+def load_settings(program, path):
+    """Return the settings of a program from a TOML file.
+
+    :param program: ``agent``, ``entry``, ``operator`` or ``scheduler``.
+    :param path: File name.
+    :raises InvalidInput: The file has findings; every one is named.
+    """
+    cfg = structure(
+        SETTINGS_BY_PROGRAM[program], read_toml(path), source=str(path)
+    )
+    check_settings(cfg, source=str(path))
+    return cfg
--- /dev/null
+++ b/src/radishlanding/settings/run_program.py
@@ -0,0 +1,36 @@
+"""Starts a program from its command line."""
+
+import sys
+
+import trio
+
+from radishlanding.findings import InvalidInput
+from radishlanding.observe import set_up_logging
+from radishlanding.settings.load import load_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_USAGE = 64
+
+
+def run_program(name, make_program):
+    """Load the settings named on the command line and run the program.
+
+    :param name: ``agent``, ``entry`` or ``scheduler``.
+    :param make_program: Callable that takes ``cfg`` and returns an object
+        with a coroutine ``run``.
+    :returns: Exit status: 0 after an ordered stop, 2 for bad settings, 64
+        for a wrong command line.
+    """
+    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+        print(f"usage: radishlanding-{name} SETTINGS.toml", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        cfg = load_settings(name, sys.argv[1])
+    except InvalidInput as exc:
+        for line in exc.lines():
+            print(line, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    process_id = cfg.vm if name == "agent" else cfg.id
+    set_up_logging(level=cfg.log_level, program=name, process_id=process_id)
+    trio.run(make_program(cfg=cfg).run)
+    return 0
--- /dev/null
+++ b/src/radishlanding/shard/state.py
@@ -0,0 +1,145 @@
+"""Everything that the journal of a shard says."""
+
+from radishlanding.request import Claim
+from radishlanding.shard.snapshot import Snapshot
+from radishlanding.store import pack
+from radishlanding.store import unpack
+from radishlanding.task import Job
+from radishlanding.task import Task
+from radishlanding.task import TaskState
+
+CHUNK_ITEMS = 1500
+CLAIM_RETENTION_S = 24 * 3600.0
+JOB_RETENTION_S = 7 * 24 * 3600.0
+
+
+class ShardState:
+    """Jobs, tasks and claims of one shard."""
+
+    __slots__ = (
+        "_queued",
+        "_tasks_by_vm",
+        "claims",
+        "ended_s",
+        "jobs",
+        "last_made_s",
+        "tasks",
+    )
+
+    def __init__(self):
+        """Start empty."""
+        self.jobs: dict[str, Job] = {}
+        self.tasks: dict[str, Task] = {}
+        self.claims: dict[str, Claim] = {}
+        self.ended_s: dict[str, float] = {}
+        self.last_made_s = 0.0
+        self._queued: dict[str, None] = {}
+        self._tasks_by_vm: dict[str, set[str]] = {}
+
+    def apply(self, segment):
+        """Apply a recorded segment."""
+        self.last_made_s = segment.made_s
+        for job in segment.jobs:
+            self.jobs[job.job_id] = job
+            for index in range(job.tasks):
+                task_id = f"{job.job_id}/{index}"
+                self.tasks[task_id] = Task(task_id=task_id, job_id=job.job_id)
+                self._queued[task_id] = None
+        for transition in segment.transitions:
+            task = self.tasks[transition.task_id]
+            self._remove_from_index(task)
+            transition.apply(task)
+            self._add_to_index(task)
+            if task.state.has_ended:
+                self.ended_s[task.task_id] = segment.made_s
+        for claim in segment.claims:
+            self.claims[claim.key] = claim
+
+    def claimed_attempt(self, key):
+        """Return the newest claimed attempt of a request, 0 for none."""
+        claim = self.claims.get(key)
+        return claim.attempt if claim else 0
+
+    def _add_to_index(self, task):
+        if task.state == TaskState.QUEUED:
+            self._queued[task.task_id] = None
+        elif task.state.is_on_vm:
+            self._tasks_by_vm.setdefault(task.vm, set()).add(task.task_id)
+
+    def _remove_from_index(self, task):
+        self._queued.pop(task.task_id, None)
+        on_vm = self._tasks_by_vm.get(task.vm)
+        if on_vm is not None:
+            on_vm.discard(task.task_id)
+            if not on_vm:
+                del self._tasks_by_vm[task.vm]
+
+    def queued(self):
+        """Return the queued tasks, the longest waiting first."""
+        return [self.tasks[task_id] for task_id in self._queued]
+
+    def busy_vms(self):
+        """Return the VMs on which tasks may be running."""
+        return list(self._tasks_by_vm)
+
+    def tasks_on(self, vm):
+        """Return the tasks that may be running on a VM."""
+        task_ids = sorted(self._tasks_by_vm.get(vm, ()))
+        return [self.tasks[task_id] for task_id in task_ids]
+
+    def tasks_of(self, job_id):
+        """Return the tasks of a job, in order."""
+        job = self.jobs[job_id]
+        return [self.tasks[f"{job_id}/{index}"] for index in range(job.tasks)]
+
+    def prune(self):
+        """Forget claims and ended jobs that are past their retention."""
+        now_s = self.last_made_s
+        for key, claim in list(self.claims.items()):
+            if claim.made_s + CLAIM_RETENTION_S < now_s:
+                del self.claims[key]
+        for job_id in list(self.jobs):
+            tasks = self.tasks_of(job_id)
+            if all(task.state in _FORGETTABLE for task in tasks) and all(
+                self.ended_s.get(task.task_id, now_s) + JOB_RETENTION_S < now_s
+                for task in tasks
+            ):
+                del self.jobs[job_id]
+                for task in tasks:
+                    del self.tasks[task.task_id]
+                    self.ended_s.pop(task.task_id, None)
+
+    def dump(self):
+        """Return the state as chunks of bytes, each below a megabyte."""
+        items = [
+            *(("jobs", job) for job in self.jobs.values()),
+            *(("tasks", task) for task in self.tasks.values()),
+            *(("claims", claim) for claim in self.claims.values()),
+        ]
+        chunks = []
+        for start in range(0, max(1, len(items)), CHUNK_ITEMS):
+            part = Snapshot(last_made_s=self.last_made_s)
+            for field, item in items[start : start + CHUNK_ITEMS]:
+                getattr(part, field).append(item)
+            part.ended_s = {
+                task.task_id: self.ended_s[task.task_id]
+                for task in part.tasks
+                if task.task_id in self.ended_s
+            }
+            chunks.append(pack(part))
+        return chunks
+
+    def load(self, chunks):
+        """Read the chunks of a snapshot."""
+        for chunk in chunks:
+            part = unpack(Snapshot, chunk)
+            self.jobs.update((job.job_id, job) for job in part.jobs)
+            for task in part.tasks:
+                self.tasks[task.task_id] = task
+                self._add_to_index(task)
+            self.claims.update((claim.key, claim) for claim in part.claims)
+            self.ended_s.update(part.ended_s)
+            self.last_made_s = part.last_made_s
+
+
+_FORGETTABLE = (TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED)
--- /dev/null
+++ b/src/radishlanding/vm/__init__.py
@@ -0,0 +1,9 @@
+"""What a VM holds, has given away and may run."""
+
+from radishlanding.vm.capacity import Capacity
+from radishlanding.vm.lease import boot_clock_s
+from radishlanding.vm.lease import VmLease
+from radishlanding.vm.ledger import Ledger
+from radishlanding.vm.no_room import NoRoom
+
+__all__ = ["Capacity", "Ledger", "NoRoom", "VmLease", "boot_clock_s"]
--- /dev/null
+++ b/src/radishlanding/vm/no_room.py
@@ -0,0 +1,11 @@
+"""Raised when a VM cannot hold more."""
+
+
+class NoRoom(Exception):
+    """Say what was asked for and what is free."""
+
+    def __init__(self, *, needs, free):
+        """Keep both amounts."""
+        super().__init__(f"needs {needs}, free {free}")
+        self.needs = needs
+        self.free = free
