--- /dev/null
+++ b/src/radishlanding/agent/main.py
@@ -0,0 +1,11 @@
+"""Command line of ``radishlanding-agent``."""
+
+import sys
+
+from radishlanding.agent.program import AgentProgram
+from radishlanding.settings import run_program
+
+
+def main():
+    """Run an agent."""
+    sys.exit(run_program("agent", AgentProgram))
--- /dev/null
+++ b/src/radishlanding/entry/agent_directory.py
@@ -0,0 +1,102 @@
+"""The agents that report to an entry."""
+
+import contextlib
+
+import trio
+
+from radishlanding.entry.agent_view import AgentView
+from radishlanding.message import Accepted
+from radishlanding.message import LoadReport
+from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
+from radishlanding.policy import TargetView
+
+_log = EventLog("radishlanding.entry")
+
+
+class AgentDirectory:
+    """Hold the agents by VM; handles their messages."""
+
+    __slots__ = ("_cfg_watch", "_changed", "_views")
+
+    def __init__(self, *, cfg_watch):
+        """Start with no agents.
+
+        :param cfg_watch: A :class:`radishlanding.config.ConfigWatch`.
+        """
+        self._cfg_watch = cfg_watch
+        self._changed = trio.Event()
+        self._views = {}
+
+    async def handle(self, message, conn):
+        """Take in a load report."""
+        if not isinstance(message, LoadReport):
+            raise CallRefused(f"unexpected {type(message).__name__}")
+        view = self._views.get(message.vm)
+        if view is None or view.conn is not conn:
+            if view is not None:
+                view.conn.abort()
+            self._views[message.vm] = AgentView(report=message, conn=conn)
+            _log.info("agent_up", vm=message.vm, agent=message.incarnation)
+        elif message.clock_ms >= view.report.clock_ms:
+            view.report = message
+        self.notify()
+        return Accepted()
+
+    def lost(self, conn):
+        """Forget the agent of a connection."""
+        for vm, view in list(self._views.items()):
+            if view.conn is conn:
+                del self._views[vm]
+                _log.info("agent_down", vm=vm)
+
+    def find(self, vm):
+        """Return the view of a VM's agent, or None."""
+        return self._views.get(vm)
+
+    def targets(self, req, *, without=()):
+        """Return views of the targets that may take a request.
+
+        :param req: A :class:`radishlanding.request.Request`.
+        :param without: VMs that are not wanted.
+        """
+        zones = self._cfg_watch.document.zones
+        return [
+            _target_view(vm, view, load)
+            for vm, view in self._views.items()
+            if vm not in without
+            and view.report.zone in req.zones
+            and view.report.zone in zones
+            and zones[view.report.zone].in_service
+            for load in view.report.targets
+            if load.service == req.service and not load.leaving
+        ]
+
+    @contextlib.contextmanager
+    def in_flight(self, view, service):
+        """Count a request as sent to an agent."""
+        view.in_flight[service] = view.in_flight.get(service, 0) + 1
+        try:
+            yield
+        finally:
+            view.in_flight[service] -= 1
+            self.notify()
+
+    def notify(self):
+        """Wake who waits for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_changed(self):
+        """Wait until a report has come or a request has ended."""
+        await self._changed.wait()
+
+
+def _target_view(vm, view, load):
+    in_flight = view.in_flight.get(load.service, 0)
+    return TargetView(
+        vm=vm,
+        slots=load.slots,
+        outstanding=max(load.outstanding, in_flight),
+        latency_ms=load.latency_ms,
+    )
--- /dev/null
+++ b/src/radishlanding/entry/main.py
@@ -0,0 +1,11 @@
+"""Command line of ``radishlanding-entry``."""
+
+import sys
+
+from radishlanding.entry.program import EntryProgram
+from radishlanding.settings import run_program
+
+
+def main():
+    """Run an entry."""
+    sys.exit(run_program("entry", EntryProgram))
--- /dev/null
+++ b/src/radishlanding/entry/scheduler_links.py
@@ -0,0 +1,145 @@
+"""Connections of an entry to the schedulers."""
+
+import random
+
+import trio
+
+from radishlanding.message import Accepted
+from radishlanding.message import EntryHello
+from radishlanding.message import OwnerReport
+from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
+from radishlanding.peer import ConnectionLost
+from radishlanding.peer import Link
+from radishlanding.shard import shard_of
+
+HELLO_PAUSE_S = 1.0
+HELLO_TIMEOUT_S = 2.0
+RETRY_PAUSE_S = 0.1
+
+_log = EventLog("radishlanding.entry")
+
+
+class SchedulerLinks:
+    """Keep a link to each scheduler and know which shards it owns."""
+
+    __slots__ = (
+        "_cfg_watch",
+        "_counters",
+        "_identity",
+        "_links",
+        "_members",
+        "_owned",
+    )
+
+    def __init__(self, *, identity, cfg_watch, members, counters):
+        """Prepare; :meth:`run` keeps the links.
+
+        :param identity: Pair of process identity and availability zone.
+        :param cfg_watch: A :class:`radishlanding.config.ConfigWatch`.
+        :param members: A :class:`radishlanding.membership.Members`.
+        :param counters: Counts of the process.
+        """
+        self._identity = identity
+        self._cfg_watch = cfg_watch
+        self._members = members
+        self._counters = counters
+        self._links = {}
+        self._owned = {}
+
+    async def run(self):
+        """Follow the schedulers of the site."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                wanted = self._members.addresses("scheduler")
+                for address in list(self._links):
+                    if address not in wanted:
+                        self._links.pop(address).close()
+                for address in wanted:
+                    if address not in self._links:
+                        link = Link(
+                            address=address,
+                            handler=self,
+                            counters=self._counters,
+                        )
+                        self._links[address] = link
+                        nursery.start_soon(link.run)
+                await self._members.wait_changed()
+
+    async def connected(self, conn):
+        """Introduce the entry, and report its revision every second."""
+        entry_id, zone = self._identity
+        while True:
+            hello = EntryHello(
+                entry_id=entry_id,
+                zone=zone,
+                revision=self._cfg_watch.document.revision,
+            )
+            try:
+                report = await conn.call(hello, timeout_s=HELLO_TIMEOUT_S)
+            except (ConnectionLost, CallRefused) as exc:
+                _log.info("scheduler_lost", address=conn.peer, reason=exc)
+                conn.abort()
+                return
+            self._owned[conn] = report.owners
+            await trio.sleep(HELLO_PAUSE_S)
+
+    async def handle(self, message, conn):
+        """Take in which shards a scheduler owns."""
+        if not isinstance(message, OwnerReport):
+            raise CallRefused(f"unexpected {type(message).__name__}")
+        self._owned[conn] = message.owners
+        return Accepted()
+
+    def lost(self, conn):
+        """Forget what the scheduler of a connection owned."""
+        self._owned.pop(conn, None)
+
+    def _owner_conn(self, name):
+        """Return the connection to the newest owner of a name's shard."""
+        shard = shard_of(name, shards=self._cfg_watch.document.shards)
+        found = [
+            (owned.owner_epoch, conn)
+            for conn, owners in self._owned.items()
+            for owned in owners
+            if owned.shard == shard
+        ]
+        return max(found, key=lambda pair: pair[0])[1] if found else None
+
+    async def call_owner(self, name, message, *, timeout_s):
+        """Call the owner of a shard; wait for one if there is none.
+
+        Only calls that may be repeated go this way: a call that got no
+        answer is sent again, perhaps to another owner.
+
+        :param name: VM, job or request key whose shard is meant.
+        :param message: The message.
+        :param timeout_s: Time for all tries, in seconds.
+        :raises ConnectionLost: No owner answered in time.
+        """
+        reason = "no scheduler owns the shard"
+        with trio.move_on_after(timeout_s):
+            while True:
+                conn = self._owner_conn(name)
+                if conn is not None:
+                    try:
+                        return await conn.call(message, timeout_s=timeout_s)
+                    except (ConnectionLost, CallRefused) as exc:
+                        reason = str(exc)
+                await trio.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.5))
+        raise ConnectionLost(reason)
+
+    async def call_all(self, message, *, timeout_s):
+        """Call every connected scheduler and return their answers."""
+        answers = []
+
+        async def call(link):
+            try:
+                answers.append(await link.call(message, timeout_s=timeout_s))
+            except (ConnectionLost, CallRefused) as exc:
+                _log.info("scheduler_silent", address=link.address, reason=exc)
+
+        async with trio.open_nursery() as nursery:
+            for link in self._links.values():
+                nursery.start_soon(call, link)
+        return answers
--- /dev/null
+++ b/src/radishlanding/http/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP/1.1 towards callers, targets and the platform."""
+
+from radishlanding.http.client import HttpClient
+from radishlanding.http.exchange_failed import ExchangeFailed
+from radishlanding.http.handler import HttpHandler
+from radishlanding.http.limits import Limits
+from radishlanding.http.problem import Problem
+from radishlanding.http.request import HttpRequest
+from radishlanding.http.response import HttpResponse
+from radishlanding.http.server import HttpServer
+
+__all__ = [
+    "ExchangeFailed",
+    "HttpClient",
+    "HttpHandler",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "Limits",
+    "Problem",
+]
--- /dev/null
+++ b/src/radishlanding/http/client.py
@@ -0,0 +1,155 @@
+"""An HTTP/1.1 client for one server."""
+
+import h11
+import trio
+
+from radishlanding.http.exchange_failed import ExchangeFailed
+from radishlanding.http.response import HttpResponse
+
+READ_BYTES = 64 * 1024
+DIAL_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 8
+MAX_BODY_BYTES = 1024 * 1024
+
+
+class _ClientConnection:
+    """One connection, with one request at a time."""
+
+    __slots__ = ("_h11", "_max_body_bytes", "_stream")
+
+    def __init__(self, stream, max_body_bytes):
+        self._max_body_bytes = max_body_bytes
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._stream = stream
+
+    async def exchange(self, method, target, headers, body):
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self._h11.send(request)
+        data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+        return await self._read_response()
+
+    async def _read_response(self):
+        response = None
+        chunks = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(
+                    await self._stream.receive_some(READ_BYTES)
+                )
+            elif isinstance(event, h11.Response):
+                response = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._max_body_bytes:
+                    raise h11.RemoteProtocolError("body too long")
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("closed before a response")
+        return HttpResponse(
+            status=response.status_code,
+            headers={
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in response.headers
+            },
+            body=b"".join(chunks),
+        )
+
+    def is_reusable(self):
+        states = (self._h11.our_state, self._h11.their_state)
+        if states != (h11.DONE, h11.DONE):
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def close(self):
+        await trio.aclose_forcefully(self._stream)
+
+
+class HttpClient:
+    """Send requests to one server.
+
+    A connection carries one request at a time and is kept only after a
+    whole response; after a failure or cancellation it is closed, so that a
+    late response never meets another request.
+    """
+
+    __slots__ = ("_address", "_host", "_idle", "_max_body_bytes", "_port")
+
+    def __init__(self, *, address, max_body_bytes=MAX_BODY_BYTES):
+        """Prepare a client without connecting.
+
+        :param address: ``ip:port`` of the server.
+        :param max_body_bytes: Longest response body that is taken.
+        """
+        self._max_body_bytes = max_body_bytes
+        self._address = address
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._idle = []
+
+    async def send(
+        self, method, target, *, timeout_s, headers=(), body=b"", fresh=False
+    ):
+        """Send a request and return its whole response.
+
+        :param method: Method in upper case.
+        :param target: Path and query.
+        :param timeout_s: Time for the whole exchange, in seconds.
+        :param headers: Pairs of further headers.
+        :param body: Body.
+        :param fresh: Whether to open a new connection.
+        :returns: An :class:`radishlanding.http.HttpResponse`.
+        :raises ExchangeFailed: There was no whole response in time.
+        """
+        all_headers = [
+            ("host", self._address),
+            ("content-length", str(len(body))),
+            *headers,
+        ]
+        conn = None
+        was_sent = False
+        try:
+            with trio.fail_after(timeout_s):
+                if self._idle and not fresh:
+                    conn = self._idle.pop()
+                else:
+                    conn = await self._dial()
+                was_sent = True
+                response = await conn.exchange(
+                    method, target, all_headers, body
+                )
+        except (
+            OSError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.ProtocolError,
+        ) as exc:
+            reason = str(exc) or type(exc).__name__
+            raise ExchangeFailed(reason, was_sent=was_sent) from exc
+        else:
+            if len(self._idle) < MAX_IDLE_CONNECTIONS and conn.is_reusable():
+                self._idle.append(conn)
+                conn = None
+            return response
+        finally:
+            if conn is not None:
+                with trio.CancelScope(shield=True):
+                    await conn.close()
+                    await self.close()
+
+    async def _dial(self):
+        with trio.fail_after(DIAL_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(self._host, self._port)
+        return _ClientConnection(stream, self._max_body_bytes)
+
+    async def close(self):
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
--- /dev/null
+++ b/src/radishlanding/http/request.py
@@ -0,0 +1,48 @@
+"""One HTTP request."""
+
+import dataclasses
+import json
+import urllib.parse
+
+from radishlanding.http.problem import Problem
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HttpRequest:
+    """A request with its whole body.
+
+    :param method: Method in upper case.
+    :param target: Path and query.
+    :param headers: Values by lower-case name.
+    :param body: Body.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def path(self):
+        """Return the parts of the path, unquoted."""
+        path = self.target.partition("?")[0]
+        return [urllib.parse.unquote(part) for part in path.split("/") if part]
+
+    @property
+    def query(self):
+        """Return the last value of each query parameter."""
+        query = self.target.partition("?")[2]
+        return dict(urllib.parse.parse_qsl(query))
+
+    def json(self):
+        """Return the body as a JSON object.
+
+        :raises Problem: 400, the body is no JSON object.
+        """
+        try:
+            value = json.loads(self.body or b"{}")
+        except ValueError as exc:
+            raise Problem(status=400, reason=f"body is no JSON: {exc}")
+        if not isinstance(value, dict):
+            raise Problem(status=400, reason="body is no JSON object")
+        return value
--- /dev/null
+++ b/src/radishlanding/http/response.py
@@ -0,0 +1,34 @@
+"""One HTTP response."""
+
+import dataclasses
+import json
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HttpResponse:
+    """A response with its whole body.
+
+    :param status: Status code.
+    :param headers: Values by lower-case name.
+    :param body: Body.
+    """
+
+    status: int
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+    @classmethod
+    def of_json(cls, value, *, status=200):
+        """Return a response whose body is JSON."""
+        return cls(
+            status=status,
+            headers={"content-type": "application/json"},
+            body=json.dumps(value).encode() + b"\n",
+        )
+
+    def json(self):
+        """Return the body as JSON.
+
+        :raises ValueError: The body is no JSON.
+        """
+        return json.loads(self.body or b"{}")
--- /dev/null
+++ b/src/radishlanding/http/server.py
@@ -0,0 +1,52 @@
+"""An HTTP/1.1 server."""
+
+import trio
+
+from radishlanding.http.limits import Limits
+from radishlanding.http.server_connection import ServerConnection
+
+
+class HttpServer:
+    """Run one task for each connection."""
+
+    __slots__ = ("_accept_scope", "_connections", "_handler", "_limits")
+
+    def __init__(self, *, handler, limits=None):
+        """Prepare the server.
+
+        :param handler: An :class:`radishlanding.http.HttpHandler`.
+        :param limits: A :class:`Limits`, or None for the usual ones.
+        """
+        self._handler = handler
+        self._limits = limits or Limits()
+        self._connections = set()
+        self._accept_scope = trio.CancelScope()
+
+    async def run(self, *, host, port, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until drained; report the port when it is open."""
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        task_status.started(listeners[0].socket.getsockname()[1])
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                await trio.serve_listeners(
+                    self._serve, listeners, handler_nursery=nursery
+                )
+
+    async def _serve(self, stream):
+        if len(self._connections) >= self._limits.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        conn = ServerConnection(
+            stream=stream, handler=self._handler, limits=self._limits
+        )
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._connections.discard(conn)
+
+    def drain(self):
+        """Accept nothing new and end when all requests are answered."""
+        self._accept_scope.cancel()
+        for conn in self._connections:
+            conn.drain()
--- /dev/null
+++ b/src/radishlanding/membership/member.py
@@ -0,0 +1,19 @@
+"""One process of the site."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Member:
+    """Where a process can be reached.
+
+    :param kind: Program: entry or scheduler.
+    :param process_id: Unique identity of the process.
+    :param zone: Availability zone of its VM.
+    :param address: ``ip:port`` for peers.
+    """
+
+    kind: str
+    process_id: str
+    zone: str
+    address: str
--- /dev/null
+++ b/src/radishlanding/peer/__init__.py
@@ -0,0 +1,19 @@
+"""Connections between the project's own processes."""
+
+from radishlanding.peer.call_refused import CallRefused
+from radishlanding.peer.connection import Connection
+from radishlanding.peer.connection_lost import ConnectionLost
+from radishlanding.peer.handler import Handler
+from radishlanding.peer.link import dial
+from radishlanding.peer.link import Link
+from radishlanding.peer.server import PeerServer
+
+__all__ = [
+    "CallRefused",
+    "Connection",
+    "ConnectionLost",
+    "Handler",
+    "Link",
+    "PeerServer",
+    "dial",
+]
--- /dev/null
+++ b/src/radishlanding/peer/connection.py
@@ -0,0 +1,197 @@
+"""One connection between two processes."""
+
+import trio
+
+from radishlanding.message import Ping
+from radishlanding.message import Pong
+from radishlanding.message import Refused
+from radishlanding.observe import EventLog
+from radishlanding.peer.call_refused import CallRefused
+from radishlanding.peer.connection_lost import ConnectionLost
+from radishlanding.peer.frames import frame
+from radishlanding.peer.frames import FrameReader
+from radishlanding.peer.future import Future
+from radishlanding.wire import decode
+from radishlanding.wire import encode
+from radishlanding.wire import Envelope
+from radishlanding.wire import MalformedMessage
+
+PING_PAUSE_S = 0.8
+PING_TIMEOUT_S = 2.0
+SEND_TIMEOUT_S = 2.0
+MAX_CALLS_IN_FLIGHT = 2000
+
+_log = EventLog("radishlanding.peer")
+
+
+class Connection:
+    """Exchange calls and notices with one peer.
+
+    Every reply is matched with its call by identity; a late or unknown
+    reply is counted and dropped. A peer that does not answer pings within
+    ``PING_PAUSE_S + PING_TIMEOUT_S`` seconds is taken for lost.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_futures",
+        "_handler",
+        "_in_flight",
+        "_is_lost",
+        "_next_id",
+        "_scope",
+        "_send_lock",
+        "_stream",
+        "peer",
+    )
+
+    def __init__(self, *, stream, handler, counters, peer):
+        """Prepare a connection; :meth:`run` carries it.
+
+        :param stream: An open stream of trio.
+        :param handler: A :class:`radishlanding.peer.Handler`.
+        :param counters: Counts of the process.
+        :param peer: Name of the peer for the log.
+        """
+        self._stream = stream
+        self._handler = handler
+        self._counters = counters
+        self._futures = {}
+        self._in_flight = 0
+        self._is_lost = False
+        self._next_id = 1
+        self._scope = trio.CancelScope()
+        self._send_lock = trio.Lock()
+        self.peer = peer
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Carry the connection until it ends, then tell the handler."""
+        reason = "closed here"
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._ping)
+                    task_status.started(self)
+                    reason = await self._read(nursery)
+                    nursery.cancel_scope.cancel()
+        finally:
+            self._is_lost = True
+            for fut in self._futures.values():
+                fut.set(None)
+            self._futures.clear()
+            self._handler.lost(self)
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(self._stream)
+            _log.debug("peer_gone", peer=self.peer, reason=reason)
+
+    def abort(self):
+        """End the connection at once."""
+        self._scope.cancel()
+
+    async def _read(self, nursery):
+        """Read messages until the connection ends; return why it did."""
+        reader = FrameReader(self._stream)
+        try:
+            while True:
+                envelope = decode(await reader.read())
+                await self._dispatch(envelope, nursery)
+        except MalformedMessage as exc:
+            self._counters.add("peer_malformed")
+            _log.warning("peer_malformed", peer=self.peer, reason=exc)
+            return "malformed"
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            return str(exc) or "closed"
+
+    async def _dispatch(self, envelope, nursery):
+        if envelope.is_reply:
+            fut = self._futures.pop(envelope.call_id, None)
+            if fut is None:
+                self._counters.add("peer_late_reply")
+            else:
+                fut.set(envelope.message)
+        elif isinstance(envelope.message, Ping):
+            await self._write(envelope.call_id, Pong(), is_reply=True)
+        elif self._in_flight >= MAX_CALLS_IN_FLIGHT:
+            self._counters.add("peer_overloaded")
+            await self._write(
+                envelope.call_id, Refused(reason="overloaded"), is_reply=True
+            )
+        else:
+            self._in_flight += 1
+            nursery.start_soon(self._handle, envelope)
+
+    async def _handle(self, envelope):
+        try:
+            reply = await self._handler.handle(envelope.message, self)
+        except CallRefused as exc:
+            reply = Refused(reason=exc.reason)
+        except Exception:
+            # One bad call must not end the calls of every other peer.
+            self._counters.add("peer_handler_failed")
+            _log.exception("peer_handler_failed", peer=self.peer)
+            reply = Refused(reason="internal error")
+        finally:
+            self._in_flight -= 1
+        if envelope.call_id:
+            await self._write(envelope.call_id, reply, is_reply=True)
+
+    async def _ping(self):
+        while True:
+            await trio.sleep(PING_PAUSE_S)
+            try:
+                await self.call(Ping(), timeout_s=PING_TIMEOUT_S)
+            except ConnectionLost:
+                self._counters.add("peer_silent")
+                _log.info("peer_silent", peer=self.peer)
+                self.abort()
+
+    async def _write(self, call_id, message, *, is_reply):
+        data = frame(
+            encode(
+                Envelope(call_id=call_id, is_reply=is_reply, message=message)
+            )
+        )
+        try:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                async with self._send_lock:
+                    await self._stream.send_all(data)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ):
+            self.abort()
+
+    async def notify(self, message):
+        """Send a message that needs no reply; loss goes unnoticed."""
+        await self._write(0, message, is_reply=False)
+
+    async def call(self, message, *, timeout_s):
+        """Send a message and return its reply.
+
+        :param message: A message of :mod:`radishlanding.message`.
+        :param timeout_s: How long to wait for the reply, in seconds.
+        :raises ConnectionLost: No reply came; the call may have taken
+            effect.
+        :raises CallRefused: The peer refused the call.
+        """
+        if self._is_lost:
+            raise ConnectionLost(
+                f"{self.peer}: connection is gone", was_sent=False
+            )
+        call_id = self._next_id
+        self._next_id += 1
+        fut = Future()
+        self._futures[call_id] = fut
+        reply = None
+        try:
+            with trio.move_on_after(timeout_s):
+                await self._write(call_id, message, is_reply=False)
+                reply = await fut.wait()
+        finally:
+            self._futures.pop(call_id, None)
+        if reply is None:
+            raise ConnectionLost(f"{self.peer}: no reply")
+        if isinstance(reply, Refused):
+            raise CallRefused(reply.reason)
+        return reply
--- /dev/null
+++ b/src/radishlanding/scheduler/main.py
@@ -0,0 +1,11 @@
+"""Command line of ``radishlanding-scheduler``."""
+
+import sys
+
+from radishlanding.scheduler.program import SchedulerProgram
+from radishlanding.settings import run_program
+
+
+def main():
+    """Run a scheduler."""
+    sys.exit(run_program("scheduler", SchedulerProgram))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of radishlanding; the folders mirror the package."""
--- /dev/null
+++ b/tests/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the targets and the network."""
--- /dev/null
+++ b/tests/standin/checks.py
@@ -0,0 +1,109 @@
+"""Checks of the record against what must always hold."""
+
+import hashlib
+import itertools
+import json
+
+RESOURCES = ("millicores", "memory_mb", "accelerators")
+
+
+def overfull_vms(record):
+    """Return what was too much on a VM at some instant."""
+    findings = []
+    for vm, capacity in record.capacities.items():
+        runs = [run for run in record.runs if run.vm == vm]
+        for instant in sorted(run.began_s for run in runs):
+            there = [
+                run for run in runs if run.began_s <= instant < run.ended_s
+            ]
+            for name in RESOURCES:
+                used = sum(getattr(run, name) for run in there)
+                if used > getattr(capacity, name):
+                    findings.append(f"{vm} has {used} {name}")
+    for item in record.executions:
+        if item.in_flight > item.slots:
+            findings.append(f"{item.vm} serves {item.in_flight} requests")
+    return findings
+
+
+def double_runs(record):
+    """Return tasks that ran in two places at once."""
+    findings = []
+    for task_id in {run.task_id for run in record.runs}:
+        runs = sorted(record.runs_of(task_id), key=lambda run: run.began_s)
+        for first, second in itertools.combinations(runs, 2):
+            if second.began_s < first.ended_s:
+                findings.append(f"{task_id} on {first.vm} and on {second.vm}")
+    return findings
+
+
+def repeated_ends(record):
+    """Return tasks that were finished more than once."""
+    done = [run.task_id for run in record.runs if run.ending == "done"]
+    return sorted({task_id for task_id in done if done.count(task_id) > 1})
+
+
+def bad_resumes(record):
+    """Return runs that do not go on where an earlier one left off.
+
+    A run resumes from a checkpoint of the run before, or from where that
+    one itself began; after an eviction from the newest checkpoint.
+    """
+    findings = []
+    for task_id in {run.task_id for run in record.runs}:
+        runs = sorted(record.runs_of(task_id), key=lambda run: run.epoch)
+        epochs = [run.epoch for run in runs]
+        if len(set(epochs)) < len(epochs):
+            findings.append(f"{task_id} started twice under one epoch")
+        for first, second in itertools.pairwise(runs):
+            allowed = [first.resumed_from, *first.checkpoints]
+            if first.was_evicted:
+                allowed = allowed[-1:]
+            if second.resumed_from not in allowed:
+                findings.append(
+                    f"{task_id} resumed from {second.resumed_from!r}, "
+                    f"allowed was {allowed}"
+                )
+    return findings
+
+
+def starts_in_zone(record, zone, *, since_s):
+    """Return what began in a zone after a time."""
+    return [
+        item
+        for item in [*record.runs, *record.executions]
+        if item.zone == zone and item.began_s > since_s
+    ]
+
+
+def repeated_executions(record, keys):
+    """Return keys that were executed more than once."""
+    return [key for key in keys if len(record.executions_of(key)) > 1]
+
+
+def standing_findings(record):
+    """Return all findings about what holds at any time."""
+    return [
+        *overfull_vms(record),
+        *double_runs(record),
+        *repeated_ends(record),
+        *bad_resumes(record),
+    ]
+
+
+def false_answers(record, answers):
+    """Return answers to requests that the record contradicts."""
+    findings = []
+    for answer in answers:
+        key = answer.get("request_id", "")
+        executions = record.executions_of(key)
+        outcome = answer.get("outcome")
+        if outcome == "not_run" and executions:
+            findings.append(f"{key} was answered not_run, but ran")
+        if outcome == "done":
+            digest = hashlib.sha256(answer["sent"]).hexdigest()
+            if not executions:
+                findings.append(f"{key} was answered done, but did not run")
+            elif json.loads(answer["answer"]).get("digest") != digest:
+                findings.append(f"{key} got the answer of another request")
+    return findings
--- /dev/null
+++ b/tests/standin/site.py
@@ -0,0 +1,317 @@
+"""A whole site of real processes among stand-ins."""
+
+import contextlib
+import functools
+import json
+import pathlib
+import tempfile
+
+import trio
+
+from radishlanding.http import ExchangeFailed
+from radishlanding.http import HttpClient
+from radishlanding.http import HttpServer
+from tests.standin import checks
+from tests.standin.front_vm import FrontVm
+from tests.standin.record import now_s
+from tests.standin.record import Record
+from tests.standin.store import StoreStandin
+from tests.standin.vm import Vm
+
+READY_TIMEOUT_S = 20.0
+POLL_PAUSE_S = 0.05
+CALL_TIMEOUT_S = 20.0
+
+
+class Site:
+    """Entry VMs, target VMs, the store and the links between them."""
+
+    __slots__ = (
+        "_nursery",
+        "answers",
+        "fronts",
+        "folder",
+        "plan",
+        "record",
+        "store",
+        "store_address",
+        "vms",
+    )
+
+    def __init__(self, *, plan, folder):
+        """Prepare a site.
+
+        :param plan: A :class:`tests.standin.plan.Plan`.
+        :param folder: Folder for settings and logs.
+        """
+        self._nursery = None
+        self.answers = []
+        self.folder = folder
+        self.plan = plan
+        self.record = Record()
+        self.store = StoreStandin()
+        self.store_address = ""
+        self.fronts = [
+            FrontVm(name=str(index), zone=zone, folder=folder)
+            for index, zone in enumerate(plan.front_zones)
+        ]
+        self.vms = {
+            name: Vm(
+                name=name,
+                zone=zone,
+                rack=rack,
+                service=plan.service,
+                capacity=plan.capacity,
+                site=self,
+            )
+            for name, zone, rack in plan.vms()
+        }
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, plan):
+        """Start a site and end all of it afterwards."""
+        with tempfile.TemporaryDirectory(prefix="radishlanding-") as folder:
+            site = cls(plan=plan, folder=pathlib.Path(folder))
+            async with trio.open_nursery() as nursery:
+                site._nursery = nursery
+                try:
+                    await site._start()
+                    yield site
+                finally:
+                    with trio.CancelScope(shield=True):
+                        for process in site.processes():
+                            await process.kill()
+                nursery.cancel_scope.cancel()
+
+    def processes(self):
+        """Return all processes of the product."""
+        for front in self.fronts:
+            yield front.entry
+            yield front.scheduler
+        for vm in self.vms.values():
+            yield vm.agent
+
+    async def _start(self):
+        nursery = self._nursery
+        port = await nursery.start(
+            functools.partial(
+                HttpServer(handler=self.store).run, host="127.0.0.1", port=0
+            )
+        )
+        self.store_address = f"127.0.0.1:{port}"
+        nursery.start_soon(self.store.sweep)
+        async with trio.open_nursery() as starting:
+            for front in self.fronts:
+                await front.start(nursery, self.store_address)
+                starting.start_soon(front.start_entry, nursery)
+                starting.start_soon(self.start_scheduler, front)
+            for vm in self.vms.values():
+                await vm.start(nursery)
+        await self.apply(self.plan.document())
+        async with trio.open_nursery() as starting:
+            for vm in self.vms.values():
+                starting.start_soon(self.start_agent, vm)
+        await self.wait_ready()
+
+    async def start_scheduler(self, front):
+        """Start the scheduler of an entry VM."""
+        await front.start_scheduler(
+            self._nursery, self.plan.scheduler_settings()
+        )
+
+    async def start_entry(self, front):
+        """Start the entry of an entry VM."""
+        await front.start_entry(self._nursery)
+
+    async def start_agent(self, vm):
+        """Start the agent of a target VM."""
+        await vm.start_agent(
+            self._nursery,
+            {
+                **self.plan.agent_settings(),
+                "schedulers": [
+                    front.scheduler_peers.address for front in self.fronts
+                ],
+            },
+        )
+
+    async def call(
+        self, method, path, value=None, *, front=0, headers=(), timeout_s=None
+    ):
+        """Call an entry once and return status and JSON.
+
+        :raises ExchangeFailed: There was no whole response.
+        """
+        body = b"" if value is None else json.dumps(value).encode()
+        client = HttpClient(address=self.fronts[front].http.address)
+        try:
+            response = await client.send(
+                method,
+                path,
+                body=body,
+                headers=list(headers),
+                timeout_s=timeout_s or CALL_TIMEOUT_S,
+            )
+        finally:
+            await client.close()
+        return response.status, response.json()
+
+    async def apply(self, document, *, front=0):
+        """Apply a configuration."""
+        status, answer = await self.call(
+            "PUT",
+            "/v1/config",
+            {"document": document, "expected": 0, "author": "test"},
+            front=front,
+        )
+        if status != 200:
+            raise AssertionError(f"configuration refused: {answer}")
+
+    async def move_zone(self, zone, direction, *, front=0):
+        """Take a zone out or in; return the time of its acceptance."""
+        status, answer = await self.call(
+            "POST",
+            f"/v1/zones/{zone}/{direction}",
+            {"author": "test"},
+            front=front,
+        )
+        if status != 200:
+            raise AssertionError(f"zone not moved: {answer}")
+        return now_s(), answer["revision"]
+
+    async def request(self, template, body, *, key="", front=0, **options):
+        """Send a request; keep and return its answer, None without one."""
+        headers = [("idempotency-key", key)] if key else []
+        sent = json.dumps(body).encode()
+        try:
+            status, answer = await self.call(
+                "POST",
+                f"/v1/requests/{self.plan.organisation}/{template}",
+                body,
+                headers=headers,
+                front=front,
+                **options,
+            )
+        except ExchangeFailed:
+            return None
+        answer["http_status"] = status
+        answer["sent"] = sent
+        self.answers.append(answer)
+        return answer
+
+    async def submit(self, job_id, template, *, tasks=1, front=0, **params):
+        """Submit a job and return status and answer."""
+        return await self.call(
+            "POST",
+            "/v1/jobs",
+            {
+                "job_id": job_id,
+                "organisation": self.plan.organisation,
+                "template": template,
+                "tasks": tasks,
+                "parameters": params,
+            },
+            front=front,
+        )
+
+    async def job_states(self, job_id, *, front=0):
+        """Return the number of tasks of a job in each state."""
+        try:
+            status, answer = await self.call(
+                "GET", f"/v1/jobs/{job_id}", front=front, timeout_s=6.0
+            )
+        except ExchangeFailed:
+            return {}
+        if status != 200:
+            return {}
+        return {item["state"]: item["count"] for item in answer["states"]}
+
+    async def until(self, condition, *, timeout_s, what):
+        """Wait for a condition.
+
+        :param condition: Callable or coroutine function.
+        :param timeout_s: Bound, in seconds.
+        :param what: What is awaited, for the failure.
+        :returns: How long it took, in seconds.
+        """
+        began_s = now_s()
+        with trio.move_on_after(timeout_s):
+            while True:
+                value = condition()
+                if hasattr(value, "__await__"):
+                    value = await value
+                if value:
+                    return now_s() - began_s
+                await trio.sleep(POLL_PAUSE_S)
+        raise AssertionError(f"not within {timeout_s} s: {what}")
+
+    async def until_job(self, job_id, state, count, *, timeout_s, front=0):
+        """Wait until so many tasks of a job are in a state."""
+
+        async def is_there():
+            states = await self.job_states(job_id, front=front)
+            return states.get(state, 0) == count
+
+        return await self.until(
+            is_there, timeout_s=timeout_s, what=f"{count} {state} of {job_id}"
+        )
+
+    async def until_running(self, count, *, timeout_s, zone=None):
+        """Wait until so many tasks run, in a zone or anywhere."""
+
+        def are_there():
+            running = [
+                run
+                for run in self.record.running()
+                if zone in (None, run.zone)
+            ]
+            return len(running) == count
+
+        return await self.until(
+            are_there, timeout_s=timeout_s, what=f"{count} running in {zone}"
+        )
+
+    async def revisions(self, *, front=0):
+        """Return the revision of each live process, by kind and identity."""
+        try:
+            status, answer = await self.call(
+                "GET", "/v1/status", front=front, timeout_s=6.0
+            )
+        except ExchangeFailed:
+            return {}
+        if status != 200:
+            return {}
+        return {
+            (item["kind"], item["process_id"]): item["revision"]
+            for item in answer["processes"]
+        }
+
+    async def wait_ready(self):
+        """Wait until each process is known and has the configuration."""
+        wanted = len(list(self.processes()))
+
+        async def is_ready():
+            for front in range(len(self.fronts)):
+                found = await self.revisions(front=front)
+                if len(found) != wanted or 0 in found.values():
+                    return False
+            return True
+
+        await self.until(
+            is_ready, timeout_s=READY_TIMEOUT_S, what="the site is ready"
+        )
+
+    def log(self):
+        """Return the last lines of each log, for failures."""
+        texts = []
+        for path in sorted(self.folder.glob("*.log")):
+            lines = path.read_text().splitlines()[-25:]
+            texts.append(f"--- {path.name}\n" + "\n".join(lines))
+        return "\n".join(texts)
+
+    def findings(self):
+        """Return all findings of the record and the answers."""
+        findings = checks.standing_findings(self.record)
+        findings += checks.false_answers(self.record, self.answers)
+        return findings
--- /dev/null
+++ b/tests/standin/store.py
@@ -0,0 +1,171 @@
+"""Stands in for the platform's key-value service.
+
+Serves the part of the etcd v3 JSON gateway that the project asks for:
+range, transactions on one key, range deletes, leases and watches.
+"""
+
+import base64
+import copy
+import itertools
+import json
+import time
+
+import trio
+
+from radishlanding.http import HttpResponse
+from radishlanding.http import Problem
+
+SWEEP_PAUSE_S = 0.05
+
+
+class StoreStandin:
+    """Keep keys in memory; leases really lapse and every call counts."""
+
+    __slots__ = ("_ids", "_keys", "_leases", "_revision", "calls", "writes")
+
+    def __init__(self):
+        """Start empty."""
+        self._ids = itertools.count(1)
+        self._keys = {}
+        self._leases = {}
+        self._revision = 1
+        self.calls = 0
+        self.writes = 0
+
+    async def sweep(self):
+        """Let leases lapse."""
+        while True:
+            await trio.sleep(SWEEP_PAUSE_S)
+            now_s = time.monotonic()
+            for lease, (_, until_s) in list(self._leases.items()):
+                if until_s < now_s:
+                    self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self._leases.pop(lease, None)
+        for key, kv in list(self._keys.items()):
+            if kv["lease"] == lease:
+                del self._keys[key]
+                self._revision += 1
+
+    def dump(self):
+        """Return a copy of the content, for :meth:`restore`."""
+        return copy.deepcopy(self._keys)
+
+    def restore(self, content):
+        """Go back to older content, as from a backup."""
+        self._keys = copy.deepcopy(content)
+        self._revision += 1
+
+    async def respond(self, req):
+        """Answer one call of the gateway."""
+        self.calls += 1
+        fields = req.json()
+        calls = {
+            "kv/range": self._range,
+            "kv/txn": self._txn,
+            "kv/deleterange": self._delete,
+            "lease/grant": self._grant,
+            "lease/keepalive": self._keep_alive,
+            "lease/revoke": self._revoke,
+        }
+        call = calls.get("/".join(req.path[1:]))
+        if req.method != "POST" or call is None:
+            raise Problem(status=404, reason=f"no {req.target}")
+        if call not in (self._range,):
+            self.writes += 1
+        return HttpResponse.of_json(call(fields))
+
+    def _selected(self, fields):
+        start = base64.b64decode(fields["key"])
+        if "range_end" not in fields:
+            return [start] if start in self._keys else []
+        end = base64.b64decode(fields["range_end"])
+        return sorted(key for key in self._keys if start <= key < end)
+
+    def _range(self, fields):
+        keys = self._selected(fields)
+        limit = int(fields.get("limit", 0))
+        shown = keys[:limit] if limit else keys
+        answer = {"header": {"revision": str(self._revision)}}
+        if keys:
+            answer["kvs"] = [self._show(key) for key in shown]
+            answer["count"] = str(len(keys))
+        return answer
+
+    def _show(self, key):
+        kv = self._keys[key]
+        shown = {
+            "key": base64.b64encode(key).decode(),
+            "value": base64.b64encode(kv["value"]).decode(),
+            "create_revision": str(kv["create"]),
+            "mod_revision": str(kv["mod"]),
+        }
+        return shown
+
+    def _txn(self, fields):
+        if all(map(self._holds, fields.get("compare", []))):
+            for op in fields.get("success", []):
+                self._put(op["request_put"])
+            return {"succeeded": True}
+        return {}
+
+    def _holds(self, compare):
+        kv = self._keys.get(base64.b64decode(compare["key"]))
+        if compare["target"] == "CREATE":
+            return (kv["create"] if kv else 0) == int(
+                compare["create_revision"]
+            )
+        return (kv["mod"] if kv else 0) == int(compare["mod_revision"])
+
+    def _put(self, put):
+        lease = int(put.get("lease", 0))
+        if lease and lease not in self._leases:
+            raise Problem(status=404, reason="requested lease not found")
+        self._revision += 1
+        key = base64.b64decode(put["key"])
+        old = self._keys.get(key)
+        self._keys[key] = {
+            "value": base64.b64decode(put.get("value", "")),
+            "create": old["create"] if old else self._revision,
+            "mod": self._revision,
+            "lease": lease,
+        }
+
+    def _delete(self, fields):
+        keys = self._selected(fields)
+        for key in keys:
+            del self._keys[key]
+        self._revision += 1
+        return {"deleted": str(len(keys))}
+
+    def _grant(self, fields):
+        lease = next(self._ids)
+        ttl_s = int(fields["TTL"])
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return {"ID": str(lease), "TTL": str(ttl_s)}
+
+    def _keep_alive(self, fields):
+        lease = int(fields["ID"])
+        if lease not in self._leases:
+            return {"result": {"ID": str(lease), "TTL": "0"}}
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return {"result": {"ID": str(lease), "TTL": str(ttl_s)}}
+
+    def _revoke(self, fields):
+        self._end_lease(int(fields["ID"]))
+        return {}
+
+    def read(self, key):
+        """Return a key's JSON value, None if it is absent."""
+        kv = self._keys.get(key.encode())
+        return json.loads(kv["value"]) if kv else None
+
+    def names(self, prefix):
+        """Return the names of the keys of a prefix."""
+        return sorted(
+            key.decode()
+            for key in self._keys
+            if key.startswith(prefix.encode())
+        )
--- /dev/null
+++ b/tests/standin/vm.py
@@ -0,0 +1,89 @@
+"""One target VM: worker, target and agent."""
+
+import functools
+
+from radishlanding.http import HttpServer
+from tests.standin.process import Process
+from tests.standin.proxy import Proxy
+from tests.standin.target import TargetStandin
+from tests.standin.worker import WorkerStandin
+
+
+class Vm:
+    """A worker and a target, each behind a proxy, and their agent."""
+
+    __slots__ = (
+        "agent",
+        "name",
+        "rack",
+        "target",
+        "target_proxy",
+        "worker",
+        "worker_proxy",
+        "zone",
+    )
+
+    def __init__(self, *, name, zone, rack, service, capacity, site):
+        """Prepare a VM of a site."""
+        self.name = name
+        self.rack = rack
+        self.zone = zone
+        self.agent = Process(program="agent", name=name, folder=site.folder)
+        self.worker = WorkerStandin(
+            vm=name, zone=zone, capacity=capacity, record=site.record
+        )
+        self.target = TargetStandin(
+            vm=name,
+            zone=zone,
+            service=service,
+            record=site.record,
+            worker=self.worker,
+        )
+        self.worker_proxy = Proxy()
+        self.target_proxy = Proxy()
+
+    async def start(self, nursery):
+        """Start the stand-ins and their proxies."""
+        for standin, proxy in (
+            (self.worker, self.worker_proxy),
+            (self.target, self.target_proxy),
+        ):
+            port = await nursery.start(
+                functools.partial(
+                    HttpServer(handler=standin).run, host="127.0.0.1", port=0
+                )
+            )
+            proxy.upstream = f"127.0.0.1:{port}"
+            await proxy.start(nursery)
+        self.target.address = self.target_proxy.address
+        nursery.start_soon(self.worker.sweep)
+        nursery.start_soon(self.target.announce)
+
+    async def start_agent(self, nursery, settings):
+        """Start the agent; the target announces itself to it."""
+        await self.agent.start(
+            nursery,
+            {
+                "vm": self.name,
+                "zone": self.zone,
+                "rack": self.rack,
+                "worker": self.worker_proxy.address,
+                "announce_listen": "127.0.0.1:0",
+                **settings,
+            },
+        )
+        self.target.announce_to = self.agent.ports["announce"]
+        await self.target.announce_once()
+
+    async def die(self):
+        """Lose the VM with all that is on it."""
+        self.target.is_silent = True
+        await self.agent.kill()
+        self.worker.die()
+        await self.worker_proxy.cut()
+        await self.target_proxy.cut()
+
+    def revive(self):
+        """Bring the VM back empty, still without its agent."""
+        self.worker.revive()
+        self.target.is_silent = False
--- /dev/null
+++ b/tests/standin/worker.py
@@ -0,0 +1,241 @@
+"""Stands in for the platform's worker on one VM."""
+
+import json
+
+import trio
+
+from radishlanding.http import HttpResponse
+from radishlanding.http import Problem
+from tests.standin.record import now_s
+from tests.standin.record import TaskRun
+
+SWEEP_PAUSE_S = 0.02
+DEFAULT_WORK_S = 2.0
+
+
+class _Task:
+    """A task on the worker."""
+
+    __slots__ = (
+        "at_s",
+        "epoch",
+        "fails",
+        "ignores_stop",
+        "lease_until_s",
+        "needs",
+        "progress_s",
+        "reason",
+        "run",
+        "share",
+        "state",
+        "work_s",
+    )
+
+    def __init__(self, *, fields, run, parameters):
+        self.epoch = fields["epoch"]
+        self.needs = fields["needs"]
+        self.run = run
+        self.state = "running"
+        self.reason = ""
+        self.share = 1.0
+        self.at_s = now_s()
+        self.lease_until_s = self.at_s + fields["lease_s"]
+        self.progress_s = _progress(fields["checkpoint"])
+        self.work_s = parameters.get("work_s", DEFAULT_WORK_S)
+        self.fails = parameters.get("fails", False)
+        self.ignores_stop = parameters.get("ignores_stop", False)
+
+    @property
+    def checkpoint(self):
+        names = self.run.checkpoints
+        return names[-1] if names else self.run.resumed_from
+
+    def advance(self):
+        now = now_s()
+        self.progress_s += (now - self.at_s) * self.share
+        self.at_s = now
+
+    def end(self, state, reason=""):
+        self.state = state
+        self.reason = reason
+        self.run.ended_s = now_s()
+        self.run.ending = state
+
+
+def _progress(checkpoint):
+    return float(checkpoint.rpartition("@")[2]) if checkpoint else 0.0
+
+
+class WorkerStandin:
+    """Run tasks as time that passes, under leases that really lapse."""
+
+    __slots__ = (
+        "_record",
+        "_tasks",
+        "_zone",
+        "capacity",
+        "checkpoints_fail",
+        "fails_everything",
+        "is_dead",
+        "vm",
+    )
+
+    def __init__(self, *, vm, zone, capacity, record):
+        """Start without tasks.
+
+        :param vm: Identity of the VM.
+        :param zone: Its availability zone.
+        :param capacity: What it holds, a :class:`radishlanding.vm.Capacity`.
+        :param record: The :class:`Record` of the site.
+        """
+        self._record = record
+        self._tasks = {}
+        self._zone = zone
+        self.capacity = capacity
+        self.checkpoints_fail = False
+        self.fails_everything = False
+        self.is_dead = False
+        self.vm = vm
+        record.capacities[vm] = capacity
+
+    async def sweep(self):
+        """Let work proceed and leases lapse."""
+        while True:
+            await trio.sleep(SWEEP_PAUSE_S)
+            for task in self._tasks.values():
+                if task.state != "running":
+                    continue
+                task.advance()
+                if now_s() > task.lease_until_s:
+                    task.end("stopped", "lease lapsed")
+                elif task.fails or self.fails_everything:
+                    task.end("failed", "exit status 1")
+                elif task.progress_s >= task.work_s:
+                    task.end("done")
+
+    def die(self):
+        """Lose the VM with all that runs on it."""
+        self.is_dead = True
+        for task in self._tasks.values():
+            if task.state == "running":
+                task.end("lost")
+        self._tasks.clear()
+
+    def revive(self):
+        """Come back empty."""
+        self.is_dead = False
+
+    async def respond(self, req):
+        """Answer one call of the agent."""
+        if self.is_dead:
+            await trio.sleep_forever()
+        match [req.method, *req.path]:
+            case ["GET", "v1", "capacity"]:
+                return HttpResponse.of_json(
+                    {
+                        "millicores": self.capacity.millicores,
+                        "memory_mb": self.capacity.memory_mb,
+                        "accelerators": self.capacity.accelerators,
+                    }
+                )
+            case ["GET", "v1", "tasks"]:
+                return HttpResponse.of_json({"tasks": self._list()})
+            case ["GET", "v1", "usage"]:
+                return HttpResponse.of_json({"tasks": []})
+            case ["POST", "v1", "run"]:
+                return self._run(req.json())
+            case ["POST", "v1", "renew"]:
+                return self._renew(req.json())
+            case ["POST", "v1", verb]:
+                return await self._on_task(verb, req.json())
+        raise Problem(status=404, reason=f"no {req.target}")
+
+    def _list(self):
+        return [
+            {
+                "task_id": task_id,
+                "epoch": task.epoch,
+                "state": task.state,
+                "needs": task.needs,
+                "checkpoint": task.checkpoint,
+                "reason": task.reason,
+            }
+            for task_id, task in self._tasks.items()
+        ]
+
+    def _run(self, fields):
+        task_id = fields["task_id"]
+        known = self._tasks.get(task_id)
+        if known is not None and known.epoch >= fields["epoch"]:
+            if known.epoch == fields["epoch"]:
+                return HttpResponse.of_json({}, status=200)
+            raise Problem(status=409, reason="a newer run is known")
+        if known is not None and known.state == "running":
+            raise Problem(status=409, reason="an older run is still here")
+        run = TaskRun(
+            task_id=task_id,
+            epoch=fields["epoch"],
+            vm=self.vm,
+            zone=self._zone,
+            resumed_from=fields["checkpoint"],
+            began_s=now_s(),
+            **fields["needs"],
+        )
+        self._record.runs.append(run)
+        parameters = json.loads(fields["parameters"])
+        self._tasks[task_id] = _Task(
+            fields=fields, run=run, parameters=parameters
+        )
+        return HttpResponse.of_json({}, status=201)
+
+    def _renew(self, fields):
+        for item in fields["tasks"]:
+            task = self._tasks.get(item["task_id"])
+            if (
+                task is not None
+                and task.epoch == item["epoch"]
+                and task.state == "running"
+            ):
+                task.lease_until_s = now_s() + fields["lease_s"]
+        return HttpResponse.of_json({})
+
+    async def _on_task(self, verb, fields):
+        task = self._tasks.get(fields["task_id"])
+        if task is None or task.epoch != fields["epoch"]:
+            raise Problem(status=404, reason="no such run")
+        if verb == "forget":
+            if task.state != "running":
+                del self._tasks[fields["task_id"]]
+        elif verb == "stop":
+            if task.ignores_stop and task.state == "running":
+                await trio.sleep_forever()
+            if task.state == "running":
+                task.advance()
+                task.run.was_evicted = task.share == 0
+                task.end("stopped", "stopped")
+        elif task.state != "running":
+            raise Problem(status=409, reason=f"the run is {task.state}")
+        elif verb == "throttle":
+            task.advance()
+            task.share = fields["share"]
+        elif verb == "checkpoint":
+            return self._checkpoint(task, fields["task_id"])
+        else:
+            raise Problem(status=404, reason=f"no {verb}")
+        return HttpResponse.of_json({})
+
+    def _checkpoint(self, task, task_id):
+        if self.checkpoints_fail:
+            raise Problem(status=409, reason="no checkpoint can be made")
+        task.advance()
+        name = f"{task_id}#{task.epoch}@{task.progress_s:.3f}"
+        task.run.checkpoints.append(name)
+        return HttpResponse.of_json({"checkpoint": name})
+
+    def running_millicores(self):
+        """Return what its running tasks use."""
+        return sum(
+            task.needs["millicores"] * task.share
+            for task in self._tasks.values()
+            if task.state == "running"
+        )
