Notice a store that went back, and record the state again

A store restored with older content lost commits that callers had been told of, and an owner went on above the gap.

Without an owner alive that held them they stay lost.

--- a/src/radishlanding/journal/__init__.py
+++ b/src/radishlanding/journal/__init__.py
@@ -5,5 +5,13 @@
 from radishlanding.journal.journal import Journal
 from radishlanding.journal.keys import Keys
 from radishlanding.journal.segment import Segment
+from radishlanding.journal.went_back import JournalWentBack
 
-__all__ = ["Fenced", "Journal", "JournalGap", "Keys", "Segment"]
+__all__ = [
+    "Fenced",
+    "Journal",
+    "JournalGap",
+    "JournalWentBack",
+    "Keys",
+    "Segment",
+]
--- a/src/radishlanding/journal/journal.py
+++ b/src/radishlanding/journal/journal.py
@@ -11,6 +11,7 @@
 from radishlanding.journal.head import Head
 from radishlanding.journal.keys import Keys
 from radishlanding.journal.segment import Segment
+from radishlanding.journal.went_back import JournalWentBack
 from radishlanding.observe import EventLog
 from radishlanding.store import pack
 from radishlanding.store import StoreUnavailable
@@ -34,9 +35,11 @@
     """
 
     __slots__ = (
+        "_head_number",
         "_keys",
         "_last",
         "_store",
+        "_verified",
         "_writer",
         "confirmed_s",
         "owner_epoch",
@@ -52,7 +55,9 @@
         self._keys = Keys(shard=shard)
         self._store = store
         self._writer = writer
+        self._head_number = 0
         self._last = None
+        self._verified = 0
         self.confirmed_s = 0.0
         self.owner_epoch = 0
 
@@ -83,6 +88,8 @@
                 self._last = segment
             if len(segments) < SCAN_SEGMENTS:
                 break
+        self._head_number = head.number
+        self._verified = number + 1
         self.owner_epoch = number + 1
         await self._append(self.make_segment(number=number + 1))
 
@@ -157,18 +164,27 @@
         self.confirmed_s = sent_s
 
     async def confirm(self):
-        """Prove that no other process has written to the journal.
+        """Prove that the journal holds just what was written here.
 
-        :raises Fenced: Another process has.
+        :raises Fenced: Another process has written to it.
+        :raises JournalWentBack: The store has lost segments.
         :raises StoreUnavailable: The store gave no answer.
         """
         sent_s = boot_clock_s()
-        last = self._last
-        segments = await self._read_segments(last.number)
-        if last is not self._last:
+        first, last = self._verified, self.last_number
+        segments = await self._read_segments(first)
+        if any(map(self._is_foreign, segments)):
+            raise Fenced(f"a segment after {first} is another's")
+        held = {segment.number for segment in segments}
+        missing = set(range(first, last + 1)) - held
+        if self._verified != first:
             return
-        if not segments or any(map(self._is_foreign, segments)):
-            raise Fenced(f"segment {last.number} is not the newest")
+        if missing:
+            head = await self._read_head()
+            if head.number > self._head_number:
+                raise Fenced(f"segment {min(missing)} was truncated")
+            raise JournalWentBack(f"segment {min(missing)} is missing")
+        self._verified = last
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
     def _is_foreign(self, segment):
@@ -177,6 +193,18 @@
             or segment.owner_epoch != self.owner_epoch
         )
 
+    async def rewrite(self, chunks):
+        """Record the state again in a store that has gone back.
+
+        :param chunks: The state after the newest segment, as bytes.
+        :raises Fenced: Another process owns the shard now.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        await self.truncate(chunks)
+        key = self._keys.segment(self.last_number)
+        await self._store.create(key, pack(self._last))
+        _log.error("journal_rewritten", number=self.last_number)
+
     async def truncate(self, chunks):
         """Replace the journal so far by a snapshot.
 
@@ -197,6 +225,8 @@
             self._keys.head, pack(head), version=kv.version if kv else 0
         ):
             raise Fenced(f"head {old.number} was replaced")
+        self._head_number = number
+        self._verified = number
         await self._store.delete(self._keys.log, self._keys.segment(number))
         await self._store.delete(self._keys.snapshots, prefix)
         _log.info("journal_truncated", number=number, chunks=len(chunks))
--- a/src/radishlanding/scheduler/claim_desk.py
+++ b/src/radishlanding/scheduler/claim_desk.py
@@ -55,7 +55,7 @@
     async def _confirm_unclaimed(self):
         """Answer that there is no claim, once the store confirms it."""
         try:
-            await self._owner.journal.confirm()
+            await self._owner.commit.confirm()
         except (Fenced, StoreUnavailable) as exc:
             raise CallRefused(f"unconfirmed: {exc}")
         return ClaimAnswer(
--- a/src/radishlanding/scheduler/shard_owner.py
+++ b/src/radishlanding/scheduler/shard_owner.py
@@ -108,11 +108,10 @@
     async def _confirm(self):
         while True:
             await trio.sleep(CONFIRM_PAUSE_S * random.uniform(0.8, 1.0))
-            if boot_clock_s() - self.journal.confirmed_s > CONFIRM_PAUSE_S:
-                try:
-                    await self.journal.confirm()
-                except StoreUnavailable as exc:
-                    _log.debug("unconfirmed", shard=self.shard, reason=exc)
+            try:
+                await self.commit.confirm()
+            except StoreUnavailable as exc:
+                _log.debug("unconfirmed", shard=self.shard, reason=exc)
 
     def notify(self):
         """Wake the placement of tasks."""
--- a/src/radishlanding/shard/group_commit.py
+++ b/src/radishlanding/shard/group_commit.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.journal import Fenced
+from radishlanding.journal import JournalWentBack
 from radishlanding.observe import EventLog
 from radishlanding.shard.pending_change import PendingChange
 from radishlanding.store import StoreUnavailable
@@ -21,7 +22,14 @@
     so is known to be in the store.
     """
 
-    __slots__ = ("_counters", "_journal", "_pending", "_state", "_wake")
+    __slots__ = (
+        "_counters",
+        "_has_gone_back",
+        "_journal",
+        "_pending",
+        "_state",
+        "_wake",
+    )
 
     def __init__(self, *, journal, state, counters):
         """Prepare; :meth:`run` records.
@@ -33,6 +41,7 @@
         self._journal = journal
         self._state = state
         self._counters = counters
+        self._has_gone_back = False
         self._pending = []
         self._wake = trio.Event()
 
@@ -60,6 +69,21 @@
         self._wake.set()
         return [await item.wait() for item in pending]
 
+    async def confirm(self):
+        """Prove the ownership; see :meth:`Journal.confirm`.
+
+        A store that has gone back gets the whole state again.
+
+        :raises Fenced: Another process owns the shard.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        try:
+            await self._journal.confirm()
+        except JournalWentBack as exc:
+            _log.error("journal_went_back", reason=exc)
+            self._has_gone_back = True
+            self._wake.set()
+
     async def run(self):
         """Record changes until another process owns the shard.
 
@@ -70,6 +94,8 @@
             while True:
                 await self._wake.wait()
                 self._wake = trio.Event()
+                if self._has_gone_back:
+                    await self._rewrite()
                 if await self._commit():
                     since_snapshot += 1
                 if since_snapshot >= SNAPSHOT_SEGMENTS:
@@ -124,6 +150,14 @@
             item.finish(True)
         return True
 
+    async def _rewrite(self):
+        try:
+            await self._journal.rewrite(self._state.dump())
+            self._has_gone_back = False
+        except StoreUnavailable as exc:
+            _log.warning("rewrite_failed", reason=exc)
+            self._wake.set()
+
     async def _snapshot(self):
         self._state.prune()
         try:
--- a/tests/journal/journal_steps.py
+++ b/tests/journal/journal_steps.py
@@ -10,6 +10,7 @@
 from radishlanding.journal import Fenced
 from radishlanding.journal import Journal
 from radishlanding.journal import JournalGap
+from radishlanding.journal import JournalWentBack
 from radishlanding.request import Claim
 from radishlanding.shard import ShardState
 from tests.standin.open_store import open_store
@@ -207,3 +208,38 @@
         assert "segment 2" in str(exc), exc
     else:
         raise AssertionError("it was opened")
+
+
+@when("A appends 2 segments that the store then loses")
+def _store_goes_back(context):
+    content = context.standin.dump()
+    for _ in range(2):
+        _call(context, "A", "append")
+    context.standin.restore(content)
+
+
+@when("A appends once more")
+def _appends_once_more(context):
+    _call(context, "A", "append")
+
+
+@then("A finds that segment 5 is missing")
+def _finds_missing(context):
+    try:
+        context.bridge.call(_writer(context, "A").journal.confirm)
+    except JournalWentBack as exc:
+        assert "segment 5" in str(exc), exc
+    else:
+        raise AssertionError("it was confirmed")
+
+
+@when("A rewrites the journal")
+def _rewrites(context):
+    writer = _writer(context, "A")
+    context.bridge.call(writer.journal.rewrite, writer.state.dump())
+
+
+@then("A can confirm and append")
+def _can_go_on(context):
+    context.bridge.call(_writer(context, "A").journal.confirm)
+    _call(context, "A", "append")
--- a/tests/promises/faults.py
+++ b/tests/promises/faults.py
@@ -155,6 +155,7 @@
     "store down past the grace": store_faults.down_long,
     "store slow": store_faults.slow,
     "store loses answers": store_faults.lose_answers,
+    "store restored with older content": store_faults.go_back,
     "leases of the store lapse": store_faults.lapse_leases,
     "worker fails everything": fail_everything,
     "checkpoints refused": refuse_checkpoints,
--- a/tests/promises/promise_01.feature
+++ b/tests/promises/promise_01.feature
@@ -35,6 +35,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/promise_02.feature
+++ b/tests/promises/promise_02.feature
@@ -35,6 +35,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/promise_03.feature
+++ b/tests/promises/promise_03.feature
@@ -36,6 +36,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/promise_05.feature
+++ b/tests/promises/promise_05.feature
@@ -36,6 +36,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/promise_06.feature
+++ b/tests/promises/promise_06.feature
@@ -35,6 +35,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/promise_07.feature
+++ b/tests/promises/promise_07.feature
@@ -35,6 +35,7 @@
       | store down past the grace          |
       | store slow                         |
       | store loses answers                |
+      | store restored with older content  |
       | leases of the store lapse          |
       | worker fails everything            |
       | checkpoints refused                |
--- a/tests/promises/store_faults.py
+++ b/tests/promises/store_faults.py
@@ -47,6 +47,14 @@
         await proxy.cut()
 
 
+async def go_back(site):
+    """Restore the store to what it held some seconds before."""
+    content = site.store.dump()
+    await trio.sleep(3.0)
+    site.store.restore(content)
+    await trio.sleep(1.0)
+
+
 async def lapse_leases(site):
     """Let every lease of the store lapse at once."""
     site.store.lapse_all()
--- a/tests/promises/zone_steps.py
+++ b/tests/promises/zone_steps.py
@@ -22,12 +22,14 @@
 
 async def _freeze_agents(site):
     """Freeze the agents of the zone for a while."""
-    agents = [vm.agent for vm in site.vms.values() if vm.zone == ZONE]
-    for agent in agents:
-        agent.freeze()
+    vms = [vm for vm in site.vms.values() if vm.zone == ZONE]
+    began_s = now_s()
+    for vm in vms:
+        vm.agent.freeze()
     await trio.sleep(7.0)
-    for agent in agents:
-        agent.thaw()
+    for vm in vms:
+        vm.agent.thaw()
+        site.record.silences.append((vm.name, began_s, now_s()))
 
 
 async def _kill_agents(site):
