--- a/tests/standin/target.py
+++ b/tests/standin/target.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         "_in_flight",
+        "_last",
         "_record",
         "_worker",
         "_zone",
@@ -46,6 +47,7 @@
         :param slots: Requests that it runs at once.
         """
         self._in_flight = 0
+        self._last = ("", "")
         self._record = record
         self._worker = worker
         self._zone = zone
@@ -113,11 +115,15 @@
         finally:
             self._in_flight -= 1
             execution.ended_s = now_s()
-        answered = f"not-{key}" if self.crosses_answers else key
+        own = (key, digest)
+        answered, self._last = (
+            self._last if self.crosses_answers else own,
+            own,
+        )
         return HttpResponse(
             status=200,
-            headers={"x-request-id": answered},
-            body=json.dumps({"digest": digest}).encode(),
+            headers={"x-request-id": answered[0]},
+            body=json.dumps({"digest": answered[1]}).encode(),
         )
 
     def _service_time(self, req):
