--- a/src/radishlanding/entry/program.py
+++ b/src/radishlanding/entry/program.py
@@ -3,11 +3,9 @@
 import functools
 import random
 import signal
-import uuid
 
 import trio
 
-from radishlanding.config import ConfigWatch
 from radishlanding.entry.admission import Admission
 from radishlanding.entry.agent_directory import AgentDirectory
 from radishlanding.entry.caller_api import CallerApi
@@ -16,13 +14,9 @@
 from radishlanding.entry.operator_api import OperatorApi
 from radishlanding.entry.request_router import RequestRouter
 from radishlanding.entry.scheduler_links import SchedulerLinks
-from radishlanding.etcd import CallBudget
-from radishlanding.etcd import EtcdStore
 from radishlanding.http import HttpServer
 from radishlanding.http import Limits
-from radishlanding.membership import Member
-from radishlanding.membership import Members
-from radishlanding.membership import Registration
+from radishlanding.membership import Presence
 from radishlanding.observe import Counters
 from radishlanding.observe import EventLog
 from radishlanding.observe import start_export
@@ -32,7 +26,6 @@
 from radishlanding.report import BurnBook
 
 MAX_AGENTS = 5000
-CLOSE_TIMEOUT_S = 2.0
 
 _log = EventLog("radishlanding.entry")
 
@@ -42,16 +35,12 @@
 
     __slots__ = (
         "_cfg",
-        "_cfg_watch",
         "_counters",
         "_front",
         "_http",
         "_links",
-        "_members",
         "_peers",
-        "_process_id",
-        "_registration",
-        "_store",
+        "_presence",
     )
 
     def __init__(self, *, cfg):
@@ -60,26 +49,18 @@
         :param cfg: A :class:`radishlanding.settings.EntrySettings`.
         """
         self._cfg = cfg
-        self._process_id = f"{cfg.id}-{uuid.uuid4().hex[:8]}"
         self._counters = Counters()
-        self._store = EtcdStore(
-            address=cfg.store,
-            budget=CallBudget(
-                rate=cfg.store_calls_per_s, burst=cfg.store_calls_per_s
-            ),
-            counters=self._counters,
+        self._presence = Presence(
+            kind="entry", cfg=cfg, counters=self._counters
         )
-        self._cfg_watch = ConfigWatch(store=self._store)
-        self._members = Members(store=self._store)
-        self._registration = None
-        identity = (self._process_id, cfg.zone)
+        identity = (self._presence.process_id, cfg.zone)
         self._links = SchedulerLinks(
             identity=identity,
-            cfg_watch=self._cfg_watch,
-            members=self._members,
+            cfg_watch=self._presence.cfg_watch,
+            members=self._presence.members,
             counters=self._counters,
         )
-        directory = AgentDirectory(cfg_watch=self._cfg_watch)
+        directory = AgentDirectory(cfg_watch=self._presence.cfg_watch)
         self._peers = PeerServer(
             handler=directory,
             counters=self._counters,
@@ -92,19 +73,20 @@
 
     def _make_front(self, directory, identity):
         burn = BurnBook()
+        cfg_watch = self._presence.cfg_watch
         router = RequestRouter(
             directory=directory,
             routing=PowerOfTwo(random=random.Random()),
             budget=RetryBudget(),
-            cfg_watch=self._cfg_watch,
+            cfg_watch=cfg_watch,
             counters=self._counters,
         )
         callers = CallerApi(
             admission=Admission(
-                max_requests=self._cfg.max_requests, cfg_watch=self._cfg_watch
+                max_requests=self._cfg.max_requests, cfg_watch=cfg_watch
             ),
             burn=burn,
-            cfg_watch=self._cfg_watch,
+            cfg_watch=cfg_watch,
             claimed=ClaimedRouter(
                 directory=directory, links=self._links, router=router
             ),
@@ -114,14 +96,12 @@
         )
         operators = OperatorApi(
             burn=burn,
-            cfg_watch=self._cfg_watch,
+            cfg_watch=cfg_watch,
             counters=self._counters,
             identity=identity,
             links=self._links,
         )
-        return Front(
-            callers=callers, operators=operators, cfg_watch=self._cfg_watch
-        )
+        return Front(callers=callers, operators=operators, cfg_watch=cfg_watch)
 
     async def run(self):
         """Work until SIGTERM or SIGINT, then leave in order."""
@@ -129,7 +109,7 @@
             counters=self._counters,
             endpoint=self._cfg.metrics_endpoint,
             program="entry",
-            process_id=self._process_id,
+            process_id=self._presence.process_id,
         )
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
@@ -147,8 +127,7 @@
                         trio.current_time() + self._cfg.drain_s
                     )
                 nursery.cancel_scope.cancel()
-        with trio.move_on_after(CLOSE_TIMEOUT_S):
-            await self._registration.close()
+        await self._presence.close()
         _log.info("stopped")
 
     async def _start(self, nursery):
@@ -158,18 +137,7 @@
         )
         address = self._cfg.peer_advertise or f"{host}:{port}"
         _log.info("listening", peer=f"{host}:{port}", advertised=address)
-        self._registration = Registration(
-            store=self._store,
-            member=Member(
-                kind="entry",
-                process_id=self._process_id,
-                zone=self._cfg.zone,
-                address=address,
-            ),
-        )
-        nursery.start_soon(self._registration.run)
-        nursery.start_soon(self._members.run)
-        nursery.start_soon(self._cfg_watch.run)
+        self._presence.start(nursery, address=address)
         nursery.start_soon(self._links.run)
 
     async def _listen(self, nursery):
--- a/src/radishlanding/membership/__init__.py
+++ b/src/radishlanding/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from radishlanding.membership.member import Member
 from radishlanding.membership.members import Members
+from radishlanding.membership.presence import Presence
 from radishlanding.membership.registration import Registration
 
-__all__ = ["Member", "Members", "Registration"]
+__all__ = ["Member", "Members", "Presence", "Registration"]
--- /dev/null
+++ b/src/radishlanding/membership/presence.py
@@ -0,0 +1,75 @@
+"""A process's place in its site, through the store."""
+
+import uuid
+
+import trio
+
+from radishlanding.config import ConfigWatch
+from radishlanding.etcd import CallBudget
+from radishlanding.etcd import EtcdStore
+from radishlanding.membership.member import Member
+from radishlanding.membership.members import Members
+from radishlanding.membership.registration import Registration
+
+CLOSE_TIMEOUT_S = 2.0
+
+
+class Presence:
+    """Follow the site's configuration and members, and be one of them."""
+
+    __slots__ = (
+        "_kind",
+        "cfg_watch",
+        "members",
+        "process_id",
+        "registration",
+        "store",
+        "zone",
+    )
+
+    def __init__(self, *, kind, cfg, counters):
+        """Wire the parts without connecting.
+
+        :param kind: Program: entry or scheduler.
+        :param cfg: Settings with ``id``, ``zone``, ``store`` and
+            ``store_calls_per_s``.
+        :param counters: Counts of the process.
+        """
+        self._kind = kind
+        self.process_id = f"{cfg.id}-{uuid.uuid4().hex[:8]}"
+        self.registration = None
+        self.store = EtcdStore(
+            address=cfg.store,
+            budget=CallBudget(
+                rate=cfg.store_calls_per_s, burst=cfg.store_calls_per_s
+            ),
+            counters=counters,
+        )
+        self.cfg_watch = ConfigWatch(store=self.store)
+        self.members = Members(store=self.store)
+        self.zone = cfg.zone
+
+    def start(self, nursery, *, address):
+        """Register the process and follow the site.
+
+        :param nursery: Nursery to run in.
+        :param address: ``ip:port`` on which peers reach the process.
+        """
+        self.registration = Registration(
+            store=self.store,
+            member=Member(
+                kind=self._kind,
+                process_id=self.process_id,
+                zone=self.zone,
+                address=address,
+            ),
+        )
+        nursery.start_soon(self.registration.run)
+        nursery.start_soon(self.members.run)
+        nursery.start_soon(self.cfg_watch.run)
+
+    async def close(self):
+        """Let the site know that the process is gone."""
+        if self.registration is not None:
+            with trio.move_on_after(CLOSE_TIMEOUT_S):
+                await self.registration.close()
--- a/src/radishlanding/scheduler/program.py
+++ b/src/radishlanding/scheduler/program.py
@@ -2,16 +2,10 @@
 
 import functools
 import signal
-import uuid
 
 import trio
 
-from radishlanding.config import ConfigWatch
-from radishlanding.etcd import CallBudget
-from radishlanding.etcd import EtcdStore
-from radishlanding.membership import Member
-from radishlanding.membership import Members
-from radishlanding.membership import Registration
+from radishlanding.membership import Presence
 from radishlanding.observe import Counters
 from radishlanding.observe import EventLog
 from radishlanding.observe import start_export
@@ -22,7 +16,6 @@
 from radishlanding.scheduler.timing import Timing
 
 MAX_PEERS = 5000
-CLOSE_TIMEOUT_S = 2.0
 
 _log = EventLog("radishlanding.scheduler")
 
@@ -32,15 +25,11 @@
 
     __slots__ = (
         "_cfg",
-        "_cfg_watch",
         "_counters",
         "_handler",
-        "_members",
-        "_process_id",
-        "_registration",
+        "_presence",
         "_seats",
         "_server",
-        "_store",
     )
 
     def __init__(self, *, cfg):
@@ -49,23 +38,15 @@
         :param cfg: A :class:`radishlanding.settings.SchedulerSettings`.
         """
         self._cfg = cfg
-        self._process_id = f"{cfg.id}-{uuid.uuid4().hex[:8]}"
         self._counters = Counters()
-        self._store = EtcdStore(
-            address=cfg.store,
-            budget=CallBudget(
-                rate=cfg.store_calls_per_s, burst=cfg.store_calls_per_s
-            ),
-            counters=self._counters,
+        self._presence = Presence(
+            kind="scheduler", cfg=cfg, counters=self._counters
         )
-        self._cfg_watch = ConfigWatch(store=self._store)
-        self._members = Members(store=self._store)
-        self._registration = None
         self._seats = {}
         self._handler = SchedulerHandler(
-            identity=(self._process_id, cfg.zone),
-            cfg_watch=self._cfg_watch,
-            members=self._members,
+            identity=(self._presence.process_id, cfg.zone),
+            cfg_watch=self._presence.cfg_watch,
+            members=self._presence.members,
             seats=lambda: self._seats,
         )
         self._server = PeerServer(
@@ -80,19 +61,18 @@
             counters=self._counters,
             endpoint=self._cfg.metrics_endpoint,
             program="scheduler",
-            process_id=self._process_id,
+            process_id=self._presence.process_id,
         )
-        async with trio.open_nursery() as nursery:
-            await self._start(nursery)
-            with trio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
-            ) as signals:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
                 async for number in signals:
                     _log.info("stopping", signal=number)
                     break
-            nursery.cancel_scope.cancel()
-        with trio.move_on_after(CLOSE_TIMEOUT_S):
-            await self._registration.close()
+                nursery.cancel_scope.cancel()
+        await self._presence.close()
         _log.info("stopped")
 
     async def _start(self, nursery):
@@ -102,41 +82,29 @@
         )
         address = self._cfg.peer_advertise or f"{host}:{port}"
         _log.info("listening", peer=f"{host}:{port}", advertised=address)
-        self._registration = Registration(
-            store=self._store,
-            member=Member(
-                kind="scheduler",
-                process_id=self._process_id,
-                zone=self._cfg.zone,
-                address=address,
-            ),
-        )
-        nursery.start_soon(self._registration.run)
-        nursery.start_soon(self._members.run)
-        nursery.start_soon(self._cfg_watch.run)
-        nursery.start_soon(self._push_configuration)
-        nursery.start_soon(self._push_members)
+        self._presence.start(nursery, address=address)
+        for wait_changed in (
+            self._presence.cfg_watch.wait_changed,
+            self._presence.members.wait_changed,
+        ):
+            nursery.start_soon(self._push_directory, wait_changed)
         nursery.start_soon(self._run_seats, nursery)
 
-    async def _push_configuration(self):
-        while True:
-            await self._cfg_watch.wait_changed()
-            await self._handler.push_directory()
-
-    async def _push_members(self):
+    async def _push_directory(self, wait_changed):
         while True:
-            await self._members.wait_changed()
+            await wait_changed()
             await self._handler.push_directory()
 
     async def _run_seats(self, nursery):
-        while self._cfg_watch.document.revision == 0:
-            await self._cfg_watch.wait_changed()
+        cfg_watch = self._presence.cfg_watch
+        while cfg_watch.document.revision == 0:
+            await cfg_watch.wait_changed()
         parts = SeatParts(
-            process_id=self._process_id,
-            store=self._store,
-            cfg_watch=self._cfg_watch,
-            members=self._members,
-            registration=self._registration,
+            process_id=self._presence.process_id,
+            store=self._presence.store,
+            cfg_watch=cfg_watch,
+            members=self._presence.members,
+            registration=self._presence.registration,
             timing=Timing(
                 vm_lease_s=self._cfg.vm_lease_s,
                 owner_grace_s=self._cfg.owner_grace_s,
@@ -145,6 +113,6 @@
             counters=self._counters,
             announce_owners=self._handler.push_owners,
         )
-        for shard in range(self._cfg_watch.document.shards):
+        for shard in range(cfg_watch.document.shards):
             self._seats[shard] = ShardSeat(shard=shard, parts=parts)
             nursery.start_soon(self._seats[shard].run)
