--- /dev/null
+++ b/tests/findings/fuzz_steps.py
@@ -0,0 +1,88 @@
+"""Steps that feed odd input to the reader of configurations."""
+
+import pathlib
+import tempfile
+
+import hypothesis
+from behave import then
+from hypothesis import strategies
+
+from radishlanding.cli.config_commands import read_document
+from radishlanding.config import check_document
+from radishlanding.config import Document
+from radishlanding.findings import InvalidInput
+from radishlanding.findings import structure
+
+KEYS = (
+    "shards",
+    "zones",
+    "organisations",
+    "templates",
+    "bole",
+    "abay-reef",
+    "organisation",
+    "kind",
+    "idempotent",
+    "in_service",
+    "processors",
+    "memory_mb",
+    "deadline_ms",
+    "objective",
+    "service",
+)
+VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.integers(),
+        strategies.floats(),
+        strategies.booleans(),
+        strategies.text(max_size=8),
+        strategies.sampled_from(("batch", "request", "bole", "abay-reef")),
+    ),
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=3),
+        strategies.dictionaries(
+            strategies.sampled_from(KEYS), inner, max_size=6
+        ),
+    ),
+    max_leaves=25,
+)
+DOCUMENTS = strategies.dictionaries(
+    strategies.sampled_from(KEYS), VALUES, max_size=6
+)
+
+
+def _steady(count):
+    return hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=count
+    )
+
+
+@then("300 texts are read or refused with findings")
+def _texts(_context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "site.toml"
+
+        @_steady(300)
+        @hypothesis.given(strategies.text())
+        def check(text):
+            path.write_text(text, errors="surrogatepass")
+            try:
+                read_document(path)
+            except InvalidInput as exc:
+                assert exc.lines()
+
+        check()
+
+
+@then("500 documents of odd values are read or refused with findings")
+def _documents(_context):
+    @_steady(500)
+    @hypothesis.given(DOCUMENTS)
+    def check(mapping):
+        try:
+            document = structure(Document, mapping, source="odd")
+            check_document(document, source="odd")
+        except InvalidInput as exc:
+            assert exc.lines()
+
+    check()
--- a/tests/wire/wire.feature
+++ b/tests/wire/wire.feature
@@ -14,5 +14,8 @@
       | 64 bytes of ones  |
       | an unknown enum   |
 
+  Scenario: any bytes are refused or read
+    Then 500 byte strings from a fixed seed are read or refused
+
   Scenario: whatever the bytes, nothing but a refusal is raised
     Then 3000 mutated messages from a fixed seed are read or refused
--- a/tests/wire/wire_steps.py
+++ b/tests/wire/wire_steps.py
@@ -5,7 +5,9 @@
 import random
 import typing
 
+import hypothesis
 from behave import then
+from hypothesis import strategies
 
 from radishlanding import message as messages
 from radishlanding.wire import decode
@@ -89,3 +91,18 @@
             decode(bytes(data))
         except MalformedMessage:
             continue
+
+
+@then("500 byte strings from a fixed seed are read or refused")
+def _any_bytes(_context):
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=500
+    )
+    @hypothesis.given(strategies.binary(max_size=400))
+    def check(data):
+        try:
+            decode(data)
+        except MalformedMessage:
+            return
+
+    check()
