Own a shard above every epoch that its agents have followed

Cause: with the owner dead and the store restored to older content, the next owner's epoch was below the one that the agents had followed, and they refused it for good.

--- a/src/radishlanding/agent/owner_link.py
+++ b/src/radishlanding/agent/owner_link.py
@@ -133,6 +133,7 @@
             capacity=capacity,
             clock_ms=clock_ms(),
             revision=self._site.revision,
+            owner_epoch=self._site.owner_epoch,
         )
 
     async def _heartbeats(self, conn):
--- a/src/radishlanding/agent/program.py
+++ b/src/radishlanding/agent/program.py
@@ -89,7 +89,7 @@
         guard = StartGuard(
             incarnation=self._incarnation, lease=self._lease, site=self._site
         )
-        keeper = TaskKeeper(
+        self._keeper = TaskKeeper(
             worker=self._worker,
             ledger=ledger,
             vm_lease=self._lease,
@@ -97,26 +97,30 @@
             worker_lease_s=self._cfg.worker_lease_s,
             nursery=nursery,
         )
-        await self._adopt(keeper)
-        self._keeper = keeper
+        await self._adopt()
+        desk = RequestDesk(
+            book=AnswerBook(opened_ms=clock_ms()),
+            pool=self._pool,
+            guard=guard,
+            incarnation=self._incarnation,
+            counters=self._counters,
+            nursery=nursery,
+        )
         handler = AgentHandler(
-            desk=RequestDesk(
-                book=AnswerBook(opened_ms=clock_ms()),
-                pool=self._pool,
-                guard=guard,
-                incarnation=self._incarnation,
-                counters=self._counters,
-                nursery=nursery,
-            ),
-            keeper=keeper,
-            ledger=ledger,
-            site=self._site,
+            desk=desk, keeper=self._keeper, ledger=ledger, site=self._site
         )
+        await self._listen(nursery)
+        nursery.start_soon(self._pool.sweep)
+        nursery.start_soon(self._keeper.run)
+        self._connect(nursery, handler, ledger.capacity)
+
+    def _connect(self, nursery, handler, capacity):
+        """Report to the owner and to entries."""
         owner_link = OwnerLink(
             cfg=self._cfg,
-            identity=(self._incarnation, ledger.capacity),
+            identity=(self._incarnation, capacity),
             handler=handler,
-            keeper=keeper,
+            keeper=self._keeper,
             lease=self._lease,
             pool=self._pool,
             site=self._site,
@@ -130,9 +134,6 @@
             site=self._site,
             counters=self._counters,
         )
-        await self._listen(nursery)
-        nursery.start_soon(self._pool.sweep)
-        nursery.start_soon(keeper.run)
         nursery.start_soon(owner_link.run)
         nursery.start_soon(entry_links.run)
 
@@ -144,10 +145,10 @@
                 _log.warning("worker_unread", reason=exc)
             await trio.sleep(WORKER_RETRY_S)
 
-    async def _adopt(self, keeper):
+    async def _adopt(self):
         while True:
             try:
-                return await keeper.adopt()
+                return await self._keeper.adopt()
             except (WorkerUnavailable, WorkerRefused) as exc:
                 _log.warning("worker_unread", reason=exc)
             await trio.sleep(WORKER_RETRY_S)
--- a/src/radishlanding/cli/config_commands.py
+++ b/src/radishlanding/cli/config_commands.py
@@ -33,9 +33,12 @@
         """Use an entry client."""
         self._client = client
 
-    def validate(self, path):
+    def validate(self, path, json=False):
         """Check a configuration file without applying it."""
         document = read_document(path)
+        if json:
+            print_json({"path": str(path), "findings": []})
+            return
         print(
             f"{path}: {len(document.templates)} templates, "
             f"{len(document.organisations)} organisations, "
--- a/src/radishlanding/cli/root_commands.py
+++ b/src/radishlanding/cli/root_commands.py
@@ -40,9 +40,12 @@
         )
         return EntryClient(cfg=load_settings("operator", path))
 
-    def check_settings(self, program, path):
+    def check_settings(self, program, path, json=False):
         """Check a settings file of agent, entry, operator or scheduler."""
         load_settings(program, path)
+        if json:
+            print_json({"path": str(path), "findings": []})
+            return
         print(f"{path}: no findings")
 
     @property
--- a/src/radishlanding/journal/journal.py
+++ b/src/radishlanding/journal/journal.py
@@ -66,10 +66,12 @@
         """Return the number of the newest segment known."""
         return self._last.number if self._last else 0
 
-    async def open(self, state):
+    async def open(self, state, *, min_epoch=0):
         """Read the journal into a state and become its writer.
 
         :param state: An empty :class:`radishlanding.shard.ShardState`.
+        :param min_epoch: Lowest epoch to own it with; above what agents
+            have followed, where the store has lost segments.
         :raises Fenced: Another process took it over at the same time.
         :raises JournalGap: Segments are missing.
         :raises StoreUnavailable: The store gave no answer.
@@ -90,7 +92,7 @@
                 break
         self._head_number = head.number
         self._verified = number + 1
-        self.owner_epoch = number + 1
+        self.owner_epoch = max(number + 1, min_epoch)
         await self._append(self.make_segment(number=number + 1))
 
     async def _read_head(self):
--- a/src/radishlanding/message/agent_hello.py
+++ b/src/radishlanding/message/agent_hello.py
@@ -16,6 +16,7 @@
     :param capacity: What the VM holds in all.
     :param clock_ms: Clock of the agent.
     :param revision: Configuration revision in force.
+    :param owner_epoch: Highest epoch of an owner that it followed.
     """
 
     vm: str
@@ -25,3 +26,4 @@
     capacity: Capacity
     clock_ms: int
     revision: int
+    owner_epoch: int
--- a/src/radishlanding/scheduler/handler.py
+++ b/src/radishlanding/scheduler/handler.py
@@ -3,6 +3,7 @@
 from radishlanding import message as messages
 from radishlanding.peer import CallRefused
 from radishlanding.peer import ConnectionLost
+from radishlanding.request import Outcome
 from radishlanding.scheduler.claim_desk import ClaimDesk
 from radishlanding.scheduler.job_desk import JobDesk
 from radishlanding.shard import shard_of
@@ -93,7 +94,7 @@
     def _list(self, message):
         if message.job_id:
             return self._desk(message.job_id).find(message.job_id)
-        answer = messages.JobAnswer(outcome="done", reason="", jobs=[])
+        answer = messages.JobAnswer(outcome=Outcome.DONE, reason="", jobs=[])
         for owner in self._owners():
             answer.jobs += JobDesk(owner=owner).find("").jobs
         return answer
@@ -110,6 +111,9 @@
                 address=other.address if other else "",
             )
         owner = seat.owner
+        if hello.owner_epoch > owner.epoch:
+            seat.exceed(hello.owner_epoch)
+            raise CallRefused("an owner with a higher epoch was followed")
         reason = owner.accept(hello, conn)
         if not reason:
             self._sessions[conn] = (owner, owner.sessions[hello.vm])
--- a/src/radishlanding/scheduler/shard_owner.py
+++ b/src/radishlanding/scheduler/shard_owner.py
@@ -12,6 +12,7 @@
 from radishlanding.policy import SpreadPlacement
 from radishlanding.scheduler.agent_session import AgentSession
 from radishlanding.scheduler.evictor import Evictor
+from radishlanding.scheduler.placement_planner import PlacementPlanner
 from radishlanding.scheduler.placer import Placer
 from radishlanding.scheduler.quarantines import Quarantines
 from radishlanding.scheduler.status_reader import StatusReader
@@ -33,6 +34,7 @@
     __slots__ = (
         "_opened_s",
         "_reader",
+        "_scope",
         "_timing",
         "acked_s",
         "cfg_watch",
@@ -60,6 +62,7 @@
         :param counters: Counts of the process.
         """
         self._opened_s = boot_clock_s()
+        self._scope = trio.CancelScope()
         self._timing = timing
         self.acked_s = {}
         self.cfg_watch = cfg_watch
@@ -85,23 +88,25 @@
 
     async def run(self):
         """Work until another process owns the shard."""
-        placer = Placer(
+        planner = PlacementPlanner(
             owner=self, placement=SpreadPlacement(), preemption=Preemption()
         )
+        placer = Placer(owner=self, planner=planner)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.commit.run)
-                nursery.start_soon(self._confirm)
-                nursery.start_soon(placer.run)
-                nursery.start_soon(Evictor(owner=self).run)
-                nursery.start_soon(
-                    VmWatch(
-                        owner=self,
-                        timing=self._timing,
-                        opened_s=self._opened_s,
-                    ).run
-                )
-                nursery.start_soon(self._reader.run)
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.commit.run)
+                    nursery.start_soon(self._confirm)
+                    nursery.start_soon(placer.run)
+                    nursery.start_soon(Evictor(owner=self).run)
+                    nursery.start_soon(
+                        VmWatch(
+                            owner=self,
+                            timing=self._timing,
+                            opened_s=self._opened_s,
+                        ).run
+                    )
+                    nursery.start_soon(self._reader.run)
         except* (Fenced, CorruptRecord) as group:
             _log.warning(
                 "shard_left", shard=self.shard, reason=group.exceptions[0]
@@ -118,6 +123,10 @@
             except StoreUnavailable as exc:
                 _log.debug("unconfirmed", shard=self.shard, reason=exc)
 
+    def leave(self):
+        """Stop owning the shard."""
+        self._scope.cancel()
+
     def notify(self):
         """Wake the placement of tasks."""
         self.wake.set()
--- a/src/radishlanding/scheduler/shard_seat.py
+++ b/src/radishlanding/scheduler/shard_seat.py
@@ -23,7 +23,7 @@
 class ShardSeat:
     """Own a shard whenever no other process does."""
 
-    __slots__ = ("_parts", "_shard", "owner")
+    __slots__ = ("_min_epoch", "_parts", "_shard", "owner")
 
     def __init__(self, *, shard, parts):
         """Prepare; :meth:`run` competes.
@@ -32,6 +32,7 @@
         :param parts: A :class:`SeatParts`.
         """
         self._shard = shard
+        self._min_epoch = 0
         self._parts = parts
         self.owner = None
 
@@ -50,6 +51,19 @@
             except (CorruptRecord, JournalGap) as exc:
                 _log.error("journal_bad", shard=self._shard, reason=exc)
 
+    def exceed(self, epoch):
+        """Own the shard anew with a higher epoch.
+
+        Agents that have followed a higher epoch follow no lower one. It is
+        higher than that of the journal only where the store has lost
+        segments, or where this process is not the owner any more.
+
+        :param epoch: The highest epoch that an agent has followed.
+        """
+        _log.warning("epoch_exceeded", shard=self._shard, epoch=epoch)
+        self._min_epoch = max(self._min_epoch, epoch + 1)
+        self.owner.leave()
+
     def _rank(self):
         ids = [
             member.process_id
@@ -68,7 +82,7 @@
                 writer=self._parts.process_id,
             )
             state = ShardState()
-            await journal.open(state)
+            await journal.open(state, min_epoch=self._min_epoch)
             self.owner = ShardOwner(
                 shard=self._shard,
                 journal=journal,
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -121,6 +121,7 @@
   capacity @4 :Capacity;
   clockMs @5 :Int64;
   revision @6 :Int64;
+  ownerEpoch @7 :Int64;
 }
 
 struct HelloAnswer {
--- a/tests/scheduler/misbehaving_steps.py
+++ b/tests/scheduler/misbehaving_steps.py
@@ -19,6 +19,7 @@
 @given("a running site")
 def _running_site(context):
     context.site = context.bridge.open_site(Plan())
+    context.content = context.site.store.dump()
 
 
 async def _submit(context, count, template, **params):
--- /dev/null
+++ b/tests/scheduler/restored_steps.py
@@ -0,0 +1,56 @@
+"""Steps about a site whose store has lost commits."""
+
+import functools
+
+from behave import then
+from behave import when
+
+from tests.promises.process_faults import kill_owner
+from tests.promises.process_faults import owner_front
+
+
+@when("the owner is killed and replaced by another")
+def _owner_is_replaced(context):
+    context.bridge.call(kill_owner, context.site)
+
+
+@when("the owner dies and the store goes back to before they were submitted")
+def _owner_dies(context):
+    context.bridge.call(_kill_and_restore, context)
+
+
+async def _kill_and_restore(context):
+    site = context.site
+    await owner_front(site).scheduler.kill()
+    site.store.restore(context.content)
+
+
+@then("within {bound_s:d} s another owner is followed by every agent")
+def _is_followed(context, bound_s):
+    site = context.site
+
+    async def are_there():
+        found = await site.revisions(front=1) or await site.revisions()
+        agents = [kind for kind, _ in found if kind == "agent"]
+        return len(agents) == len(site.vms)
+
+    context.bridge.call(
+        functools.partial(
+            site.until,
+            are_there,
+            timeout_s=bound_s,
+            what="every agent follows an owner",
+        )
+    )
+
+
+@then("a job that is submitted then is done within {bound_s:d} s")
+def _a_job_is_done(context, bound_s):
+    async def run():
+        status, answer = await context.site.submit(
+            "after", "settlement-run", tasks=4, work_s=1.0
+        )
+        assert status == 202, answer
+        await context.site.until_job("after", "done", 4, timeout_s=bound_s)
+
+    context.bridge.call(run)
