Name wrong values together with wrong types in one report

Findings about the sound parts of a configuration were held back until the others were mended. They are now named together; what cannot be read gives rise to no second finding. A value in place of a table is a finding, where it was an error of the reader's own before.

--- a/src/radishlanding/cli/config_commands.py
+++ b/src/radishlanding/cli/config_commands.py
@@ -5,9 +5,9 @@
 from radishlanding.cli.revision_wait import wait_for_revision
 from radishlanding.cli.table import print_json
 from radishlanding.cli.table import print_table
-from radishlanding.config import check_document
 from radishlanding.config import diff_documents
 from radishlanding.config import Document
+from radishlanding.config import make_document
 from radishlanding.findings import read_toml
 from radishlanding.findings import structure
 
@@ -19,9 +19,7 @@
 
     :raises radishlanding.findings.InvalidInput: It has findings.
     """
-    document = structure(Document, read_toml(path), source=str(path))
-    check_document(document, source=str(path))
-    return document
+    return make_document(read_toml(path), source=str(path))
 
 
 class ConfigCommands:
--- a/src/radishlanding/config/__init__.py
+++ b/src/radishlanding/config/__init__.py
@@ -5,6 +5,7 @@
 from radishlanding.config.document import Document
 from radishlanding.config.kind import Kind
 from radishlanding.config.organisation import Organisation
+from radishlanding.config.reader import make_document
 from radishlanding.config.template import Template
 from radishlanding.config.urgency import Urgency
 from radishlanding.config.watch import ConfigWatch
@@ -20,4 +21,5 @@
     "Zone",
     "check_document",
     "diff_documents",
+    "make_document",
 ]
--- a/src/radishlanding/entry/operator_api.py
+++ b/src/radishlanding/entry/operator_api.py
@@ -3,11 +3,9 @@
 import dataclasses
 
 from radishlanding import message as messages
-from radishlanding.config import check_document
 from radishlanding.config import diff_documents
-from radishlanding.config import Document
+from radishlanding.config import make_document
 from radishlanding.findings import InvalidInput
-from radishlanding.findings import structure
 from radishlanding.http import HttpResponse
 from radishlanding.http import Problem
 from radishlanding.peer import ConnectionLost
@@ -58,10 +56,9 @@
         if not isinstance(expected, int):
             raise Problem(status=400, reason="expected: must be a revision")
         try:
-            document = structure(
-                Document, fields.get("document", {}), source="document"
+            document = make_document(
+                fields.get("document", {}), source="document"
             )
-            check_document(document, source="document")
         except InvalidInput as exc:
             raise Problem(status=400, reason="; ".join(exc.lines()))
         document.author = str(fields.get("author", ""))
--- a/src/radishlanding/findings/structure.py
+++ b/src/radishlanding/findings/structure.py
@@ -40,6 +40,8 @@
     if isinstance(exc, cattrs.ForbiddenExtraKeysError):
         names = ", ".join(sorted(exc.extra_fields))
         return f"unknown key: {names}"
+    if isinstance(exc, AttributeError | TypeError):
+        return "must be a table"
     return str(exc)
 
 
@@ -52,6 +54,10 @@
     :raises InvalidInput: Keys are unknown or missing, or values have wrong
         types; all of them are named.
     """
+    if not isinstance(mapping, dict):
+        collector = Collector(source=source)
+        collector.add(key="", problem=f"must be a table, not {mapping!r}")
+        collector.raise_any()
     try:
         return _converter.structure(mapping, cls)
     except cattrs.BaseValidationError as exc:
--- a/tests/findings/fuzz_steps.py
+++ b/tests/findings/fuzz_steps.py
@@ -8,10 +8,8 @@
 from hypothesis import strategies
 
 from radishlanding.cli.config_commands import read_document
-from radishlanding.config import check_document
-from radishlanding.config import Document
+from radishlanding.config import make_document
 from radishlanding.findings import InvalidInput
-from radishlanding.findings import structure
 
 KEYS = (
     "shards",
@@ -80,8 +78,7 @@
     @hypothesis.given(DOCUMENTS)
     def check(mapping):
         try:
-            document = structure(Document, mapping, source="odd")
-            check_document(document, source="odd")
+            make_document(mapping, source="odd")
         except InvalidInput as exc:
             assert exc.lines()
 
