--- a/tests/demo.py
+++ b/tests/demo.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from tests.standin import checks
 from tests.standin.plan import Plan
 from tests.standin.record import now_s
 from tests.standin.site import Site
@@ -79,7 +80,12 @@
                 "night-run", "tank-watch", tasks=TASKS, work_s=WORK_S
             )
             await site.until_running(TASKS, timeout_s=5.0)
-            accepted_s, _ = await site.move_zone(zone, "out")
+            accepted_s, revision = await site.move_zone(zone, "out")
+            self.facts["zone in force after s"] = await site.until(
+                lambda: self._is_in_force(revision),
+                timeout_s=ZONE_BOUND_S,
+                what="the zone is out everywhere",
+            )
             await site.until_running(0, zone=zone, timeout_s=ZONE_BOUND_S)
             self.facts["zone empty after s"] = now_s() - accepted_s
             await trio.sleep(1.0)
@@ -92,6 +98,10 @@
             )
             nursery.cancel_scope.cancel()
 
+    async def _is_in_force(self, revision):
+        found = await self.site.revisions()
+        return found and min(found.values()) >= revision
+
     async def _kill_agent(self):
         vm = next(iter(self.site.vms.values()))
         await vm.agent.kill()
@@ -154,9 +164,10 @@
             f"p99 {quantiles[98]:.1f} ms",
             f"  tasks done {len(done)}, evictions {len(evictions)}, "
             f"resumes {len(resumes)}, "
-            f"double runs {len(self.findings())}",
-            f"  zone empty {self.facts['zone empty after s']:.1f} s after "
-            f"it was taken out",
+            f"double runs {len(checks.double_runs(record))}",
+            f"  zone out in force everywhere after "
+            f"{self.facts['zone in force after s']:.1f} s, empty after "
+            f"{self.facts['zone empty after s']:.1f} s",
             f"  another scheduler owned the shard after "
             f"{self.facts['take-over s']:.1f} s",
         ]
