Register again where the store lost a process's keys under a living lease

Ruled out: the agents, who followed it; the entries' links. Change: a process that does not find itself among the members that it reads anyway writes its keys again. tests/membership has the case.

--- a/src/radishlanding/membership/presence.py
+++ b/src/radishlanding/membership/presence.py
@@ -63,6 +63,7 @@
                 zone=self.zone,
                 address=address,
             ),
+            members=self.members,
         )
         nursery.start_soon(self.registration.run)
         nursery.start_soon(self.members.run)
--- a/src/radishlanding/membership/registration.py
+++ b/src/radishlanding/membership/registration.py
@@ -19,14 +19,16 @@
 class Registration:
     """Register this process and the shards that it owns under one lease."""
 
-    __slots__ = ("_lease", "_member", "_owned", "_store")
+    __slots__ = ("_lease", "_member", "_members", "_owned", "_store")
 
-    def __init__(self, *, store, member):
+    def __init__(self, *, store, member, members):
         """Prepare; :meth:`run` registers.
 
         :param store: A :class:`radishlanding.store.Store`.
         :param member: This process as a :class:`Member`.
+        :param members: The :class:`Members` that were last read.
         """
+        self._members = members
         self._store = store
         self._member = member
         self._lease = 0
@@ -43,15 +45,25 @@
 
     async def _renew(self):
         if self._lease and await self._store.keep_alive(self._lease):
-            return
-        self._lease = 0
-        lease = await self._store.grant(ttl_s=LEASE_TTL_S)
+            if self._is_listed():
+                return
+        else:
+            self._lease = 0
+            self._lease = await self._store.grant(ttl_s=LEASE_TTL_S)
         key = f"{MEMBER_PREFIX}{self._member.process_id}"
-        await self._store.create(key, pack(self._member), lease=lease)
+        await self._store.create(key, pack(self._member), lease=self._lease)
         for shard in sorted(self._owned):
-            await self._create_owner_key(shard, lease)
-        self._lease = lease
-        _log.info("registered", lease=lease)
+            await self._create_owner_key(shard, self._lease)
+        _log.info("registered", lease=self._lease)
+
+    def _is_listed(self):
+        """Return whether all keys were there when last read.
+
+        A store that went back may have lost them under a living lease.
+        """
+        return self._member in self._members.members and all(
+            shard in self._members.owners for shard in self._owned
+        )
 
     async def _create_owner_key(self, shard, lease):
         key = f"{OWNER_PREFIX}{shard:04d}"
--- a/tests/membership/membership.feature
+++ b/tests/membership/membership.feature
@@ -12,6 +12,11 @@
     And all leases of the store lapse
     Then within 2 s it is a member again and owns shard 0
 
+  Scenario: a member whose keys were lost under a living lease comes back
+    When it has taken shard 0
+    And the store loses its keys, but not its lease
+    Then within 2 s it is a member again and owns shard 0
+
   Scenario: a shard is taken by one
     When it has taken shard 0
     Then another cannot take shard 0
--- a/tests/membership/membership_steps.py
+++ b/tests/membership/membership_steps.py
@@ -31,7 +31,7 @@
 
 async def _register(context):
     context.registration = Registration(
-        store=context.store, member=_member("s1")
+        store=context.store, member=_member("s1"), members=context.members
     )
     context.scope = trio.CancelScope()
 
@@ -80,6 +80,14 @@
     context.standin.lapse_all()
 
 
+@when("the store loses its keys, but not its lease")
+def _keys_are_lost(context):
+    context.bridge.call(context.members.refresh)
+    context.standin.restore({})
+    context.bridge.call(context.members.refresh)
+    assert not context.members.members
+
+
 @then("within 2 s it is a member again and owns shard 0")
 def _is_again(context):
     async def wait():
@@ -94,7 +102,9 @@
 
 
 async def _take_as_another(context):
-    other = Registration(store=context.store, member=_member("s2"))
+    other = Registration(
+        store=context.store, member=_member("s2"), members=context.members
+    )
     with trio.move_on_after(0.3):
         await other.run()
     return await other.take(0)
