--- a/src/radishlanding/agent/entry_links.py
+++ b/src/radishlanding/agent/entry_links.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from radishlanding.agent.clock import clock_ms
 from radishlanding.message import LoadReport
 from radishlanding.peer import Link
 from radishlanding.shard import rendezvous
+from radishlanding.vm import clock_ms
 
 REPORT_PAUSE_S = 0.7
 
--- a/src/radishlanding/agent/handler.py
+++ b/src/radishlanding/agent/handler.py
@@ -1,8 +1,8 @@
 """Handles the messages of schedulers and entries."""
 
 from radishlanding import message as messages
-from radishlanding.agent.clock import clock_ms
 from radishlanding.peer import CallRefused
+from radishlanding.vm import clock_ms
 
 
 class AgentHandler:
--- a/src/radishlanding/agent/owner_link.py
+++ b/src/radishlanding/agent/owner_link.py
@@ -5,13 +5,13 @@
 import trio
 
 from radishlanding import message as messages
-from radishlanding.agent.clock import clock_ms
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
 from radishlanding.peer import Connection
 from radishlanding.peer import ConnectionLost
 from radishlanding.peer import dial
 from radishlanding.vm import boot_clock_s
+from radishlanding.vm import clock_ms
 
 CALL_TIMEOUT_S = 2.0
 HEARTBEAT_PAUSE_S = 1.0
--- a/src/radishlanding/agent/program.py
+++ b/src/radishlanding/agent/program.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from radishlanding.agent.clock import clock_ms
 from radishlanding.agent.entry_links import EntryLinks
 from radishlanding.agent.handler import AgentHandler
 from radishlanding.agent.owner_link import OwnerLink
@@ -21,6 +20,7 @@
 from radishlanding.request import AnswerBook
 from radishlanding.target import Announcements
 from radishlanding.target import TargetPool
+from radishlanding.vm import clock_ms
 from radishlanding.vm import Ledger
 from radishlanding.vm import VmLease
 from radishlanding.worker import HttpWorker
--- a/src/radishlanding/agent/request_desk.py
+++ b/src/radishlanding/agent/request_desk.py
@@ -4,11 +4,11 @@
 
 import trio
 
-from radishlanding.agent.clock import clock_ms
 from radishlanding.http import ExchangeFailed
 from radishlanding.message import RunAnswer
 from radishlanding.observe import EventLog
 from radishlanding.request import Outcome
+from radishlanding.vm import clock_ms
 
 REQUEST_ID_HEADER = "x-request-id"
 OUTCOME_HEADER = "x-outcome"
--- /dev/null
+++ b/src/radishlanding/dispatch/candidate.py
@@ -0,0 +1,223 @@
+"""Leads the site whenever no other process does."""
+
+import random
+
+import trio
+
+from radishlanding.dispatch import keys
+from radishlanding.dispatch.entry_log import EntryLog
+from radishlanding.dispatch.leader_probe import LeaderProbe
+from radishlanding.journal import Fenced
+from radishlanding.membership import Member
+from radishlanding.observe import EventLog
+from radishlanding.store import CorruptRecord
+from radishlanding.store import LeaseGone
+from radishlanding.store import pack
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import unpack
+from radishlanding.store import Write
+from radishlanding.vm import boot_clock_s
+
+# Spreads the claims of several processes; a lost claim costs one call.
+MAX_CLAIM_DELAY_S = 0.06
+RETRY_PAUSE_S = 0.1
+# Two processes that cannot reach each other would otherwise replace each
+# other at once; within this time only the store's word counts.
+QUARREL_PAUSE_S = 5.0
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Candidate:
+    """Claim the log when its leader is gone, and lead."""
+
+    __slots__ = (
+        "_led_s",
+        "_make_leader",
+        "_member",
+        "_on_change",
+        "_probe",
+        "_registration",
+        "_scope",
+        "_site_keys",
+        "_store",
+        "leader",
+    )
+
+    def __init__(
+        self,
+        *,
+        store,
+        member,
+        site_keys,
+        registration,
+        make_leader,
+        on_change,
+        counters,
+    ):
+        """Prepare; :meth:`run` competes.
+
+        :param store: A :class:`radishlanding.store.TransactionalStore`.
+        :param member: This process, a :class:`Member`.
+        :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
+            site's keys.
+        :param registration: A :class:`SiteRegistration`.
+        :param make_leader: Callable that takes ``log`` and ``board`` and
+            returns a :class:`Leader`.
+        :param on_change: Coroutine function that is called when this process
+            begins to lead.
+        :param counters: Counts of the process.
+        """
+        self._led_s = 0.0
+        self._make_leader = make_leader
+        self._member = member
+        self._on_change = on_change
+        self._probe = LeaderProbe(counters=counters)
+        self._registration = registration
+        self._scope = None
+        self._site_keys = site_keys
+        self._store = store
+        self.leader = None
+
+    def leader_member(self):
+        """Return the :class:`Member` that is said to lead, or None."""
+        item = self._site_keys.items.get(keys.LEADER)
+        if item is None:
+            return None
+        try:
+            return unpack(Member, item.value)
+        except CorruptRecord as exc:
+            _log.error("leader_key_bad", reason=exc)
+            return None
+
+    @property
+    def leader_conn(self):
+        """Return a connection to the leader, None while there is none."""
+        return self._probe.conn
+
+    async def run(self):
+        """Compete and lead, again and again."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._probe.run)
+            while True:
+                await self._wait_vacancy()
+                try:
+                    await self._lead()
+                except (StoreUnavailable, LeaseGone, CorruptRecord) as exc:
+                    _log.warning("claim_failed", reason=exc)
+                except Fenced as exc:
+                    _log.info("claim_lost", reason=exc)
+                await trio.sleep(RETRY_PAUSE_S)
+
+    async def _wait_vacancy(self):
+        """Wait until nobody leads."""
+        while True:
+            await self._wait_registered()
+            member = self.leader_member()
+            if member is None and not self._site_keys.is_lost:
+                _log.info("leader_absent")
+                break
+            if member is not None and self._is_earlier_self(member):
+                _log.info("leader_was_earlier_boot", leader=member.process_id)
+                break
+            if member is not None:
+                self._probe.follow(member)
+                if self._probe.is_gone(member) and self._may_quarrel():
+                    _log.info("leader_gone", leader=member.process_id)
+                    break
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._site_keys.wait_changed()
+        await trio.sleep(random.uniform(0, MAX_CLAIM_DELAY_S))
+
+    async def _wait_registered(self):
+        while not (self._registration.lease and self._site_keys.is_read):
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._registration.wait_changed()
+
+    def _is_earlier_self(self, member):
+        return (
+            member.address == self._member.address
+            and member.process_id != self._member.process_id
+        )
+
+    def _may_quarrel(self):
+        return boot_clock_s() - self._led_s > QUARREL_PAUSE_S
+
+    def _leader_write(self):
+        return Write(
+            key=keys.LEADER,
+            value=pack(self._member),
+            lease=self._registration.lease,
+        )
+
+    async def _lead(self):
+        if self._someone_else_leads():
+            return
+        log = EntryLog(store=self._store)
+        began_s = boot_clock_s()
+        board = await log.claim(
+            process_id=self._member.process_id,
+            leader_write=self._leader_write(),
+        )
+        _log.info(
+            "leading",
+            epoch=log.epoch,
+            workflows=len(board.workflows),
+            took_s=f"{boot_clock_s() - began_s:.3f}",
+        )
+        leader = self.leader = self._make_leader(log=log, board=board)
+        try:
+            with trio.CancelScope() as self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._on_change)
+                    nursery.start_soon(self._keep_key, log)
+                    nursery.start_soon(leader.run)
+        except* Fenced as group:
+            _log.warning(
+                "leadership_lost",
+                epoch=log.epoch,
+                reason=_first(group),
+            )
+        finally:
+            self._led_s = boot_clock_s()
+            self.leader = None
+        if self._scope.cancelled_caught:
+            await log.resign()
+            await trio.sleep_forever()
+
+    def _someone_else_leads(self):
+        """Return whether a claim was announced during the delay."""
+        member = self.leader_member()
+        return (
+            member is not None
+            and not self._is_earlier_self(member)
+            and not self._probe.is_gone(member)
+        )
+
+    async def _keep_key(self, log):
+        """Announce the leadership again when its key was lost."""
+        while True:
+            with trio.move_on_after(RETRY_PAUSE_S * 5):
+                await self._registration.wait_changed()
+            item = self._site_keys.items.get(keys.LEADER)
+            if self._site_keys.is_lost or (
+                item is not None and item.value == pack(self._member)
+            ):
+                continue
+            try:
+                await log.announce(self._leader_write())
+                _log.info("leader_announced", epoch=log.epoch)
+            except (StoreUnavailable, LeaseGone) as exc:
+                _log.warning("announce_failed", reason=exc)
+
+    def resign(self):
+        """Stop leading, for good, and let another process lead."""
+        if self._scope is not None and self.leader is not None:
+            self._scope.cancel()
+
+
+def _first(group):
+    """Return the first plain exception of a group."""
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
--- /dev/null
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -0,0 +1,283 @@
+"""The log of workflows in the store."""
+
+import random
+import uuid
+
+import trio
+
+from radishlanding.dispatch import keys
+from radishlanding.dispatch.head import Head
+from radishlanding.journal import Fenced
+from radishlanding.observe import EventLog
+from radishlanding.store import Conflict
+from radishlanding.store import pack
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import unpack
+from radishlanding.store import Write
+from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import Board
+from radishlanding.workflow import Entry
+from radishlanding.workflow import WorkflowRecord
+
+MIN_RETRY_S = 0.03
+MAX_RETRY_S = 0.5
+# A value holds at most 1 MB in the store.
+CHUNK_BYTES = 400_000
+# Entries that a new leader replays at most, besides the newest few.
+SNAPSHOT_ENTRIES = 150
+# The store takes 32 entries in a transaction.
+MAX_REMOVES = 30
+# States of ended workflows are kept for 120 s; twice that is on the safe side.
+KEEP_ENDED_MS = 240_000
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class EntryLog:
+    """Read the log, lead it, and append to it.
+
+    Each write expects the head as this process wrote it and the next
+    number to be free, so that it is commit and fence in one.
+    """
+
+    __slots__ = (
+        "_head",
+        "_head_version",
+        "_last",
+        "_since_snapshot",
+        "_store",
+        "confirmed_s",
+        "is_stuck",
+    )
+
+    def __init__(self, *, store):
+        """Prepare; :meth:`claim` takes the log over.
+
+        :param store: A :class:`radishlanding.store.TransactionalStore`.
+        """
+        self._head = Head()
+        self._head_version = 0
+        self._last = 0
+        self._since_snapshot = 0
+        self._store = store
+        self.confirmed_s = 0.0
+        self.is_stuck = False
+
+    @property
+    def epoch(self):
+        """Return the number of this leadership."""
+        return self._head.epoch
+
+    async def claim(self, *, process_id, leader_write):
+        """Become the leader and read the log.
+
+        :param process_id: Identity of this process.
+        :param leader_write: Write that announces the leader.
+        :returns: The :class:`radishlanding.workflow.Board` on record.
+        :raises Fenced: Another process claimed it at the same time.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        kv = await self._store.get(keys.HEAD)
+        old = unpack(Head, kv.value) if kv else Head()
+        head = Head(
+            epoch=old.epoch + 1,
+            claim_id=uuid.uuid4().hex,
+            process_id=process_id,
+            number=old.number,
+            snapshot_epoch=old.snapshot_epoch,
+            chunks=old.chunks,
+        )
+        sent_s = boot_clock_s()
+        try:
+            version = await self._store.transact(
+                expected={keys.HEAD: kv.version if kv else 0},
+                writes=[
+                    Write(key=keys.HEAD, value=pack(head)),
+                    leader_write,
+                ],
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+        self._head, self._head_version = head, version
+        self.confirmed_s = sent_s
+        return await self._read()
+
+    async def _read(self):
+        board = Board()
+        for index in range(self._head.chunks):
+            key = keys.chunk(
+                self._head.number, self._head.snapshot_epoch, index
+            )
+            kv = await self._store.get(key)
+            if kv is None:
+                raise Fenced("the snapshot was replaced while it was read")
+            board.load(unpack(list[WorkflowRecord], kv.value))
+        self._last = self._head.number
+        listing = await self._store.list(keys.LOG)
+        for item in listing.items:
+            if item.key <= keys.segment(self._last):
+                continue
+            if item.key != keys.segment(self._last + 1):
+                raise Fenced(f"entry {self._last + 1} is missing")
+            board.apply(unpack(Entry, item.value))
+            self._last += 1
+        self._since_snapshot = self._last - self._head.number
+        for record in board.workflows.values():
+            record.shown = record.phase
+        return board
+
+    async def append(self, entry):
+        """Write an entry; return only when it is known to be on record.
+
+        A store that gives no answer is asked again without end, always
+        with the same entry.
+
+        :raises Fenced: Another process leads now.
+        """
+        pause_s = MIN_RETRY_S
+        number = self._last + 1
+        write = Write(key=keys.segment(number), value=pack(entry))
+        while True:
+            sent_s = boot_clock_s()
+            try:
+                if await self._write(write, entry):
+                    break
+            except StoreUnavailable as exc:
+                self.is_stuck = True
+                _log.warning("append_unanswered", number=number, reason=exc)
+            await trio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+        self.is_stuck = False
+        self._last = number
+        self._since_snapshot += 1
+        self.confirmed_s = max(self.confirmed_s, sent_s)
+
+    async def _write(self, write, entry):
+        """Try to write an entry; return whether it is on record."""
+        try:
+            await self._store.transact(
+                expected={keys.HEAD: self._head_version, write.key: 0},
+                writes=[write],
+            )
+            return True
+        except Conflict:
+            kv = await self._store.get(write.key)
+        if kv is not None:
+            if unpack(Entry, kv.value).commit_id == entry.commit_id:
+                await self.confirm()
+                return True
+            raise Fenced(f"entry {write.key} is another's")
+        await self.confirm()
+        return False
+
+    async def confirm(self):
+        """Prove that this process still leads.
+
+        :raises Fenced: Another process does.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        sent_s = boot_clock_s()
+        kv = await self._store.get(keys.HEAD)
+        if kv is None or kv.version != self._head_version:
+            raise Fenced("the head was replaced")
+        self.confirmed_s = max(self.confirmed_s, sent_s)
+
+    async def announce(self, write):
+        """Write the leader's key again.
+
+        :raises Fenced: Another process leads now.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        try:
+            await self._store.transact(
+                expected={keys.HEAD: self._head_version}, writes=[write]
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+
+    async def resign(self):
+        """Remove the leader's key, so that others claim the log at once.
+
+        :raises Fenced: Another process leads now.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        try:
+            await self._store.transact(
+                expected={keys.HEAD: self._head_version},
+                removes=[keys.LEADER],
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+
+    def wants_snapshot(self):
+        """Return whether a new leader would replay many entries."""
+        return self._since_snapshot >= SNAPSHOT_ENTRIES
+
+    async def snapshot(self, board, *, now_ms):
+        """Replace the entries so far by a snapshot of the board.
+
+        Only to be called between two appends.
+
+        :raises Fenced: Another process leads now.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        board.prune(before_ms=now_ms - KEEP_ENDED_MS)
+        head = self._next_head()
+        chunks = _chunks(board.workflows.values())
+        expected = {keys.HEAD: self._head_version}
+        try:
+            for index, value in enumerate(chunks):
+                key = keys.chunk(head.number, head.snapshot_epoch, index)
+                await self._store.transact(
+                    expected=expected, writes=[Write(key=key, value=value)]
+                )
+            head.chunks = len(chunks)
+            self._head_version = await self._store.transact(
+                expected=expected,
+                writes=[Write(key=keys.HEAD, value=pack(head))],
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+        old, self._head = self._head, head
+        self._since_snapshot = 0
+        await self._remove_old(old)
+        _log.info("snapshot_made", number=head.number, chunks=head.chunks)
+
+    def _next_head(self):
+        return Head(
+            epoch=self._head.epoch,
+            claim_id=self._head.claim_id,
+            process_id=self._head.process_id,
+            number=self._last,
+            snapshot_epoch=self._head.epoch,
+        )
+
+    async def _remove_old(self, old):
+        gone = [
+            keys.segment(number)
+            for number in range(old.number + 1, self._head.number + 1)
+        ]
+        gone += [
+            keys.chunk(old.number, old.snapshot_epoch, index)
+            for index in range(old.chunks)
+        ]
+        for start in range(0, len(gone), MAX_REMOVES):
+            await self._store.transact(
+                expected={keys.HEAD: self._head_version},
+                removes=gone[start : start + MAX_REMOVES],
+            )
+
+
+def _chunks(records):
+    """Return the records as JSON lists of a bounded size."""
+    chunks, parts, size = [], [], 0
+    for record in records:
+        part = pack(record)
+        if parts and size + len(part) > CHUNK_BYTES:
+            chunks.append(b"[" + b",".join(parts) + b"]")
+            parts, size = [], 0
+        parts.append(part)
+        size += len(part)
+    if parts:
+        chunks.append(b"[" + b",".join(parts) + b"]")
+    return chunks
--- /dev/null
+++ b/src/radishlanding/dispatch/fleet.py
@@ -0,0 +1,249 @@
+"""The VMs that follow a leader."""
+
+from radishlanding.dispatch.vm_session import VmSession
+from radishlanding.message import VmWelcome
+from radishlanding.observe import EventLog
+from radishlanding.policy import Quarantine
+from radishlanding.policy import VmLoad
+from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import EndKind
+from radishlanding.workflow import TaskEnd
+from radishlanding.workflow import TaskPlace
+
+# Fencing tokens that a leader can give out before they meet the next epoch's.
+FENCES_PER_EPOCH = 1 << 20
+# Pause after a worker refused a start: one heartbeat with news of its room.
+SHUN_S = 0.7
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Fleet:
+    """Hold a session for each VM, and judge what VMs report."""
+
+    __slots__ = (
+        "_board",
+        "_checkpoints",
+        "_epoch",
+        "_fences",
+        "_granted_s",
+        "_opened_s",
+        "_quarantines",
+        "_timing",
+        "sessions",
+    )
+
+    def __init__(self, *, board, epoch, timing):
+        """Start without VMs.
+
+        :param board: The :class:`radishlanding.workflow.Board`.
+        :param epoch: Number of the leadership.
+        :param timing: A :class:`radishlanding.vm.Timing`.
+        """
+        self._board = board
+        self._checkpoints = {}
+        self._epoch = epoch
+        self._fences = 0
+        self._granted_s = {}
+        self._opened_s = boot_clock_s()
+        self._quarantines = {}
+        self._timing = timing
+        self.sessions = {}
+
+    def welcome(self, hello, conn):
+        """Open a session for a VM and give its agent a fencing token.
+
+        :param hello: A :class:`radishlanding.message.VmHello`.
+        :param conn: Connection that it came on.
+        """
+        self._fences += 1
+        self.sessions[hello.vm] = VmSession(
+            vm=hello.vm, conn=conn, state=hello.state, clock_ms=hello.clock_ms
+        )
+        self._granted_s[hello.vm] = boot_clock_s()
+        fence = self._epoch * FENCES_PER_EPOCH + self._fences
+        _log.info(
+            "vm_followed",
+            vm=hello.vm,
+            boot=hello.state.boot,
+            zone=hello.state.zone,
+            epoch=self._epoch,
+            fence=fence,
+        )
+        return VmWelcome(accepted=True, epoch=self._epoch, fence=fence)
+
+    def drop(self, conn):
+        """Forget the sessions of a connection; return their VMs."""
+        gone = [vm for vm, ses in self.sessions.items() if ses.conn is conn]
+        for vm in gone:
+            del self.sessions[vm]
+            _log.warning("vm_unreachable", vm=vm, epoch=self._epoch)
+        return gone
+
+    def find(self, vm, conn):
+        """Return the session of a VM on a connection, or None."""
+        session = self.sessions.get(vm)
+        return session if session and session.conn is conn else None
+
+    def grant(self, session):
+        """Note that a VM's lease is being extended."""
+        self._granted_s[session.vm] = boot_clock_s()
+
+    def update(self, session, report):
+        """Take a report; return the ends that it tells of.
+
+        :param report: A :class:`radishlanding.message.VmReport`.
+        :returns: :class:`radishlanding.workflow.TaskEnd` objects.
+        """
+        session.state = report.state
+        session.clock_ms = max(session.clock_ms, report.clock_ms)
+        session.is_listed = session.is_listed or report.is_full
+        session.running = {task.task_id: task for task in report.running}
+        for task in report.running:
+            if task.checkpoint:
+                self._checkpoints[task.task_id] = task.checkpoint
+        ends = [self._end(session, item) for item in report.ended]
+        if report.is_full:
+            ends += self._missing(session, {end.task_id for end in ends})
+        return ends
+
+    def _end(self, session, item):
+        _log.info(
+            "task_ended",
+            task=item.task_id,
+            attempt=item.attempt,
+            vm=session.vm,
+            kind=item.kind,
+            reason=item.reason,
+        )
+        return TaskEnd(
+            task_id=item.task_id,
+            attempt=item.attempt,
+            kind=item.kind,
+            checkpoint=item.checkpoint,
+        )
+
+    def _missing(self, session, ended):
+        """Return the ends of tasks that a VM does not have.
+
+        Its agent lists a worker only after a call with its new fencing
+        token, so that no earlier start can come after the list.
+        """
+        ends = []
+        for task in self._board.tasks_on(session.vm):
+            is_here = task.boot == session.state.boot and (
+                task.task_id in session.running
+                or task.task_id in ended
+                or not session.may_be_missing(task.task_id)
+            )
+            if not is_here:
+                _log.warning(
+                    "task_missing",
+                    task=task.task_id,
+                    attempt=task.attempt,
+                    vm=session.vm,
+                    boot=task.boot,
+                    reported_boot=session.state.boot,
+                )
+                ends.append(self.interrupted(task))
+        return ends
+
+    def interrupted(self, task):
+        """Return the end of a task that stopped without saying so."""
+        return TaskEnd(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            kind=EndKind.INTERRUPTED,
+            checkpoint=self._checkpoints.get(task.task_id, ""),
+        )
+
+    def unwanted(self, session):
+        """Return running attempts that are not on record as running."""
+        unwanted = []
+        for item in session.running.values():
+            record, task = self._board.find(item.task_id)
+            if (
+                task is None
+                or record.phase.has_ended
+                or task.attempt != item.attempt
+                or task.vm != session.vm
+            ):
+                unwanted.append(item)
+        return unwanted
+
+    def lost_ends(self):
+        """Return the ends of all tasks on VMs whose lease has run out."""
+        ends = []
+        for vm in self._board.busy_vms():
+            if vm in self.sessions or boot_clock_s() < self._lease_end_s(vm):
+                continue
+            tasks = self._board.tasks_on(vm)
+            _log.warning("vm_lost", vm=vm, tasks=len(tasks))
+            ends += [self.interrupted(task) for task in tasks]
+        return ends
+
+    def _lease_end_s(self, vm):
+        """Return the time at which nothing of a VM's lease can be left.
+
+        A VM that was never heard here may have a lease from an earlier
+        leader, which may have extended it for its whole grace.
+        """
+        granted_s = self._granted_s.get(vm)
+        if granted_s is None:
+            granted_s = self._opened_s + self._timing.owner_grace_s
+        return granted_s + self._timing.vm_lease_s + self._timing.drift_s
+
+    def judge(self, end, vm):
+        """Note what an end says of its VM."""
+        if end.kind == EndKind.FAILED:
+            quarantine = self._quarantines.setdefault(vm, Quarantine())
+            place = TaskPlace.parse(end.task_id)
+            quarantine.failed(place.workflow_id, now_s=boot_clock_s())
+            if quarantine.room_for_tasks(running=0, now_s=boot_clock_s()) == 0:
+                _log.warning("vm_quarantined", vm=vm)
+        elif end.kind == EndKind.DONE:
+            self._quarantines.pop(vm, None)
+        elif end.kind == EndKind.NOT_RUN and vm in self.sessions:
+            self.sessions[vm].shunned_until_s = boot_clock_s() + SHUN_S
+
+    def loads(self, site):
+        """Return the VMs that may take tasks, with what is on them.
+
+        :param site: The :class:`radishlanding.config.Site` in force.
+        """
+        loads = []
+        for session in self.sessions.values():
+            state = session.state
+            if (
+                session.is_listed
+                and state.boot
+                and not state.is_draining
+                and state.zone not in site.zones_out
+                and session.shunned_until_s < boot_clock_s()
+            ):
+                loads.append(self._load(session))
+        return loads
+
+    def _load(self, session):
+        state = session.state
+        tasks = self._board.tasks_on(session.vm)
+        load = VmLoad(
+            vm=session.vm,
+            boot=state.boot,
+            pool=state.pool,
+            zone=state.zone,
+            labels=state.labels,
+            capacity=state.capacity,
+            free=state.capacity,
+            idle_millicores=state.capacity.millicores,
+        )
+        for task in tasks:
+            place = TaskPlace.parse(task.task_id)
+            record = self._board.workflows[place.workflow_id]
+            load.add(place[:3], record.workflow.steps[place.step])
+        quarantine = self._quarantines.get(session.vm)
+        if quarantine is not None:
+            load.room = quarantine.room_for_tasks(
+                running=len(tasks), now_s=boot_clock_s()
+            )
+        return load
--- /dev/null
+++ b/src/radishlanding/dispatch/intake.py
@@ -0,0 +1,123 @@
+"""Submissions and cancellations on their way to the log."""
+
+import trio
+
+from radishlanding.dispatch.submission import Submission
+from radishlanding.message import WorkflowAnswer
+from radishlanding.workflow import WorkflowOutcome
+
+# Callers wait 3 s for an answer; this leaves them time to ask again.
+ANSWER_TIMEOUT_S = 2.0
+# A store that is down answers again within seconds; callers come back once a
+# second until then.
+RETRY_AFTER_S = 1
+
+
+class Intake:
+    """Take in workflows and cancellations, and tell what became of them."""
+
+    __slots__ = ("_board", "_cancels", "_submits", "_wake")
+
+    def __init__(self, *, board, wake):
+        """Start empty.
+
+        :param board: The :class:`radishlanding.workflow.Board`.
+        :param wake: Callable that makes the leader collect.
+        """
+        self._board = board
+        self._cancels = {}
+        self._submits = {}
+        self._wake = wake
+
+    async def submit(self, workflow):
+        """Record a workflow, or refuse it before anything is recorded.
+
+        :returns: A :class:`radishlanding.message.WorkflowAnswer`.
+        """
+        name = workflow.workflow_id
+        item = self._submits.get(name)
+        if item is None:
+            record = self._board.workflows.get(name)
+            if record is not None:
+                return found(record)
+            item = self._submits[name] = Submission(workflow=workflow)
+            self._wake()
+        return await self._wait(self._submits, name, item)
+
+    async def cancel(self, workflow_id):
+        """Record that a workflow is cancelled.
+
+        :returns: A :class:`radishlanding.message.WorkflowAnswer`.
+        """
+        item = self._cancels.get(workflow_id)
+        if item is None:
+            record = self._board.workflows.get(workflow_id)
+            if record is not None and record.phase.has_ended and record.shown:
+                return found(record)
+            item = self._cancels[workflow_id] = Submission()
+            self._wake()
+        return await self._wait(self._cancels, workflow_id, item)
+
+    async def _wait(self, items, name, item):
+        with trio.move_on_after(ANSWER_TIMEOUT_S):
+            await item.settled.wait()
+        if item.is_recorded:
+            return found(self._board.workflows[name])
+        if item.is_collected:
+            return WorkflowAnswer(
+                outcome=WorkflowOutcome.UNCERTAIN,
+                reason="the store has not confirmed the entry",
+            )
+        if items.get(name) is item:
+            del items[name]
+        return refused("the store does not answer")
+
+    def collect(self):
+        """Return workflows and cancellations for the next entry."""
+        accepted, cancelled = [], []
+        for item in self._submits.values():
+            if not item.is_collected:
+                item.is_collected = True
+                accepted.append(item.workflow)
+        for workflow_id, item in self._cancels.items():
+            if not item.is_collected:
+                item.is_collected = True
+                cancelled.append(workflow_id)
+        return accepted, cancelled
+
+    def recorded(self, entry):
+        """Settle what an entry that is on record names."""
+        names = [workflow.workflow_id for workflow in entry.accepted]
+        for items, keys in (
+            (self._submits, names),
+            (self._cancels, entry.cancelled),
+        ):
+            for key in keys:
+                item = items.pop(key, None)
+                if item is not None:
+                    item.is_recorded = key in self._board.workflows
+                    item.settled.set()
+
+    def close(self):
+        """Settle everything; what was collected stays uncertain."""
+        for items in (self._submits, self._cancels):
+            for item in items.values():
+                item.settled.set()
+
+
+def found(record):
+    """Return the answer that a workflow is on record."""
+    return WorkflowAnswer(
+        outcome=WorkflowOutcome.FOUND,
+        phase=record.shown,
+        retry_after_s=0,
+    )
+
+
+def refused(reason):
+    """Return the answer that a question took no effect."""
+    return WorkflowAnswer(
+        outcome=WorkflowOutcome.REFUSED,
+        retry_after_s=RETRY_AFTER_S,
+        reason=reason,
+    )
--- /dev/null
+++ b/src/radishlanding/dispatch/leader.py
@@ -0,0 +1,318 @@
+"""Leads the workflows of a site."""
+
+import time
+import uuid
+
+import trio
+
+from radishlanding.dispatch import intake
+from radishlanding.dispatch.fleet import Fleet
+from radishlanding.dispatch.intake import Intake
+from radishlanding.dispatch.orders import Orders
+from radishlanding.journal import Fenced
+from radishlanding.message import VmReportAck
+from radishlanding.message import WorkflowAnswer
+from radishlanding.observe import EventLog
+from radishlanding.store import StoreUnavailable
+from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import Entry
+from radishlanding.workflow import WorkflowOutcome
+
+# Looks at due times, leases and quarantines when nothing else happens.
+TICK_S = 0.25
+# Half of the time after which a VM's lease is not extended any more would do;
+# this also keeps answers about unknown workflows cheap.
+CONFIRM_PAUSE_S = 0.7
+# An answer that a workflow is unknown rests on a proof that is not older.
+MAX_PROOF_AGE_S = 1.0
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Leader:
+    """Record what happens to workflows, and start their tasks.
+
+    The board runs ahead of the log by the entry that is being written.
+    Nothing is told to a caller or a VM before its entry is on record.
+    """
+
+    __slots__ = (
+        "_board",
+        "_committing",
+        "_counters",
+        "_ends",
+        "_intake",
+        "_log",
+        "_orders",
+        "_planner",
+        "_site_watch",
+        "_timing",
+        "_wake",
+        "fleet",
+    )
+
+    def __init__(self, *, log, board, site_watch, planner, timing, counters):
+        """Prepare; :meth:`run` leads.
+
+        :param log: A claimed :class:`EntryLog`.
+        :param board: The :class:`radishlanding.workflow.Board` on record.
+        :param site_watch: A :class:`SiteWatch`.
+        :param planner: A :class:`radishlanding.policy.WorkflowPlanner`.
+        :param timing: A :class:`radishlanding.vm.Timing`.
+        :param counters: Counts of the process.
+        """
+        self._board = board
+        self._committing = {}
+        self._counters = counters
+        self._ends = {}
+        self._intake = Intake(board=board, wake=self.wake)
+        self._log = log
+        self._planner = planner
+        self._site_watch = site_watch
+        self._timing = timing
+        self._wake = trio.Event()
+        self.fleet = Fleet(board=board, epoch=log.epoch, timing=timing)
+        self._orders = Orders(
+            board=board, fleet=self.fleet, epoch=log.epoch, counters=counters
+        )
+
+    @property
+    def epoch(self):
+        """Return the number of the leadership."""
+        return self._log.epoch
+
+    def wake(self):
+        """Look for something to record."""
+        self._wake.set()
+
+    async def run(self):
+        """Lead until another process does.
+
+        :raises Fenced: Another process leads now.
+        """
+        try:
+            async with trio.open_nursery() as nursery:
+                self._orders.open(nursery)
+                nursery.start_soon(self._tick)
+                nursery.start_soon(self._confirm)
+                await self._record()
+        finally:
+            self._intake.close()
+
+    async def _tick(self):
+        while True:
+            await trio.sleep(TICK_S)
+            self._add_ends(self.fleet.lost_ends(), vm="")
+            self.wake()
+
+    async def _confirm(self):
+        while True:
+            await trio.sleep(CONFIRM_PAUSE_S)
+            if self._proof_age_s() > CONFIRM_PAUSE_S:
+                try:
+                    await self._log.confirm()
+                except StoreUnavailable as exc:
+                    _log.warning("confirm_unanswered", reason=exc)
+
+    def _proof_age_s(self):
+        return boot_clock_s() - self._log.confirmed_s
+
+    async def _record(self):
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            entry = self._collect()
+            while entry.size():
+                await self._log.append(entry)
+                self._publish(entry)
+                entry = self._collect()
+            if self._log.wants_snapshot():
+                await self._snapshot()
+
+    async def _snapshot(self):
+        try:
+            await self._log.snapshot(self._board, now_ms=_now_ms())
+        except StoreUnavailable as exc:
+            _log.warning("snapshot_failed", reason=exc)
+
+    def _collect(self):
+        """Return the next entry, and apply it to the board."""
+        accepted, cancelled = self._intake.collect()
+        entry = Entry(
+            commit_id=uuid.uuid4().hex,
+            made_ms=_now_ms(),
+            accepted=accepted,
+            cancelled=cancelled,
+            ends=[end for end, _ in self._ends.values()],
+        )
+        self._judge_ends()
+        self._committing = self._ends
+        self._ends = {}
+        self._board.apply(entry)
+        assignments = self._plan(entry.made_ms)
+        if assignments:
+            planned = Entry(
+                commit_id="",
+                made_ms=entry.made_ms,
+                assignments=assignments,
+            )
+            self._board.apply(planned)
+            entry.assignments = assignments
+        return entry
+
+    def _judge_ends(self):
+        for end, vm in self._ends.values():
+            if vm:
+                self.fleet.judge(end, vm)
+
+    def _plan(self, now_ms):
+        if not self._site_watch.is_ready:
+            return []
+        active = [
+            record
+            for record in self._board.workflows.values()
+            if not record.phase.has_ended
+        ]
+        loads = self.fleet.loads(self._site_watch.site)
+        if not active or not loads:
+            return []
+        return self._planner.plan(active, loads, now_ms=now_ms)
+
+    def _publish(self, entry):
+        """Tell everybody what is on record now."""
+        self._counters.add("entries")
+        self._counters.add("entry_changes", entry.size())
+        names = {workflow.workflow_id for workflow in entry.accepted}
+        names.update(entry.cancelled)
+        names.update(end.task_id.partition(".")[0] for end in entry.ends)
+        names.update(
+            item.task_id.partition(".")[0] for item in entry.assignments
+        )
+        for name in names:
+            record = self._board.workflows.get(name)
+            if record is not None and record.shown != record.phase:
+                _log.info(
+                    "workflow_changed",
+                    workflow=name,
+                    queue=record.workflow.queue,
+                    phase=record.phase,
+                    before=record.shown or "new",
+                    age_ms=entry.made_ms - record.workflow.accepted_ms,
+                )
+                record.shown = record.phase
+        self._intake.recorded(entry)
+        self._orders.acknowledge(self._committing.values())
+        self._committing = {}
+        self._orders.start(entry.assignments)
+        if entry.cancelled:
+            self._orders.stop_unwanted()
+
+    def _add_ends(self, ends, *, vm):
+        """Note ends; those that change nothing are settled at once."""
+        settled = []
+        for end in ends:
+            key = (end.task_id, end.attempt)
+            if key in self._ends or key in self._committing:
+                continue
+            if self._board.matches(end):
+                self._ends[key] = (end, vm)
+                self.wake()
+            else:
+                settled.append(end)
+        return settled
+
+    def hello(self, hello, conn):
+        """Let a VM follow this leader."""
+        return self.fleet.welcome(hello, conn)
+
+    def report(self, session, report):
+        """Take a report of a VM.
+
+        :param session: Its :class:`VmSession`.
+        :param report: A :class:`radishlanding.message.VmReport`.
+        :returns: A :class:`radishlanding.message.VmReportAck`.
+        """
+        was_listed = session.is_listed
+        ends = self.fleet.update(session, report)
+        settled = self._add_ends(ends, vm=session.vm)
+        self._orders.settle(session, settled)
+        self._orders.stop(session, self.fleet.unwanted(session))
+        if session.is_listed != was_listed:
+            self.wake()
+        granted = self._proof_age_s() < self._timing.owner_grace_s
+        if granted:
+            self.fleet.grant(session)
+        return VmReportAck(granted=granted)
+
+    def drop(self, conn):
+        """Forget the VMs of a connection."""
+        self.fleet.drop(conn)
+
+    async def submit(self, workflow, *, request_id):
+        """Record a workflow; see :meth:`Intake.submit`."""
+        if self._log.is_stuck and workflow.workflow_id not in (
+            self._board.workflows
+        ):
+            answer = intake.refused("the store does not answer")
+        else:
+            answer = await self._intake.submit(workflow)
+        _log.info(
+            "submitted",
+            workflow=workflow.workflow_id,
+            request=request_id,
+            queue=workflow.queue,
+            outcome=answer.outcome,
+            phase=answer.phase or "none",
+            reason=answer.reason or "none",
+            proof_age_s=f"{self._proof_age_s():.3f}",
+            epoch=self.epoch,
+        )
+        return answer
+
+    async def cancel(self, workflow_id, *, request_id):
+        """Record that a workflow is cancelled."""
+        if workflow_id not in self._board.workflows:
+            answer = await self.find(workflow_id)
+        else:
+            answer = await self._intake.cancel(workflow_id)
+        _log.info(
+            "cancelled",
+            workflow=workflow_id,
+            request=request_id,
+            outcome=answer.outcome,
+            phase=answer.phase or "none",
+            reason=answer.reason or "none",
+            epoch=self.epoch,
+        )
+        return answer
+
+    async def find(self, workflow_id):
+        """Return where a workflow stands on record."""
+        record = self._board.workflows.get(workflow_id)
+        if record is not None and record.shown:
+            return intake.found(record)
+        if record is None and self._proof_age_s() > MAX_PROOF_AGE_S:
+            try:
+                await self._log.confirm()
+            except StoreUnavailable as exc:
+                return WorkflowAnswer(
+                    outcome=WorkflowOutcome.UNCERTAIN, reason=str(exc)
+                )
+            except Fenced as exc:
+                self.wake()
+                return WorkflowAnswer(
+                    outcome=WorkflowOutcome.UNCERTAIN, reason=str(exc)
+                )
+        if record is None:
+            return WorkflowAnswer(outcome=WorkflowOutcome.ABSENT)
+        return WorkflowAnswer(
+            outcome=WorkflowOutcome.UNCERTAIN, reason="being recorded"
+        )
+
+    def backlog(self, queue):
+        """Return how many workflows of a queue have not begun."""
+        return self._board.backlog(queue)
+
+
+def _now_ms():
+    return int(time.time() * 1000)
--- /dev/null
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -0,0 +1,117 @@
+"""Tells whether the process that is said to lead is still there."""
+
+import trio
+
+from radishlanding.message import GetStatus
+from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
+from radishlanding.peer import Connection
+from radishlanding.peer import ConnectionLost
+from radishlanding.peer import dial
+
+CALL_TIMEOUT_S = 1.0
+PAUSE_S = 0.1
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class LeaderProbe:
+    """Keep a connection to the leader, and notice its end.
+
+    ``conn`` is that connection, None while there is none.
+
+    Only two things prove that a process is gone: nobody listens at its
+    address, or another process does. Silence proves nothing; the leader's
+    key in the store runs out by itself.
+    """
+
+    __slots__ = ("_changed", "_counters", "_gone", "_member", "conn")
+
+    def __init__(self, *, counters):
+        """Start without a leader.
+
+        :param counters: Counts of the process.
+        """
+        self._changed = trio.Event()
+        self._counters = counters
+        self._gone = set()
+        self._member = None
+        self.conn = None
+
+    def follow(self, member):
+        """Watch a process.
+
+        :param member: A :class:`radishlanding.membership.Member`.
+        """
+        if member != self._member:
+            self._member = member
+            self._changed.set()
+            self._changed = trio.Event()
+
+    def is_gone(self, member):
+        """Return whether it is proved that a process has ended."""
+        return member.process_id in self._gone
+
+    async def run(self):
+        """Watch until cancelled."""
+        while True:
+            if self._member is None or self.is_gone(self._member):
+                await self._changed.wait()
+            member = self._member
+            try:
+                await self._watch(member)
+            except ConnectionLost as exc:
+                if exc.was_refused:
+                    self._note_gone(member, "nobody listens")
+            except CallRefused as exc:
+                _log.info("probe_refused", reason=exc)
+            await trio.sleep(PAUSE_S)
+
+    def _note_gone(self, member, reason):
+        self._gone.add(member.process_id)
+        _log.info("process_gone", process=member.process_id, reason=reason)
+
+    async def _watch(self, member):
+        stream = await dial(address=member.address)
+        conn = Connection(
+            stream=stream,
+            handler=self,
+            counters=self._counters,
+            peer=member.address,
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(conn.run)
+                nursery.start_soon(self._ask, conn, member)
+                nursery.start_soon(self._end_with_member, conn, member)
+                await conn.wait_lost()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.conn = None
+
+    async def _ask(self, conn, member):
+        try:
+            answer = await conn.call(GetStatus(), timeout_s=CALL_TIMEOUT_S)
+        except (ConnectionLost, CallRefused) as exc:
+            _log.info("probe_unanswered", peer=member.address, reason=exc)
+            conn.abort()
+            return
+        names = [summary.process_id for summary in answer.processes]
+        if member.process_id not in names:
+            self._note_gone(member, f"its address is {','.join(names)}'s")
+            conn.abort()
+        else:
+            self.conn = conn
+
+    async def _end_with_member(self, conn, member):
+        """End the connection when another process is watched."""
+        while self._member == member:
+            await self._changed.wait()
+        conn.abort()
+
+    async def handle(self, message, _conn):
+        """Refuse; the leader sends nothing here."""
+        raise CallRefused(f"unexpected {type(message).__name__}")
+
+    def lost(self, conn):
+        """Do nothing; the leader is dialled again."""
--- /dev/null
+++ b/src/radishlanding/dispatch/orders.py
@@ -0,0 +1,193 @@
+"""Tells VMs what to start, stop and forget."""
+
+import collections
+
+from radishlanding.message import EndsRecorded
+from radishlanding.message import StartOrders
+from radishlanding.message import StopOrders
+from radishlanding.message import TaskKey
+from radishlanding.message import TaskOrder
+from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
+from radishlanding.peer import ConnectionLost
+from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import TaskPlace
+
+# An agent answers in milliseconds; one that does not is asked anew through a
+# new connection.
+CALL_TIMEOUT_S = 2.0
+# Agents stop a task within a second, and say so with their next report.
+STOP_REPEAT_S = 0.6
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Orders:
+    """Send what is on record to the agents of VMs."""
+
+    __slots__ = (
+        "_board",
+        "_counters",
+        "_epoch",
+        "_fleet",
+        "_nursery",
+        "_stopped_s",
+    )
+
+    def __init__(self, *, board, fleet, epoch, counters):
+        """Prepare; :meth:`open` gives it a nursery.
+
+        :param board: The :class:`radishlanding.workflow.Board`.
+        :param fleet: The :class:`Fleet`.
+        :param epoch: Number of the leadership.
+        :param counters: Counts of the process.
+        """
+        self._board = board
+        self._counters = counters
+        self._epoch = epoch
+        self._fleet = fleet
+        self._nursery = None
+        self._stopped_s = {}
+
+    def open(self, nursery):
+        """Send from a nursery."""
+        self._nursery = nursery
+
+    def start(self, assignments):
+        """Order the start of recorded assignments.
+
+        :param assignments: :class:`radishlanding.workflow.Assignment`.
+        """
+        by_vm = collections.defaultdict(list)
+        for assignment in assignments:
+            by_vm[assignment.vm].append(assignment)
+        for vm, group in by_vm.items():
+            session = self._fleet.sessions.get(vm)
+            if session is None or session.state.boot != group[0].boot:
+                _log.warning("order_unsent", vm=vm, tasks=len(group))
+                continue
+            orders = [self._order(item) for item in group]
+            for item in group:
+                session.ordered[item.task_id] = item.attempt
+            self._nursery.start_soon(self._start, session, orders)
+
+    def _order(self, assignment):
+        record, task = self._board.find(assignment.task_id)
+        place = TaskPlace.parse(assignment.task_id)
+        step = record.workflow.steps[place.step]
+        _log.info(
+            "task_assigned",
+            task=assignment.task_id,
+            attempt=assignment.attempt,
+            vm=assignment.vm,
+            boot=assignment.boot,
+            resumes=bool(task.checkpoint),
+            epoch=self._epoch,
+        )
+        return TaskOrder(
+            task_id=assignment.task_id,
+            attempt=assignment.attempt,
+            spec=record.workflow.spec,
+            reserved=step.reserved,
+            checkpoint=task.checkpoint,
+            fills=step.fills,
+            latency_target_ms=step.latency_target_ms,
+            estimated_ms=0 if step.standing else step.estimated_ms,
+        )
+
+    async def _start(self, session, orders):
+        message = StartOrders(
+            vm=session.vm,
+            epoch=self._epoch,
+            boot=session.state.boot,
+            clock_echo_ms=session.clock_ms,
+            orders=orders,
+        )
+        self._counters.add("start_orders", len(orders))
+        try:
+            answer = await session.conn.call(message, timeout_s=CALL_TIMEOUT_S)
+        except (ConnectionLost, CallRefused) as exc:
+            _log.warning("orders_unanswered", vm=session.vm, reason=exc)
+            session.conn.abort()
+            return
+        for order in orders:
+            session.ordered.pop(order.task_id, None)
+            session.taken_ms[order.task_id] = answer.clock_ms
+        for item in answer.refused:
+            _log.info(
+                "order_refused",
+                task=item.task_id,
+                attempt=item.attempt,
+                vm=session.vm,
+                reason=item.reason,
+            )
+
+    def stop(self, session, items):
+        """Order the stop of attempts that are not wanted on a VM.
+
+        :param items: :class:`radishlanding.message.RunningTask` objects.
+        """
+        now_s = boot_clock_s()
+        keys = []
+        for item in items:
+            key = (session.vm, item.task_id, item.attempt)
+            if now_s - self._stopped_s.get(key, 0) > STOP_REPEAT_S:
+                self._stopped_s[key] = now_s
+                keys.append(TaskKey(task_id=item.task_id, epoch=item.attempt))
+        if keys:
+            self._nursery.start_soon(self._stop, session, keys)
+
+    async def _stop(self, session, keys):
+        _log.info(
+            "stop_ordered",
+            vm=session.vm,
+            tasks=",".join(f"{key.task_id}#{key.epoch}" for key in keys),
+        )
+        message = StopOrders(vm=session.vm, epoch=self._epoch, keys=keys)
+        try:
+            await session.conn.call(message, timeout_s=CALL_TIMEOUT_S)
+        except (ConnectionLost, CallRefused) as exc:
+            _log.warning("stop_unanswered", vm=session.vm, reason=exc)
+
+    def stop_unwanted(self):
+        """Order the stop of all that should not run."""
+        for session in self._fleet.sessions.values():
+            self.stop(session, self._unwanted_tasks(session))
+
+    def _unwanted_tasks(self, session):
+        """Return what may run for workflows that have ended.
+
+        This also covers orders that the VM has not reported yet.
+        """
+        unwanted = {
+            item.task_id: item for item in self._fleet.unwanted(session)
+        }
+        for task in self._board.tasks_on(session.vm):
+            record, _ = self._board.find(task.task_id)
+            if record.phase.has_ended:
+                unwanted[task.task_id] = task
+        return list(unwanted.values())
+
+    def acknowledge(self, ends):
+        """Let workers forget ends that are on record now.
+
+        :param ends: Pairs of an end and the VM that reported it.
+        """
+        by_vm = collections.defaultdict(list)
+        for end, vm in ends:
+            if vm in self._fleet.sessions:
+                by_vm[vm].append(end)
+        for vm, group in by_vm.items():
+            self.settle(self._fleet.sessions[vm], group)
+
+    def settle(self, session, ends):
+        """Let a worker forget ends."""
+        if not ends:
+            return
+        message = EndsRecorded(
+            vm=session.vm,
+            keys=[
+                TaskKey(task_id=end.task_id, epoch=end.attempt) for end in ends
+            ],
+        )
+        self._nursery.start_soon(session.conn.notify, message)
--- /dev/null
+++ b/src/radishlanding/dispatch/site_registration.py
@@ -0,0 +1,81 @@
+"""Keeps the keys of this process alive in the store."""
+
+import random
+
+import trio
+
+from radishlanding.dispatch import keys
+from radishlanding.observe import EventLog
+from radishlanding.store import LeaseGone
+from radishlanding.store import pack
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import Write
+
+# The keys of a process that has died without a trace are gone after this.
+LEASE_TTL_S = 2.0
+RENEW_PAUSE_S = 0.6
+RETRY_PAUSE_S = 0.2
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class SiteRegistration:
+    """Register this process under a lease."""
+
+    __slots__ = ("_changed", "_member", "_site_keys", "_store", "lease")
+
+    def __init__(self, *, store, member, site_keys):
+        """Prepare; :meth:`run` registers.
+
+        :param store: A :class:`radishlanding.store.TransactionalStore`.
+        :param member: This process, a
+            :class:`radishlanding.membership.Member`.
+        :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
+            site's keys.
+        """
+        self._changed = trio.Event()
+        self._member = member
+        self._site_keys = site_keys
+        self._store = store
+        self.lease = 0
+
+    @property
+    def _key(self):
+        return keys.member(self._member.process_id)
+
+    async def wait_changed(self):
+        """Wait for another lease than the present one."""
+        await self._changed.wait()
+
+    async def run(self):
+        """Register, and again when the lease was lost."""
+        while True:
+            pause_s = RENEW_PAUSE_S
+            try:
+                await self._renew()
+            except (StoreUnavailable, LeaseGone) as exc:
+                _log.warning("renewal_failed", lease=self.lease, reason=exc)
+                pause_s = RETRY_PAUSE_S
+            await trio.sleep(pause_s * random.uniform(0.8, 1.0))
+
+    async def _renew(self):
+        if self.lease and await self._store.keep_alive(self.lease):
+            if self._key in self._site_keys.items or self._site_keys.is_lost:
+                return
+        else:
+            self.lease = await self._store.grant(ttl_s=LEASE_TTL_S)
+            self._changed.set()
+            self._changed = trio.Event()
+        write = Write(
+            key=self._key, value=pack(self._member), lease=self.lease
+        )
+        await self._store.transact(expected={}, writes=[write])
+        _log.info("registered", lease=self.lease, key=self._key)
+
+    async def close(self):
+        """Remove the keys of this process."""
+        if self.lease:
+            try:
+                await self._store.revoke(self.lease)
+            except StoreUnavailable as exc:
+                _log.info("revoke_unanswered", reason=exc)
--- /dev/null
+++ b/src/radishlanding/dispatcher/__init__.py
@@ -0,0 +1,1 @@
+"""The dispatcher: takes workflows, and leads the site or helps who does."""
--- /dev/null
+++ b/src/radishlanding/dispatcher/program.py
@@ -0,0 +1,190 @@
+"""The dispatcher program: wires its parts."""
+
+import functools
+import signal
+import uuid
+
+import trio
+
+from radishlanding.dispatch import Candidate
+from radishlanding.dispatch import Leader
+from radishlanding.dispatch import SiteWatch
+from radishlanding.dispatch.keys import SITE
+from radishlanding.dispatch.site_registration import SiteRegistration
+from radishlanding.dispatcher.handler import DispatcherHandler
+from radishlanding.dispatcher.queue_desk import QueueDesk
+from radishlanding.http import HttpServer
+from radishlanding.http import serve_metrics
+from radishlanding.membership import Member
+from radishlanding.message import LeaderNotice
+from radishlanding.observe import Counters
+from radishlanding.observe import EventLog
+from radishlanding.peer import PeerServer
+from radishlanding.platform import ClientApi
+from radishlanding.platform import KvStore
+from radishlanding.platform import read_site
+from radishlanding.platform import ReadyApi
+from radishlanding.platform import SITE_PREFIX
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.store import CallBudget
+from radishlanding.store import PrefixWatch
+from radishlanding.vm import Timing
+
+# Agents and dispatchers of a site of the design size, with some spare.
+MAX_PEERS = 6000
+
+_log = EventLog("radishlanding.dispatcher")
+
+
+class DispatcherProgram:
+    """Run a dispatcher; the composition root of its process."""
+
+    __slots__ = (
+        "_candidate",
+        "_cfg",
+        "_counters",
+        "_front",
+        "_handler",
+        "_is_stopping",
+        "_member",
+        "_peers",
+        "_registration",
+        "_site_keys",
+        "_site_watch",
+        "_store",
+    )
+
+    def __init__(self, *, cfg):
+        """Wire the parts.
+
+        :param cfg: A :class:`radishlanding.settings.DispatcherSettings`.
+        """
+        self._cfg = cfg
+        self._counters = Counters()
+        self._is_stopping = False
+        self._store = KvStore(
+            address=cfg.store,
+            budget=CallBudget(
+                rate=cfg.store_calls_per_s, burst=cfg.store_calls_per_s
+            ),
+            counters=self._counters,
+        )
+        self._member = Member(
+            kind="dispatcher",
+            process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
+            zone=cfg.zone,
+            address=cfg.peer_listen,
+        )
+        self._site_watch = SiteWatch(
+            store=self._store, prefix=SITE_PREFIX, parse=read_site
+        )
+        self._site_keys = PrefixWatch(store=self._store, prefix=SITE)
+        self._registration = SiteRegistration(
+            store=self._store, member=self._member, site_keys=self._site_keys
+        )
+        self._candidate = Candidate(
+            store=self._store,
+            member=self._member,
+            site_keys=self._site_keys,
+            registration=self._registration,
+            make_leader=self._make_leader,
+            on_change=self._announce,
+            counters=self._counters,
+        )
+        self._handler = DispatcherHandler(
+            member=self._member, site_watch=self._site_watch
+        )
+        self._handler.connect(self._candidate)
+        self._peers = PeerServer(
+            handler=self._handler,
+            counters=self._counters,
+            max_connections=MAX_PEERS,
+        )
+        self._front = HttpServer(
+            handler=ClientApi(
+                desk=QueueDesk(
+                    candidate=self._candidate, counters=self._counters
+                ),
+                site=lambda: self._site_watch.site,
+            )
+        )
+
+    def _make_leader(self, *, log, board):
+        return Leader(
+            log=log,
+            board=board,
+            site_watch=self._site_watch,
+            planner=WorkflowPlanner(order=EarliestDeadline()),
+            timing=Timing(
+                vm_lease_s=self._cfg.vm_lease_s,
+                owner_grace_s=self._cfg.owner_grace_s,
+                drift_s=self._cfg.drift_s,
+            ),
+            counters=self._counters,
+        )
+
+    async def _announce(self):
+        """Tell every peer that this process leads."""
+        notice = LeaderNotice(epoch=self._candidate.leader.epoch)
+        for conn in self._peers.connections:
+            await conn.notify(notice)
+
+    def _is_ready(self):
+        return self._site_watch.is_ready and not self._is_stopping
+
+    async def run(self):
+        """Work until SIGTERM or SIGINT, then leave in order."""
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                async for number in signals:
+                    _log.info("signal", number=number)
+                    if number != signal.SIGHUP:
+                        break
+                await self._leave()
+                nursery.cancel_scope.cancel()
+        _log.info("stopped")
+
+    async def _leave(self):
+        """Let another process lead, and answer what is in flight."""
+        self._is_stopping = True
+        self._candidate.resign()
+        self._front.drain()
+        with trio.move_on_after(self._cfg.drain_s):
+            await self._front.wait_drained()
+        with trio.move_on_after(0.5):
+            await self._registration.close()
+
+    async def _start(self, nursery):
+        ready = HttpServer(handler=ReadyApi(is_ready=self._is_ready))
+        for server, address in (
+            (self._peers, self._cfg.peer_listen),
+            (self._front, self._cfg.http_listen),
+            (ready, self._cfg.ready_listen),
+        ):
+            host, _, port = address.rpartition(":")
+            await nursery.start(
+                functools.partial(server.run, host=host, port=int(port))
+            )
+        _log.info(
+            "listening",
+            process=self._member.process_id,
+            http=self._cfg.http_listen,
+            peer=self._cfg.peer_listen,
+        )
+        for part in (
+            self._site_watch,
+            self._site_keys,
+            self._registration,
+            self._candidate,
+        ):
+            nursery.start_soon(part.run)
+        await serve_metrics(
+            nursery,
+            counters=self._counters,
+            address=self._cfg.metrics_listen,
+            program="dispatcher",
+        )
--- /dev/null
+++ b/src/radishlanding/dispatcher/queue_desk.py
@@ -0,0 +1,148 @@
+"""Passes callers' questions to the leader."""
+
+import trio
+
+from radishlanding.message import BacklogAnswer
+from radishlanding.message import CancelWorkflow
+from radishlanding.message import GetBacklog
+from radishlanding.message import GetWorkflow
+from radishlanding.message import SubmitWorkflow
+from radishlanding.message import WorkflowAnswer
+from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
+from radishlanding.peer import ConnectionLost
+from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import WorkflowOutcome
+
+# A leader that ended or resigned is replaced within this time; longer ones
+# are known to take seconds, which callers should not wait for.
+LEADER_WAIT_S = 0.6
+POLL_PAUSE_S = 0.02
+# The caller's own time for the answer to travel.
+ANSWER_SLACK_S = 0.15
+# A caller may come back once another process can lead.
+RETRY_AFTER_S = 1
+
+_log = EventLog("radishlanding.dispatcher")
+
+
+class QueueDesk:
+    """Ask the leader, here or at another process.
+
+    A question about one workflow may be asked again without harm, as its
+    identity makes it one.
+    """
+
+    __slots__ = ("_candidate", "_counters")
+
+    def __init__(self, *, candidate, counters):
+        """Prepare.
+
+        :param candidate: A :class:`radishlanding.dispatch.Candidate`.
+        :param counters: Counts of the process.
+        """
+        self._candidate = candidate
+        self._counters = counters
+
+    async def submit(self, workflow, *, request_id, timeout_s):
+        """Record a workflow; return a :class:`WorkflowAnswer`."""
+        message = SubmitWorkflow(workflow=workflow, request_id=request_id)
+        answer = await self._ask(message, timeout_s=timeout_s)
+        self._counters.add(f"submissions_{answer.outcome}")
+        if answer.outcome != WorkflowOutcome.FOUND:
+            _log.warning(
+                "submission_failed",
+                workflow=workflow.workflow_id,
+                request=request_id,
+                queue=workflow.queue,
+                outcome=answer.outcome,
+                reason=answer.reason,
+            )
+        return answer
+
+    async def cancel(self, workflow_id, *, request_id, timeout_s):
+        """Cancel a workflow; return a :class:`WorkflowAnswer`."""
+        message = CancelWorkflow(
+            workflow_id=workflow_id, request_id=request_id
+        )
+        return await self._ask(message, timeout_s=timeout_s)
+
+    async def find(self, workflow_id, *, timeout_s):
+        """Return a :class:`WorkflowAnswer` with the phase on record."""
+        message = GetWorkflow(workflow_id=workflow_id)
+        return await self._ask(message, timeout_s=timeout_s)
+
+    async def backlog(self, queue, *, timeout_s):
+        """Return how many workflows have not begun, None if unknown."""
+        answer = await self._ask(GetBacklog(queue=queue), timeout_s=timeout_s)
+        return getattr(answer, "waiting", None)
+
+    async def _ask(self, message, *, timeout_s):
+        """Ask until there is an answer, or nobody who could give one."""
+        end_s = boot_clock_s() + max(0.05, timeout_s - ANSWER_SLACK_S)
+        was_sent = False
+        reason = "no leader is known"
+        while await self._wait_leader(end_s):
+            try:
+                return await self._ask_once(message, end_s)
+            except ConnectionLost as exc:
+                was_sent = was_sent or exc.was_sent
+                reason = str(exc)
+            except CallRefused as exc:
+                reason = exc.reason
+            _log.info(
+                "leader_unanswered",
+                question=type(message).__name__,
+                reason=reason,
+            )
+            await trio.sleep(POLL_PAUSE_S)
+        if was_sent:
+            return WorkflowAnswer(
+                outcome=WorkflowOutcome.UNCERTAIN, reason=reason
+            )
+        return WorkflowAnswer(
+            outcome=WorkflowOutcome.REFUSED,
+            retry_after_s=RETRY_AFTER_S,
+            reason=reason,
+        )
+
+    async def _wait_leader(self, end_s):
+        """Return whether somebody can be asked within the time."""
+        patience_s = min(end_s, boot_clock_s() + LEADER_WAIT_S)
+        while boot_clock_s() < patience_s:
+            if self._candidate.leader or self._candidate.leader_conn:
+                return True
+            await trio.sleep(POLL_PAUSE_S)
+        return False
+
+    async def _ask_once(self, message, end_s):
+        leader = self._candidate.leader
+        if leader is not None:
+            return await ask_leader(leader, message)
+        timeout_s = max(0.01, end_s - boot_clock_s())
+        return await self._candidate.leader_conn.call(
+            message, timeout_s=timeout_s
+        )
+
+
+async def ask_leader(leader, message):
+    """Return the answer of a leader in this process.
+
+    :param leader: A :class:`radishlanding.dispatch.Leader`.
+    :param message: A question about workflows.
+    :raises CallRefused: It is no such question.
+    """
+    match message:
+        case SubmitWorkflow():
+            return await leader.submit(
+                message.workflow, request_id=message.request_id
+            )
+        case CancelWorkflow():
+            return await leader.cancel(
+                message.workflow_id, request_id=message.request_id
+            )
+        case GetWorkflow():
+            return await leader.find(message.workflow_id)
+        case GetBacklog():
+            return BacklogAnswer(waiting=leader.backlog(message.queue))
+    raise CallRefused(f"unexpected {type(message).__name__}")
--- a/src/radishlanding/etcd/__init__.py
+++ b/src/radishlanding/etcd/__init__.py
@@ -1,6 +1,5 @@
 """The platform's key-value service by its JSON gateway."""
 
-from radishlanding.etcd.budget import CallBudget
 from radishlanding.etcd.store import EtcdStore
 
-__all__ = ["CallBudget", "EtcdStore"]
+__all__ = ["EtcdStore"]
--- a/src/radishlanding/etcd/store.py
+++ b/src/radishlanding/etcd/store.py
@@ -41,7 +41,7 @@
         """Prepare a store without connecting.
 
         :param address: ``ip:port`` of the gateway.
-        :param budget: A :class:`radishlanding.etcd.CallBudget`.
+        :param budget: A :class:`radishlanding.store.CallBudget`.
         :param counters: Counts of the process.
         """
         self._client = HttpClient(
--- a/src/radishlanding/http/__init__.py
+++ b/src/radishlanding/http/__init__.py
@@ -4,6 +4,7 @@
 from radishlanding.http.exchange_failed import ExchangeFailed
 from radishlanding.http.handler import HttpHandler
 from radishlanding.http.limits import Limits
+from radishlanding.http.metrics_page import serve_metrics
 from radishlanding.http.problem import Problem
 from radishlanding.http.request import HttpRequest
 from radishlanding.http.response import HttpResponse
@@ -18,4 +19,5 @@
     "HttpServer",
     "Limits",
     "Problem",
+    "serve_metrics",
 ]
--- a/src/radishlanding/http/server.py
+++ b/src/radishlanding/http/server.py
@@ -9,7 +9,13 @@
 class HttpServer:
     """Run one task for each connection."""
 
-    __slots__ = ("_accept_scope", "_connections", "_handler", "_limits")
+    __slots__ = (
+        "_accept_scope",
+        "_connections",
+        "_drained",
+        "_handler",
+        "_limits",
+    )
 
     def __init__(self, *, handler, limits=None):
         """Prepare the server.
@@ -21,6 +27,7 @@
         self._limits = limits or Limits()
         self._connections = set()
         self._accept_scope = trio.CancelScope()
+        self._drained = trio.Event()
 
     async def run(self, *, host, port, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until drained; report the port when it is open."""
@@ -31,6 +38,11 @@
                 await trio.serve_listeners(
                     self._serve, listeners, handler_nursery=nursery
                 )
+        self._drained.set()
+
+    async def wait_drained(self):
+        """Wait until all connections have ended after :meth:`drain`."""
+        await self._drained.wait()
 
     async def _serve(self, stream):
         if len(self._connections) >= self._limits.connections:
--- a/src/radishlanding/membership/presence.py
+++ b/src/radishlanding/membership/presence.py
@@ -5,11 +5,11 @@
 import trio
 
 from radishlanding.config import ConfigWatch
-from radishlanding.etcd import CallBudget
 from radishlanding.etcd import EtcdStore
 from radishlanding.membership.member import Member
 from radishlanding.membership.members import Members
 from radishlanding.membership.registration import Registration
+from radishlanding.store import CallBudget
 
 CLOSE_TIMEOUT_S = 2.0
 
--- /dev/null
+++ b/src/radishlanding/message/running_task.py
@@ -0,0 +1,19 @@
+"""An attempt that runs on a VM."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunningTask:
+    """What a VM says of a running attempt.
+
+    :param task_id: Name of the task.
+    :param attempt: Number of the attempt.
+    :param checkpoint: Newest progress to resume from, or an empty string.
+    :param progress: Share of its work that is done, in percent.
+    """
+
+    task_id: str
+    attempt: int
+    checkpoint: str = ""
+    progress: int = 0
--- a/src/radishlanding/peer/connection.py
+++ b/src/radishlanding/peer/connection.py
@@ -38,6 +38,7 @@
         "_handler",
         "_in_flight",
         "_is_lost",
+        "_lost",
         "_next_id",
         "_scope",
         "_send_lock",
@@ -59,6 +60,7 @@
         self._futures = {}
         self._in_flight = 0
         self._is_lost = False
+        self._lost = trio.Event()
         self._next_id = 1
         self._scope = trio.CancelScope()
         self._send_lock = trio.Lock()
@@ -76,6 +78,7 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._is_lost = True
+            self._lost.set()
             for fut in self._futures.values():
                 fut.set(None)
             self._futures.clear()
@@ -84,6 +87,10 @@
                 await trio.aclose_forcefully(self._stream)
             _log.debug("peer_gone", peer=self.peer, reason=reason)
 
+    async def wait_lost(self):
+        """Wait until the connection has ended."""
+        await self._lost.wait()
+
     def abort(self):
         """End the connection at once."""
         self._scope.cancel()
--- a/src/radishlanding/peer/link.py
+++ b/src/radishlanding/peer/link.py
@@ -23,7 +23,20 @@
         with trio.fail_after(DIAL_TIMEOUT_S):
             return await trio.open_tcp_stream(host, int(port))
     except (OSError, ValueError, trio.TooSlowError) as exc:
-        raise ConnectionLost(f"{address}: {exc!r}", was_sent=False) from exc
+        raise ConnectionLost(
+            f"{address}: {exc!r}",
+            was_sent=False,
+            was_refused=_is_refused(exc),
+        ) from exc
+
+
+def _is_refused(exc):
+    """Return whether the host answered that nobody listens there."""
+    while exc is not None:
+        if isinstance(exc, ConnectionRefusedError):
+            return True
+        exc = exc.__cause__
+    return False
 
 
 class Link:
--- a/src/radishlanding/peer/server.py
+++ b/src/radishlanding/peer/server.py
@@ -25,6 +25,11 @@
         self._max_connections = max_connections
         self._connections = set()
 
+    @property
+    def connections(self):
+        """Return the open connections."""
+        return list(self._connections)
+
     async def run(self, *, host, port, task_status=trio.TASK_STATUS_IGNORED):
         """Accept peers until cancelled; report the port when it is open."""
         listeners = await trio.open_tcp_listeners(port, host=host)
--- /dev/null
+++ b/src/radishlanding/platform/client_api.py
@@ -0,0 +1,187 @@
+"""Takes the requests of the platform's clients.
+
+Source: the platform's page "What radishlanding speaks", section on jobs.
+"""
+
+import re
+import time
+
+import msgspec
+
+from radishlanding.http import HttpResponse
+from radishlanding.http import Problem
+from radishlanding.observe import EventLog
+from radishlanding.vm import Capacity
+from radishlanding.workflow import Step
+from radishlanding.workflow import Workflow
+from radishlanding.workflow import WorkflowOutcome
+
+ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+MAX_SPEC_BYTES = 4000
+# The pages name no default; callers of the sheets wait 3 s.
+DEFAULT_DEADLINE_MS = 3000
+
+_log = EventLog("radishlanding.platform")
+
+
+class ClientApi:
+    """Answer clients about the jobs of their queues."""
+
+    __slots__ = ("_desk", "_site")
+
+    def __init__(self, *, desk, site):
+        """Prepare.
+
+        :param desk: A :class:`radishlanding.dispatcher.QueueDesk`.
+        :param site: Callable that returns the
+            :class:`radishlanding.config.Site` in force.
+        """
+        self._desk = desk
+        self._site = site
+
+    async def respond(self, req):
+        """Return the response to a client."""
+        site = self._site()
+        if not site.version:
+            return _busy(503, 1)
+        path = req.target.partition("?")[0]
+        host = req.headers.get("host", "").partition(":")[0]
+        queue = site.find_queue(host, path)
+        if queue is None:
+            _log.info(
+                "queue_unknown",
+                request=_request_id(req),
+                host=host,
+                path=path,
+                version=site.version,
+            )
+            raise Problem(status=404, reason="no such queue")
+        name = path[len(queue.prefix) :]
+        if not name:
+            return await self._backlog(req, queue)
+        if not ID_PATTERN.fullmatch(name):
+            raise Problem(status=400, reason="not 16 hexadecimal digits")
+        timeout_s = _timeout_s(req)
+        if req.method == "POST":
+            return await self._submit(req, queue, name, timeout_s)
+        if req.method == "GET":
+            answer = await self._desk.find(name, timeout_s=timeout_s)
+            return _response(answer, absent=410, with_state=True)
+        if req.method == "DELETE":
+            answer = await self._desk.cancel(
+                name, request_id=_request_id(req), timeout_s=timeout_s
+            )
+            return _response(answer, absent=410)
+        raise Problem(status=405, reason="POST, GET or DELETE")
+
+    async def _backlog(self, req, queue):
+        if req.method != "GET":
+            raise Problem(status=405, reason="GET")
+        waiting = await self._desk.backlog(
+            queue.name, timeout_s=_timeout_s(req)
+        )
+        if waiting is None:
+            return _busy(503, 1)
+        return HttpResponse.of_json({"waiting": waiting})
+
+    async def _submit(self, req, queue, name, timeout_s):
+        try:
+            workflow = _workflow(name, queue, req.body)
+        except (KeyError, TypeError, ValueError) as exc:
+            _log.info(
+                "job_malformed", request=_request_id(req), job=name, reason=exc
+            )
+            raise Problem(status=400, reason=f"malformed job: {exc!r}")
+        answer = await self._desk.submit(
+            workflow, request_id=_request_id(req), timeout_s=timeout_s
+        )
+        return _response(answer, absent=503)
+
+
+def _request_id(req):
+    return req.headers.get("x-request-id", "none")
+
+
+def _timeout_s(req):
+    try:
+        return int(req.headers["x-deadline-ms"]) / 1000
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_MS / 1000
+
+
+def _busy(status, retry_after_s):
+    response = HttpResponse(status=status)
+    if retry_after_s:
+        response.headers["retry-after"] = str(retry_after_s)
+    return response
+
+
+def _response(answer, *, absent, with_state=False):
+    """Return the response that says what an answer says."""
+    match answer.outcome:
+        case WorkflowOutcome.FOUND:
+            if with_state:
+                return HttpResponse.of_json({"state": answer.phase})
+            return HttpResponse(status=200)
+        case WorkflowOutcome.ABSENT:
+            return HttpResponse(status=absent)
+        case WorkflowOutcome.REFUSED:
+            return _busy(503, answer.retry_after_s)
+    return HttpResponse(status=504)
+
+
+def _step(raw, number):
+    after = [int(item) for item in raw.get("after", [])]
+    if any(not 0 <= item < number for item in after):
+        raise ValueError(f"step {number} comes after {after}")
+    count = int(raw["count"])
+    if count < 1:
+        raise ValueError(f"step {number} has {count} tasks")
+    return Step(
+        count=count,
+        needs=Capacity(
+            millicores=int(raw.get("cpu", 0)),
+            memory_mb=int(raw.get("memMb", 0)),
+            accelerators=int(raw.get("gpu", 0)),
+        ),
+        estimated_ms=int(raw.get("estimatedMs", 0)),
+        after=after,
+        checkpointing=bool(raw.get("checkpointing", False)),
+        gang=bool(raw.get("gang", False)),
+        same_rack=bool(raw.get("sameRack", False)),
+        label=str(raw.get("requirements", "") or ""),
+        data_rack=str(raw.get("affinity", "") or ""),
+        max_per_vm=int(raw.get("antiAffinity", 0)),
+        speculative=bool(raw.get("speculative", False)),
+        standing=bool(raw.get("longRunning", False)),
+        image=str(raw.get("image", "") or ""),
+        latency_target_ms=int(raw.get("targetMs", 0)),
+        fills=bool(raw.get("fills", False)),
+        max_unavailable=int(raw.get("mayMiss", 0)),
+    )
+
+
+def _workflow(name, queue, body):
+    """Decode a job; the fields of its queue are fixed with it."""
+    raw = msgspec.json.decode(body)
+    spec = raw["spec"]
+    if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
+        raise ValueError(f"spec is not text of {MAX_SPEC_BYTES} bytes")
+    steps = [_step(step, at) for at, step in enumerate(raw["steps"])]
+    if not steps:
+        raise ValueError("a job without steps")
+    return Workflow(
+        workflow_id=name,
+        queue=queue.name,
+        pool=queue.pool,
+        spec=spec,
+        steps=steps,
+        repeats=int(raw.get("repeatCount", 0)),
+        first_due_ms=int(raw.get("firstRunMs", 0)),
+        interval_ms=int(raw.get("intervalMs", 0)),
+        accepted_ms=int(time.time() * 1000),
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.stretch,
+        latency_ms=queue.latency_ms,
+    )
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -1,7 +1,9 @@
 """Decisions about placement and routing, apart from any encoding."""
 
+from radishlanding.policy.earliest_deadline import EarliestDeadline
 from radishlanding.policy.fair_queue import FairQueue
 from radishlanding.policy.least_outstanding import LeastOutstanding
+from radishlanding.policy.pace_control import PaceControl
 from radishlanding.policy.placement import Placement
 from radishlanding.policy.power_of_two import PowerOfTwo
 from radishlanding.policy.preemption import Preemption
@@ -13,11 +15,16 @@
 from radishlanding.policy.routing import Routing
 from radishlanding.policy.spread_placement import SpreadPlacement
 from radishlanding.policy.target_view import TargetView
+from radishlanding.policy.vm_load import VmLoad
 from radishlanding.policy.vm_view import VmView
+from radishlanding.policy.workflow_order import WorkflowOrder
+from radishlanding.policy.workflow_planner import WorkflowPlanner
 
 __all__ = [
+    "EarliestDeadline",
     "FairQueue",
     "LeastOutstanding",
+    "PaceControl",
     "Placement",
     "PowerOfTwo",
     "Preemption",
@@ -29,5 +36,8 @@
     "Routing",
     "SpreadPlacement",
     "TargetView",
+    "VmLoad",
     "VmView",
+    "WorkflowOrder",
+    "WorkflowPlanner",
 ]
--- /dev/null
+++ b/src/radishlanding/policy/vm_load.py
@@ -0,0 +1,85 @@
+"""A VM as the planner of workflows sees it."""
+
+import dataclasses
+
+from radishlanding.vm import Capacity
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class VmLoad:
+    """A VM and what is on it.
+
+    :param vm: Identity of the VM.
+    :param boot: Boot of its worker.
+    :param pool: Pool that it belongs to.
+    :param zone: Availability zone.
+    :param labels: Kind and rack of the VM.
+    :param capacity: What tasks may use in all.
+    :param free: What is not promised to a task.
+    :param idle_millicores: Processors that probably nobody uses.
+    :param serving: Tasks on it that must answer in time.
+    :param room: Tasks that it may take at most, None for any.
+    :param steps: Tasks on it by workflow, occurrence and step.
+    """
+
+    vm: str
+    boot: str
+    pool: str
+    zone: str
+    labels: list[str]
+    capacity: Capacity
+    free: Capacity
+    idle_millicores: float
+    serving: int = 0
+    room: int | None = None
+    steps: dict[tuple[str, int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add(self, key, step):
+        """Count a task that is on it or will be.
+
+        :param key: Workflow, occurrence and step of the task.
+        :param step: The :class:`radishlanding.workflow.Step`.
+        """
+        self.free = self.free - step.reserved
+        self.idle_millicores -= expected_millicores(step)
+        self.serving += bool(step.latency_target_ms)
+        self.steps[key] = self.steps.get(key, 0) + 1
+        if self.room is not None:
+            self.room -= 1
+
+    def remove(self, key, step):
+        """Take back a task that was counted."""
+        self.free = self.free + step.reserved
+        self.idle_millicores += expected_millicores(step)
+        self.serving -= bool(step.latency_target_ms)
+        self.steps[key] -= 1
+        if self.room is not None:
+            self.room += 1
+
+    def holds(self, key, step):
+        """Return whether it may take one more task of a step."""
+        return (
+            self.free.holds(step.reserved)
+            and (self.room is None or self.room > 0)
+            and (not step.label or step.label in self.labels)
+            and (
+                not step.max_per_vm or self.steps.get(key, 0) < step.max_per_vm
+            )
+        )
+
+    def is_near(self, step):
+        """Return whether the data of a step is on its rack."""
+        return not step.data_rack or step.data_rack in self.labels
+
+
+# A serving task is sized for its peaks; half of that is its usual use.
+SERVING_USE = 0.5
+
+
+def expected_millicores(step):
+    """Return the processors that a task of a step probably uses."""
+    if step.latency_target_ms:
+        return step.needs.millicores * SERVING_USE
+    return step.needs.millicores
--- a/src/radishlanding/scheduler/program.py
+++ b/src/radishlanding/scheduler/program.py
@@ -13,7 +13,7 @@
 from radishlanding.scheduler.handler import SchedulerHandler
 from radishlanding.scheduler.seat_parts import SeatParts
 from radishlanding.scheduler.shard_seat import ShardSeat
-from radishlanding.scheduler.timing import Timing
+from radishlanding.vm import Timing
 
 MAX_PEERS = 5000
 
--- a/src/radishlanding/scheduler/seat_parts.py
+++ b/src/radishlanding/scheduler/seat_parts.py
@@ -7,8 +7,8 @@
 from radishlanding.membership import Members
 from radishlanding.membership import Registration
 from radishlanding.observe import Counters
-from radishlanding.scheduler.timing import Timing
 from radishlanding.store import Store
+from radishlanding.vm import Timing
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/src/radishlanding/settings/dispatcher.py
@@ -0,0 +1,39 @@
+"""Settings of a dispatcher."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class DispatcherSettings:
+    """Settings of ``radishlanding-dispatcher``.
+
+    :param id: Identity of the process in the site.
+    :param zone: Availability zone of its VM.
+    :param store: ``ip:port`` of the platform's key-value service.
+    :param http_listen: ``ip:port`` for callers.
+    :param ready_listen: ``ip:port`` for readiness checks.
+    :param peer_listen: ``ip:port`` for agents and other dispatchers.
+    :param metrics_listen: ``ip:port`` for metrics, empty for none.
+    :param store_calls_per_s: Bound on calls to the store.
+    :param vm_lease_s: How long tasks run without an acknowledgement, in
+        seconds; the same in every process of a site.
+    :param owner_grace_s: How long a leader that cannot prove its leadership
+        extends leases, in seconds.
+    :param drift_s: Allowance for clocks at different rates, in seconds.
+    :param drain_s: Time for requests in flight at a stop, in seconds.
+    :param log_level: Lowest level that is logged.
+    """
+
+    id: str
+    zone: str
+    store: str
+    http_listen: str
+    ready_listen: str
+    peer_listen: str
+    metrics_listen: str = ""
+    store_calls_per_s: float = 150.0
+    vm_lease_s: float = 8.0
+    owner_grace_s: float = 5.0
+    drift_s: float = 0.5
+    drain_s: float = 4.0
+    log_level: str = "info"
--- a/src/radishlanding/settings/load.py
+++ b/src/radishlanding/settings/load.py
@@ -7,29 +7,44 @@
 from radishlanding.findings import read_toml
 from radishlanding.findings import structure
 from radishlanding.settings.agent import AgentSettings
+from radishlanding.settings.dispatcher import DispatcherSettings
 from radishlanding.settings.entry import EntrySettings
 from radishlanding.settings.operator import OperatorSettings
 from radishlanding.settings.scheduler import SchedulerSettings
+from radishlanding.settings.vm_agent import VmAgentSettings
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 SETTINGS_BY_PROGRAM = {
     "agent": AgentSettings,
+    "dispatcher": DispatcherSettings,
     "entry": EntrySettings,
     "operator": OperatorSettings,
     "scheduler": SchedulerSettings,
+    "vmagent": VmAgentSettings,
 }
 _ADDRESSES = (
     "announce_listen",
     "entries",
     "http_listen",
+    "metrics_listen",
     "peer_advertise",
     "peer_listen",
+    "ready_listen",
+    "report_listen",
     "schedulers",
+    "seeds",
     "store",
     "worker",
 )
-_OPTIONAL = ("peer_advertise",)
-_LISTENING = ("announce_listen", "http_listen", "peer_listen")
+_OPTIONAL = ("metrics_listen", "peer_advertise", "seeds")
+_LISTENING = (
+    "announce_listen",
+    "http_listen",
+    "metrics_listen",
+    "peer_listen",
+    "ready_listen",
+    "report_listen",
+)
 
 
 def _address_problem(text, *, may_be_zero):
@@ -82,7 +97,7 @@
 def load_settings(program, path):
     """Return the settings of a program from a TOML file.
 
-    :param program: ``agent``, ``entry``, ``operator`` or ``scheduler``.
+    :param program: A name of ``SETTINGS_BY_PROGRAM``.
     :param path: File name.
     :raises InvalidInput: The file has findings; every one is named.
     """
--- a/src/radishlanding/settings/run_program.py
+++ b/src/radishlanding/settings/run_program.py
@@ -1,5 +1,6 @@
 """Starts a program from its command line."""
 
+import os
 import sys
 
 import trio
@@ -10,22 +11,27 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_USAGE = 64
+# Names the settings file where the command line does not.
+SETTINGS_VARIABLE = "RADISHLANDING_BOOT"
 
 
 def run_program(name, make_program):
-    """Load the settings named on the command line and run the program.
+    """Load the settings and run the program.
 
-    :param name: ``agent``, ``entry`` or ``scheduler``.
+    The command line names the file, or else a variable of the environment.
+
+    :param name: Program, as in ``SETTINGS_BY_PROGRAM``.
     :param make_program: Callable that takes ``cfg`` and returns an object
         with a coroutine ``run``.
     :returns: Exit status: 0 after an ordered stop, 2 for bad settings, 64
         for a wrong command line.
     """
-    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+    paths = sys.argv[1:] or [os.environ.get(SETTINGS_VARIABLE, "")]
+    if len(paths) != 1 or paths[0] in ("", "-h", "--help"):
         print(f"usage: radishlanding-{name} SETTINGS.toml", file=sys.stderr)
         return EXIT_USAGE
     try:
-        cfg = load_settings(name, sys.argv[1])
+        cfg = load_settings(name, paths[0])
     except InvalidInput as exc:
         for line in exc.lines():
             print(line, file=sys.stderr)
--- a/src/radishlanding/store/__init__.py
+++ b/src/radishlanding/store/__init__.py
@@ -1,17 +1,35 @@
 """What the project asks of the platform's key-value service."""
 
+from radishlanding.store.budget import CallBudget
+from radishlanding.store.change_set import ChangeSet
+from radishlanding.store.conflict import Conflict
 from radishlanding.store.corrupt_record import CorruptRecord
+from radishlanding.store.history_gone import HistoryGone
 from radishlanding.store.key_value import KeyValue
+from radishlanding.store.lease_gone import LeaseGone
+from radishlanding.store.listing import Listing
+from radishlanding.store.prefix_watch import PrefixWatch
 from radishlanding.store.record import pack
 from radishlanding.store.record import unpack
 from radishlanding.store.store import Store
+from radishlanding.store.transactional_store import TransactionalStore
 from radishlanding.store.unavailable import StoreUnavailable
+from radishlanding.store.write import Write
 
 __all__ = [
+    "CallBudget",
+    "ChangeSet",
+    "Conflict",
     "CorruptRecord",
+    "HistoryGone",
     "KeyValue",
+    "LeaseGone",
+    "Listing",
+    "PrefixWatch",
     "Store",
     "StoreUnavailable",
+    "TransactionalStore",
+    "Write",
     "pack",
     "unpack",
 ]
--- a/src/radishlanding/etcd/budget.py
+++ b/src/radishlanding/store/budget.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from radishlanding.store import StoreUnavailable
+from radishlanding.store.unavailable import StoreUnavailable
 
 
 class CallBudget:
--- /dev/null
+++ b/src/radishlanding/store/history_gone.py
@@ -0,0 +1,5 @@
+"""Raised when the store no longer has the changes that were asked for."""
+
+
+class HistoryGone(Exception):
+    """Say that the prefix has to be read again."""
--- /dev/null
+++ b/src/radishlanding/store/lease_gone.py
@@ -0,0 +1,5 @@
+"""Raised when a write names a lease that has ended."""
+
+
+class LeaseGone(Exception):
+    """Say that nothing was changed."""
--- a/src/radishlanding/store/record.py
+++ b/src/radishlanding/store/record.py
@@ -1,19 +1,13 @@
 """Encodes the records kept in the store as JSON."""
 
-import json
-
-import cattrs
+import msgspec
 
 from radishlanding.store.corrupt_record import CorruptRecord
 
-_converter = cattrs.Converter(omit_if_default=True)
-
 
 def pack(record):
-    """Return a dataclass as JSON bytes; defaults are left out."""
-    return json.dumps(
-        _converter.unstructure(record), separators=(",", ":")
-    ).encode()
+    """Return a dataclass as JSON bytes."""
+    return msgspec.json.encode(record)
 
 
 def unpack(cls, data):
@@ -24,6 +18,6 @@
     :raises CorruptRecord: The bytes hold no such record.
     """
     try:
-        return _converter.structure(json.loads(data), cls)
-    except (ValueError, cattrs.BaseValidationError) as exc:
+        return msgspec.json.decode(data, type=cls)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise CorruptRecord(f"{cls.__name__}: {exc}") from exc
--- /dev/null
+++ b/src/radishlanding/store/transactional_store.py
@@ -0,0 +1,49 @@
+"""What the workflow programs ask of the platform's key-value service."""
+
+import typing
+
+
+class TransactionalStore(typing.Protocol):
+    """Read, watch and change several keys at once.
+
+    Every method raises :class:`radishlanding.store.StoreUnavailable` when
+    the store gives no answer in time. A write without an answer may still
+    take effect seconds later, if its expectations hold then.
+    """
+
+    async def get(self, key):
+        """Return a key as a :class:`KeyValue`, None if it is absent."""
+
+    async def list(self, prefix, *, is_stale_ok=False):
+        """Return the keys of a prefix as a :class:`Listing`.
+
+        :param is_stale_ok: Whether an answer may be some seconds old.
+        """
+
+    async def watch(self, prefix, *, after, wait_s):
+        """Return the changes after a revision as a :class:`ChangeSet`.
+
+        :param after: Revision of the store.
+        :param wait_s: How long to wait for the first change, in seconds.
+        :raises HistoryGone: They are no longer known.
+        """
+
+    async def transact(self, *, expected, writes=(), removes=()):
+        """Write and remove keys if others have the expected versions.
+
+        :param expected: Versions by key, 0 for an absent key.
+        :param writes: :class:`Write` objects.
+        :param removes: Keys.
+        :returns: The version of the written keys.
+        :raises Conflict: A version differs; nothing was changed.
+        :raises LeaseGone: A lease has ended; nothing was changed.
+        """
+
+    async def grant(self, *, ttl_s):
+        """Return the identity of a new lease."""
+
+    async def keep_alive(self, lease):
+        """Extend a lease; return whether it still exists."""
+
+    async def revoke(self, lease):
+        """End a lease and delete its keys."""
--- a/src/radishlanding/vm/__init__.py
+++ b/src/radishlanding/vm/__init__.py
@@ -1,9 +1,19 @@
 """What a VM holds, has given away and may run."""
 
+from radishlanding.vm.agent_clock import clock_ms
 from radishlanding.vm.capacity import Capacity
 from radishlanding.vm.lease import boot_clock_s
 from radishlanding.vm.lease import VmLease
 from radishlanding.vm.ledger import Ledger
 from radishlanding.vm.no_room import NoRoom
+from radishlanding.vm.timing import Timing
 
-__all__ = ["Capacity", "Ledger", "NoRoom", "VmLease", "boot_clock_s"]
+__all__ = [
+    "Capacity",
+    "Ledger",
+    "NoRoom",
+    "Timing",
+    "VmLease",
+    "boot_clock_s",
+    "clock_ms",
+]
--- a/src/radishlanding/agent/clock.py
+++ b/src/radishlanding/vm/agent_clock.py
@@ -1,6 +1,6 @@
 """The agent's own clock, which its peers echo."""
 
-from radishlanding.vm import boot_clock_s
+from radishlanding.vm.lease import boot_clock_s
 
 
 def clock_ms():
--- /dev/null
+++ b/src/radishlanding/vmagent/main.py
@@ -0,0 +1,15 @@
+"""Command line of ``radishlanding-vmagent``."""
+
+import sys
+
+from radishlanding.settings import run_program
+from radishlanding.vmagent.program import VmAgentProgram
+
+
+def main():
+    """Run an agent beside a worker of workflows."""
+    sys.exit(run_program("vmagent", VmAgentProgram))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/radishlanding/vmagent/seat_clock.py
@@ -0,0 +1,51 @@
+"""Relates a worker's clock to the agent's."""
+
+from radishlanding.vm import boot_clock_s
+
+# Workers' clocks may run 2 % slow; a little more covers the rounding.
+SLOW_CLOCK = 1.025
+# Time between a worker's reading of its clock and ours of its answer.
+ANSWER_S = 0.2
+
+
+class SeatClock:
+    """Give deadlines on a worker's clock, and tell when they have passed."""
+
+    __slots__ = ("_at_s", "_clock_ms", "held_until_s")
+
+    def __init__(self):
+        """Start without a reading."""
+        self._at_s = 0.0
+        self._clock_ms = None
+        self.held_until_s = 0.0
+
+    @property
+    def is_known(self):
+        """Return whether the worker's clock was ever read."""
+        return self._clock_ms is not None
+
+    def read(self, clock_ms):
+        """Take a reading of the worker's clock."""
+        self._clock_ms = clock_ms
+        self._at_s = boot_clock_s()
+
+    def forget(self):
+        """Drop the reading, for a worker that has started again."""
+        self._clock_ms = None
+
+    def deadline_ms(self, remaining_s):
+        """Return a deadline on the worker's clock, and remember it.
+
+        :param remaining_s: Time from now, in seconds.
+        """
+        now_s = boot_clock_s()
+        end_s = now_s + remaining_s
+        self.held_until_s = max(
+            self.held_until_s, end_s + remaining_s * (SLOW_CLOCK - 1)
+        )
+        passed_s = (now_s - self._at_s) / SLOW_CLOCK
+        return int(self._clock_ms + (passed_s + remaining_s) * 1000)
+
+    def has_lapsed(self):
+        """Return whether every deadline that was given has passed."""
+        return boot_clock_s() > self.held_until_s + ANSWER_S
--- /dev/null
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -0,0 +1,71 @@
+"""One attempt on a worker."""
+
+import dataclasses
+
+from radishlanding.message import RunningTask
+from radishlanding.message import TaskEndReport
+from radishlanding.message import TaskOrder
+from radishlanding.workflow import EndKind
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class SeatTask:
+    """An attempt, from its order until its end is on record.
+
+    :param task_id: Name of the task.
+    :param attempt: Number of the attempt.
+    :param order: What was ordered, None for an attempt that was found.
+    :param taken_s: When its order came, on the boot clock.
+    :param is_confirmed: Whether the worker has said that it runs.
+    :param confirmed_s: When it said so, on the boot clock.
+    :param is_unsure: Whether a start got no answer, and may come late.
+    :param is_stopping: Whether it is being stopped.
+    :param checkpoint: Newest progress to resume from.
+    :param progress: Share of its work that is done, in percent.
+    :param gauge: Figure of the last half second, see
+        :class:`radishlanding.worker.RunningRow`.
+    :param pace_percent: Pace that the worker was told.
+    :param end: How it ended, None while it may run.
+    :param end_reason: The word for that.
+    :param end_number: The worker's number of the end, 0 for none.
+    """
+
+    task_id: str
+    attempt: int
+    order: TaskOrder | None = None
+    taken_s: float = 0.0
+    is_confirmed: bool = False
+    confirmed_s: float = 0.0
+    is_unsure: bool = False
+    is_stopping: bool = False
+    checkpoint: str = ""
+    progress: int = 0
+    gauge: float = 0.0
+    pace_percent: int = 100
+    end: EndKind | None = None
+    end_reason: str = ""
+    end_number: int = 0
+
+    @property
+    def key(self):
+        """Return task and attempt."""
+        return self.task_id, self.attempt
+
+    def running_report(self):
+        """Return what to report while it may run."""
+        return RunningTask(
+            task_id=self.task_id,
+            attempt=self.attempt,
+            checkpoint=self.checkpoint,
+            progress=self.progress,
+        )
+
+    def end_report(self):
+        """Return what to report of its end."""
+        return TaskEndReport(
+            task_id=self.task_id,
+            attempt=self.attempt,
+            kind=self.end,
+            checkpoint=self.checkpoint,
+            reason=self.end_reason,
+        )
--- /dev/null
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -0,0 +1,272 @@
+"""Runs the tasks of one worker."""
+
+import trio
+
+from radishlanding.message import VmState
+from radishlanding.observe import EventLog
+from radishlanding.vm import boot_clock_s
+from radishlanding.vm import VmLease
+from radishlanding.vmagent.seat_clock import SeatClock
+from radishlanding.vmagent.seat_pace import SeatPace
+from radishlanding.vmagent.seat_starter import SeatStarter
+from radishlanding.vmagent.seat_table import SeatTable
+from radishlanding.vmagent.seat_task import SeatTask
+from radishlanding.worker import WorkerUnavailable
+from radishlanding.workflow import EndKind
+
+# How long the worker goes on without its agent: the agent's restart takes
+# about 2 s. It also bounds how long the work of a silent worker is missed.
+HOLD_S = 4.5
+# Longest wait of a look; it also is the pace at which holds are extended.
+LOOK_WAIT_S = 0.5
+# Pause of looks while ends wait to be on record, as they answer at once.
+SETTLE_PAUSE_S = 0.05
+RETRY_PAUSE_S = 0.1
+# An order that took longer to arrive may rest on what is no longer true.
+MAX_ORDER_AGE_MS = 3000
+
+_log = EventLog("radishlanding.vmagent")
+
+
+class WorkerSeat:
+    """Start, watch and stop the tasks of one boot of a worker."""
+
+    __slots__ = (
+        "_starter",
+        "_vm_lease_s",
+        "clock",
+        "fence",
+        "is_gone",
+        "is_listed",
+        "is_leaving",
+        "lease",
+        "pace",
+        "report",
+        "scope",
+        "table",
+        "worker",
+    )
+
+    def __init__(self, *, report, worker, vm_lease_s, nursery):
+        """Prepare; :meth:`run` works.
+
+        :param report: The :class:`radishlanding.worker.WorkerReport` that
+            told of the worker.
+        :param worker: A :class:`radishlanding.worker.LeasedWorker`.
+        :param vm_lease_s: How long tasks run without an acknowledgement.
+        :param nursery: Nursery for starts and stops.
+        """
+        self._vm_lease_s = vm_lease_s
+        self.clock = SeatClock()
+        self.fence = 0
+        self.is_gone = False
+        self.is_leaving = False
+        self.is_listed = False
+        self.lease = VmLease(duration_s=vm_lease_s)
+        self.report = report
+        self.scope = trio.CancelScope()
+        self.table = SeatTable()
+        self.worker = worker
+        self.pace = SeatPace(seat=self)
+        self._starter = SeatStarter(seat=self, nursery=nursery)
+
+    @property
+    def vm(self):
+        """Return the identity of the VM."""
+        return self.report.worker_id
+
+    def state(self):
+        """Return what to report of the VM."""
+        return VmState(
+            boot=self.report.boot,
+            zone=self.report.zone,
+            pool=self.report.pool,
+            labels=list(self.report.labels),
+            capacity=self.report.capacity,
+            is_draining=self.report.is_draining or self.is_leaving,
+            remaining_ms=self.report.remaining_ms,
+        )
+
+    def update(self, report):
+        """Take a newer report of the worker.
+
+        :param report: A :class:`radishlanding.worker.WorkerReport`.
+        """
+        is_news = (
+            report.is_draining != self.report.is_draining
+            or report.boot != self.report.boot
+            or report.capacity != self.report.capacity
+        )
+        if report.boot != self.report.boot:
+            _log.warning(
+                "worker_reborn",
+                vm=self.vm,
+                boot=report.boot,
+                before=self.report.boot,
+            )
+            self.report = report
+            self._begin_boot()
+        self.report = report
+        if is_news:
+            _log.info(
+                "worker_state",
+                vm=self.vm,
+                boot=report.boot,
+                draining=report.is_draining,
+                remaining_ms=report.remaining_ms,
+                number=report.number,
+            )
+            self.table.notify()
+
+    def _begin_boot(self):
+        """Drop what only an earlier boot of the worker knew."""
+        unsure = [task for task in self.table.active() if task.is_unsure]
+        self.table.end_all(reason="the worker has started again")
+        self.table.reset_numbers()
+        self.clock.forget()
+        self.clock.held_until_s = 0.0
+        self.is_listed = False
+        for task in unsure:
+            self._starter.forbid(task)
+
+    def follow(self, fence):
+        """Use a new fencing token; what runs has to be listed again."""
+        self.fence = fence
+        self.is_listed = False
+        self.table.notify()
+
+    def remaining_s(self):
+        """Return for how long the worker may go on, in seconds."""
+        return min(self.lease.remaining_s(), HOLD_S)
+
+    async def run(self):
+        """Hold and watch the worker until it is gone."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.pace.run)
+                while not self.is_gone:
+                    await self._round()
+                nursery.cancel_scope.cancel()
+
+    async def _round(self):
+        if not self.fence:
+            with trio.move_on_after(LOOK_WAIT_S):
+                await self.table.wait_changed()
+            return
+        try:
+            await self._look()
+        except WorkerUnavailable as exc:
+            self._unavailable(exc)
+            await trio.sleep(RETRY_PAUSE_S)
+            return
+        if self.table.ended():
+            with trio.move_on_after(SETTLE_PAUSE_S):
+                await self.table.wait_changed()
+
+    def _unavailable(self, exc):
+        _log.info("look_failed", vm=self.vm, reason=exc)
+        if self.is_leaving:
+            self.is_gone = True
+            self.table.end_all(reason="the worker has left")
+        elif self.table.active() and self.clock.has_lapsed():
+            self.table.end_all(reason="the worker is silent and has lapsed")
+
+    async def _look(self):
+        remaining_s = self.remaining_s()
+        deadline_ms = None
+        if remaining_s > 0 and self.clock.is_known:
+            deadline_ms = self.clock.deadline_ms(remaining_s)
+        fence, boot = self.fence, self.report.boot
+        sent_s = boot_clock_s()
+        is_first = not self.is_listed or deadline_ms is None
+        look = await self.worker.look(
+            fence=fence,
+            settled_number=self.table.settled_number,
+            deadline_ms=deadline_ms,
+            wait_s=0 if is_first or self.table.ended() else LOOK_WAIT_S,
+        )
+        if look is None or boot != self.report.boot:
+            _log.info("look_refused", vm=self.vm, fence=fence, boot=boot)
+            await trio.sleep(RETRY_PAUSE_S)
+            return
+        self.clock.read(look.clock_ms)
+        self.table.take_look(look, sent_s=sent_s, now_s=boot_clock_s())
+        if fence == self.fence and not self.is_listed:
+            self.is_listed = True
+            _log.info(
+                "worker_listed",
+                vm=self.vm,
+                fence=fence,
+                running=len(look.running),
+                ended=len(look.ended),
+            )
+            self.table.notify()
+        if remaining_s <= 0:
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self.table.wait_changed()
+
+    def start(self, message, *, clock_ms):
+        """Take start orders.
+
+        :param message: A :class:`radishlanding.message.StartOrders`.
+        :param clock_ms: Clock of the agent, in milliseconds.
+        :returns: :class:`TaskEndReport` objects of what is refused.
+        """
+        age_ms = clock_ms - message.clock_echo_ms
+        refused = []
+        for order in message.orders:
+            if self.table.get(order.task_id, order.attempt) is not None:
+                continue
+            task = SeatTask(
+                task_id=order.task_id,
+                attempt=order.attempt,
+                order=order,
+                taken_s=boot_clock_s(),
+                checkpoint=order.checkpoint,
+            )
+            self.table.add(task)
+            problem = self._problem(message, age_ms)
+            if problem:
+                self.table.end(task, EndKind.NOT_RUN, reason=problem)
+                refused.append(task.end_report())
+            else:
+                _log.info(
+                    "order_taken",
+                    task=order.task_id,
+                    attempt=order.attempt,
+                    vm=self.vm,
+                    age_ms=age_ms,
+                    fence=self.fence,
+                )
+                self._starter.start(task)
+        return refused
+
+    def _problem(self, message, age_ms):
+        if message.boot != self.report.boot:
+            return "meant for another boot of the worker"
+        if self.report.is_draining or self.is_leaving:
+            return "the worker is draining"
+        if age_ms > MAX_ORDER_AGE_MS:
+            return f"the order rests on a clock {age_ms} ms old"
+        return ""
+
+    def stop(self, keys):
+        """Stop attempts.
+
+        :param keys: Pairs of task and attempt.
+        """
+        for task_id, attempt in keys:
+            task = self.table.get(task_id, attempt)
+            if task is None:
+                continue
+            if task.end is None and not task.is_stopping:
+                task.is_stopping = True
+                self._starter.stop(task)
+
+    def ends(self):
+        """Return reports of ends that are not known to be on record."""
+        return [task.end_report() for task in self.table.ended()]
+
+    def running(self):
+        """Return reports of attempts that may run."""
+        return [task.running_report() for task in self.table.active()]
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -35,6 +35,26 @@
     relayAsk @28 :RelayAsk;
     getStatus @29 :GetStatus;
     statusAnswer @30 :StatusAnswer;
+    startOrders @31 :StartOrders;
+    startOrdersAnswer @32 :StartOrdersAnswer;
+    stopOrders @33 :StopOrders;
+    vmHello @34 :VmHello;
+    vmWelcome @35 :VmWelcome;
+    vmReport @36 :VmReport;
+    vmReportAck @37 :VmReportAck;
+    endsRecorded @38 :EndsRecorded;
+    sitePeers @39 :SitePeers;
+    submitWorkflow @40 :SubmitWorkflow;
+    getWorkflow @41 :GetWorkflow;
+    cancelWorkflow @42 :CancelWorkflow;
+    workflowAnswer @43 :WorkflowAnswer;
+    getBacklog @44 :GetBacklog;
+    backlogAnswer @45 :BacklogAnswer;
+    leaderNotice @46 :LeaderNotice;
+    taskOrder @47 :TaskOrder;
+    taskEndReport @48 :TaskEndReport;
+    runningTask @49 :RunningTask;
+    vmState @50 :VmState;
   }
 }
 
@@ -292,3 +312,161 @@
 struct StatusAnswer {
   processes @0 :List(ProcessSummary);
 }
+
+struct StartOrders {
+  vm @0 :Text;
+  epoch @1 :Int64;
+  boot @2 :Text;
+  clockEchoMs @3 :Int64;
+  orders @4 :List(TaskOrder);
+}
+
+struct StartOrdersAnswer {
+  refused @0 :List(TaskEndReport);
+}
+
+struct StopOrders {
+  vm @0 :Text;
+  epoch @1 :Int64;
+  keys @2 :List(TaskKey);
+}
+
+struct VmHello {
+  vm @0 :Text;
+  epoch @1 :Int64;
+  clockMs @2 :Int64;
+  state @3 :VmState;
+}
+
+struct VmWelcome {
+  accepted @0 :Bool;
+  epoch @1 :Int64;
+  fence @2 :Int64;
+}
+
+struct VmReport {
+  vm @0 :Text;
+  isFull @1 :Bool;
+  clockMs @2 :Int64;
+  state @3 :VmState;
+  running @4 :List(RunningTask);
+  ended @5 :List(TaskEndReport);
+}
+
+struct VmReportAck {
+  granted @0 :Bool;
+}
+
+struct EndsRecorded {
+  vm @0 :Text;
+  keys @1 :List(TaskKey);
+}
+
+struct SitePeers {
+  addresses @0 :List(Text);
+}
+
+struct SubmitWorkflow {
+  workflow @0 :Workflow;
+  requestId @1 :Text;
+}
+
+struct GetWorkflow {
+  workflowId @0 :Text;
+}
+
+struct CancelWorkflow {
+  workflowId @0 :Text;
+  requestId @1 :Text;
+}
+
+struct WorkflowAnswer {
+  outcome @0 :Text;
+  phase @1 :Text;
+  retryAfterS @2 :Int64;
+  reason @3 :Text;
+}
+
+struct GetBacklog {
+  queue @0 :Text;
+}
+
+struct BacklogAnswer {
+  waiting @0 :Int64;
+}
+
+struct LeaderNotice {
+  epoch @0 :Int64;
+}
+
+struct TaskOrder {
+  taskId @0 :Text;
+  attempt @1 :Int64;
+  spec @2 :Text;
+  reserved @3 :Capacity;
+  checkpoint @4 :Text;
+  ticket @5 :Text;
+  fills @6 :Bool;
+  latencyTargetMs @7 :Int64;
+  estimatedMs @8 :Int64;
+}
+
+struct TaskEndReport {
+  taskId @0 :Text;
+  attempt @1 :Int64;
+  kind @2 :Text;
+  checkpoint @3 :Text;
+  reason @4 :Text;
+}
+
+struct RunningTask {
+  taskId @0 :Text;
+  attempt @1 :Int64;
+  checkpoint @2 :Text;
+  progress @3 :Int64;
+}
+
+struct VmState {
+  boot @0 :Text;
+  zone @1 :Text;
+  pool @2 :Text;
+  labels @3 :List(Text);
+  capacity @4 :Capacity;
+  isDraining @5 :Bool;
+  remainingMs @6 :Int64;
+}
+
+struct Step {
+  count @0 :Int64;
+  needs @1 :Capacity;
+  estimatedMs @2 :Int64;
+  after @3 :List(Int64);
+  checkpointing @4 :Bool;
+  gang @5 :Bool;
+  sameRack @6 :Bool;
+  label @7 :Text;
+  dataRack @8 :Text;
+  maxPerVm @9 :Int64;
+  speculative @10 :Bool;
+  standing @11 :Bool;
+  image @12 :Text;
+  latencyTargetMs @13 :Int64;
+  fills @14 :Bool;
+  maxUnavailable @15 :Int64;
+}
+
+struct Workflow {
+  workflowId @0 :Text;
+  queue @1 :Text;
+  pool @2 :Text;
+  spec @3 :Text;
+  steps @4 :List(Step);
+  repeats @5 :Int64;
+  firstDueMs @6 :Int64;
+  intervalMs @7 :Int64;
+  acceptedMs @8 :Int64;
+  priority @9 :Int64;
+  maxAttempts @10 :Int64;
+  stretch @11 :Float64;
+  latencyMs @12 :Int64;
+}
--- a/src/radishlanding/worker/__init__.py
+++ b/src/radishlanding/worker/__init__.py
@@ -1,15 +1,27 @@
 """The platform's worker, which runs tasks on a VM."""
 
+from radishlanding.worker.ended_row import EndedRow
 from radishlanding.worker.http_worker import HttpWorker
+from radishlanding.worker.leased_worker import LeasedWorker
+from radishlanding.worker.look import Look
 from radishlanding.worker.refused import WorkerRefused
+from radishlanding.worker.report import WorkerReport
+from radishlanding.worker.running_row import RunningRow
+from radishlanding.worker.start_result import StartResult
 from radishlanding.worker.unavailable import WorkerUnavailable
 from radishlanding.worker.worker import Worker
 from radishlanding.worker.worker_task import WorkerTask
 
 __all__ = [
+    "EndedRow",
     "HttpWorker",
+    "LeasedWorker",
+    "Look",
+    "RunningRow",
+    "StartResult",
     "Worker",
     "WorkerRefused",
+    "WorkerReport",
     "WorkerTask",
     "WorkerUnavailable",
 ]
--- /dev/null
+++ b/src/radishlanding/workflow/__init__.py
@@ -0,0 +1,31 @@
+"""Workflows: batch work made of steps, and where each task stands."""
+
+from radishlanding.workflow.assignment import Assignment
+from radishlanding.workflow.board import Board
+from radishlanding.workflow.end import EndKind
+from radishlanding.workflow.entry import Entry
+from radishlanding.workflow.outcome import WorkflowOutcome
+from radishlanding.workflow.phase import WorkflowPhase
+from radishlanding.workflow.record import WorkflowRecord
+from radishlanding.workflow.step import Step
+from radishlanding.workflow.task_end import TaskEnd
+from radishlanding.workflow.task_id import task_id
+from radishlanding.workflow.task_id import TaskPlace
+from radishlanding.workflow.task_record import TaskRecord
+from radishlanding.workflow.workflow import Workflow
+
+__all__ = [
+    "Assignment",
+    "Board",
+    "EndKind",
+    "Entry",
+    "Step",
+    "TaskEnd",
+    "TaskPlace",
+    "TaskRecord",
+    "Workflow",
+    "WorkflowOutcome",
+    "WorkflowPhase",
+    "WorkflowRecord",
+    "task_id",
+]
--- /dev/null
+++ b/src/radishlanding/workflow/entry.py
@@ -0,0 +1,36 @@
+"""Changes that are recorded in one write."""
+
+import dataclasses
+
+from radishlanding.workflow.assignment import Assignment
+from radishlanding.workflow.task_end import TaskEnd
+from radishlanding.workflow.workflow import Workflow
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Entry:
+    """One entry of the journal of workflows.
+
+    :param commit_id: Unique identity of the write.
+    :param made_ms: Unix time of the write, in milliseconds.
+    :param accepted: New workflows.
+    :param cancelled: Workflows that were cancelled.
+    :param ends: Ends of attempts.
+    :param assignments: Attempts that may start.
+    """
+
+    commit_id: str
+    made_ms: int
+    accepted: list[Workflow] = dataclasses.field(default_factory=list)
+    cancelled: list[str] = dataclasses.field(default_factory=list)
+    ends: list[TaskEnd] = dataclasses.field(default_factory=list)
+    assignments: list[Assignment] = dataclasses.field(default_factory=list)
+
+    def size(self):
+        """Return the number of changes."""
+        return (
+            len(self.accepted)
+            + len(self.cancelled)
+            + len(self.ends)
+            + len(self.assignments)
+        )
--- a/tests/agent/request_desk_steps.py
+++ b/tests/agent/request_desk_steps.py
@@ -7,7 +7,6 @@
 from behave import then
 from behave import when
 
-from radishlanding.agent.clock import clock_ms
 from radishlanding.agent.request_desk import RequestDesk
 from radishlanding.http import HttpServer
 from radishlanding.message import AskRequest
@@ -17,6 +16,7 @@
 from radishlanding.target import Announcement
 from radishlanding.target import TargetPool
 from radishlanding.vm import Capacity
+from radishlanding.vm import clock_ms
 from radishlanding.vm import Ledger
 from tests.standin.proxy import Proxy
 from tests.standin.record import Record
--- a/tests/etcd/etcd_steps.py
+++ b/tests/etcd/etcd_steps.py
@@ -5,9 +5,9 @@
 from behave import then
 from behave import when
 
-from radishlanding.etcd import CallBudget
 from radishlanding.etcd import EtcdStore
 from radishlanding.observe import Counters
+from radishlanding.store import CallBudget
 from radishlanding.store import StoreUnavailable
 from tests.standin.open_store import open_store
 from tests.standin.proxy import Proxy
--- a/tests/standin/open_store.py
+++ b/tests/standin/open_store.py
@@ -2,10 +2,10 @@
 
 import functools
 
-from radishlanding.etcd import CallBudget
 from radishlanding.etcd import EtcdStore
 from radishlanding.http import HttpServer
 from radishlanding.observe import Counters
+from radishlanding.store import CallBudget
 from tests.standin.store import StoreStandin
 
 
