--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -43,18 +43,17 @@
     vmReport @36 :VmReport;
     vmReportAck @37 :VmReportAck;
     endsRecorded @38 :EndsRecorded;
-    sitePeers @39 :SitePeers;
-    submitWorkflow @40 :SubmitWorkflow;
-    getWorkflow @41 :GetWorkflow;
-    cancelWorkflow @42 :CancelWorkflow;
-    workflowAnswer @43 :WorkflowAnswer;
-    getBacklog @44 :GetBacklog;
-    backlogAnswer @45 :BacklogAnswer;
-    leaderNotice @46 :LeaderNotice;
-    taskOrder @47 :TaskOrder;
-    taskEndReport @48 :TaskEndReport;
-    runningTask @49 :RunningTask;
-    vmState @50 :VmState;
+    submitWorkflow @39 :SubmitWorkflow;
+    getWorkflow @40 :GetWorkflow;
+    cancelWorkflow @41 :CancelWorkflow;
+    workflowAnswer @42 :WorkflowAnswer;
+    getBacklog @43 :GetBacklog;
+    backlogAnswer @44 :BacklogAnswer;
+    leaderNotice @45 :LeaderNotice;
+    taskOrder @46 :TaskOrder;
+    taskEndReport @47 :TaskEndReport;
+    runningTask @48 :RunningTask;
+    vmState @49 :VmState;
   }
 }
 
@@ -322,7 +321,8 @@
 }
 
 struct StartOrdersAnswer {
-  refused @0 :List(TaskEndReport);
+  clockMs @0 :Int64;
+  refused @1 :List(TaskEndReport);
 }
 
 struct StopOrders {
@@ -362,10 +362,6 @@
   keys @1 :List(TaskKey);
 }
 
-struct SitePeers {
-  addresses @0 :List(Text);
-}
-
 struct SubmitWorkflow {
   workflow @0 :Workflow;
   requestId @1 :Text;
