Take no task for missing whose assignment is being recorded

A second process also claimed the log 10 ms after the first, as its view of the leader's key was older. Change: attempts without a record are never missing, and a claim expects the leader's key as it was found vacant.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -21,6 +21,7 @@
 # Spreads the claims of several processes; a lost claim costs one call.
 MAX_CLAIM_DELAY_S = 0.06
 RETRY_PAUSE_S = 0.1
+KEY_PAUSE_S = 0.5
 # Two processes that cannot reach each other would otherwise replace each
 # other at once; within this time only the store's word counts.
 QUARREL_PAUSE_S = 5.0
@@ -153,11 +154,13 @@
     async def _lead(self):
         if self._someone_else_leads():
             return
+        item = self._site_keys.items.get(keys.LEADER)
         log = EntryLog(store=self._store)
         began_s = boot_clock_s()
         board = await log.claim(
             process_id=self._member.process_id,
             leader_write=self._leader_write(),
+            leader_version=item.version if item else 0,
         )
         _log.info(
             "leading",
@@ -197,19 +200,22 @@
     async def _keep_key(self, log):
         """Announce the leadership again when its key was lost."""
         while True:
-            with trio.move_on_after(RETRY_PAUSE_S * 5):
-                await self._registration.wait_changed()
+            with trio.move_on_after(KEY_PAUSE_S):
+                await self._site_keys.wait_changed()
             item = self._site_keys.items.get(keys.LEADER)
-            if self._site_keys.is_lost or (
-                item is not None and item.value == pack(self._member)
-            ):
+            if self._site_keys.is_lost or self._is_own(item):
                 continue
             try:
+                if item is not None:
+                    await log.confirm()
                 await log.announce(self._leader_write())
                 _log.info("leader_announced", epoch=log.epoch)
             except (StoreUnavailable, LeaseGone) as exc:
                 _log.warning("announce_failed", reason=exc)
 
+    def _is_own(self, item):
+        return item is not None and item.value == pack(self._member)
+
     def resign(self):
         """Stop leading, for good, and let another process lead."""
         if self._scope is not None and self.leader is not None:
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -68,11 +68,13 @@
         """Return the number of this leadership."""
         return self._head.epoch
 
-    async def claim(self, *, process_id, leader_write):
+    async def claim(self, *, process_id, leader_write, leader_version):
         """Become the leader and read the log.
 
         :param process_id: Identity of this process.
         :param leader_write: Write that announces the leader.
+        :param leader_version: Version of the leader's key that was found
+            vacant, 0 for an absent one.
         :returns: The :class:`radishlanding.workflow.Board` on record.
         :raises Fenced: Another process claimed it at the same time.
         :raises StoreUnavailable: The store gave no answer.
@@ -90,7 +92,10 @@
         sent_s = boot_clock_s()
         try:
             version = await self._store.transact(
-                expected={keys.HEAD: kv.version if kv else 0},
+                expected={
+                    keys.HEAD: kv.version if kv else 0,
+                    keys.LEADER: leader_version,
+                },
                 writes=[
                     Write(key=keys.HEAD, value=pack(head)),
                     leader_write,
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -31,6 +31,7 @@
         "_quarantines",
         "_timing",
         "sessions",
+        "unsent",
     )
 
     def __init__(self, *, board, epoch, timing):
@@ -49,6 +50,9 @@
         self._quarantines = {}
         self._timing = timing
         self.sessions = {}
+        # Names of tasks whose assignment is not on record yet; no VM can
+        # know of them.
+        self.unsent = set()
 
     def welcome(self, hello, conn):
         """Open a session for a VM and give its agent a fencing token.
@@ -134,6 +138,7 @@
             is_here = task.boot == session.state.boot and (
                 task.task_id in session.running
                 or task.task_id in ended
+                or task.task_id in self.unsent
                 or not session.may_be_missing(task.task_id)
             )
             if not is_here:
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -158,6 +158,7 @@
             )
             self._board.apply(planned)
             entry.assignments = assignments
+            self.fleet.unsent.update(item.task_id for item in assignments)
         return entry
 
     def _judge_ends(self):
