Resume a stopped task from the newest checkpoint that its worker has

An eviction makes a checkpoint and stops the task; an agent that is killed before it reports leaves a worker that lists the task as stopped with that checkpoint. The next agent reported both, and the owner dropped the checkpoint of a stopped task. Ruled out: a lost answer of the worker (its log shows one checkpoint), and work after the checkpoint (the task is throttled to nothing before it). Change: the owner records the checkpoint of a stopped task, and the agent takes it from the worker's list. The full tests are not rerun yet.

--- a/src/radishlanding/agent/worker_watch.py
+++ b/src/radishlanding/agent/worker_watch.py
@@ -79,6 +79,7 @@
     def _listed(self, task, item, nursery):
         task.is_unsure = False
         if item.state != "running":
+            task.status.checkpoint = item.checkpoint or task.status.checkpoint
             self._table.end(task, PHASES[item.state], reason=item.reason)
         elif (
             task.checkpoint_every_s
--- a/src/radishlanding/scheduler/transitions.py
+++ b/src/radishlanding/scheduler/transitions.py
@@ -81,16 +81,24 @@
     return end(task, TaskState.QUEUED, reason=reason)
 
 
-def interrupted(task, job, *, reason):
-    """Return the change of a task that stopped without a checkpoint.
+def interrupted(task, job, *, reason, checkpoint=""):
+    """Return the change of a task that stopped before it was checkpointed.
 
     Work after the newest checkpoint may have run. An idempotent task runs
     again from there; another one is lost until an operator decides.
+
+    :param checkpoint: Checkpoint that the worker told of, newer than that
+        on record where its agent ended before it could report.
     """
     if task.state == TaskState.CANCELLING:
         return end(task, TaskState.CANCELLED, reason=reason)
     if job.is_idempotent:
-        return end(task, TaskState.QUEUED, reason=reason)
+        return end(
+            task,
+            TaskState.QUEUED,
+            reason=reason,
+            checkpoint=checkpoint or None,
+        )
     return end(task, TaskState.LOST, reason=reason)
 
 
@@ -117,7 +125,12 @@
     if status.phase == TaskPhase.FAILED:
         return failed(task, job, reason=status.reason)
     if status.phase == TaskPhase.STOPPED:
-        return interrupted(task, job, reason=status.reason or "stopped")
+        return interrupted(
+            task,
+            job,
+            reason=status.reason or "stopped",
+            checkpoint=status.checkpoint,
+        )
     if status.phase == TaskPhase.CHECKPOINTED:
         if task.state == TaskState.CANCELLING:
             return end(task, TaskState.CANCELLED, reason="cancelled")
--- a/tests/agent/task_keeper.feature
+++ b/tests/agent/task_keeper.feature
@@ -27,3 +27,11 @@
     When a task is started
     And the VM lease is not extended
     Then after 7 s the task is checkpointed and was run once
+
+  Scenario: an agent that was killed between an eviction and its report
+    Given a task keeper whose worker makes its lists late
+    When a task is started
+    And it is evicted
+    And the agent is killed and another one adopts its tasks
+    Then after 2 s the task is stopped and was run once
+    And it is reported with the checkpoint of its last moment
--- a/tests/agent/task_keeper_steps.py
+++ b/tests/agent/task_keeper_steps.py
@@ -23,7 +23,7 @@
 class FakeWorker:
     """A worker in memory, with one odd habit."""
 
-    __slots__ = ("_habit", "calls", "runs", "tasks")
+    __slots__ = ("_habit", "calls", "checkpoints", "runs", "tasks")
 
     def __init__(self, habit):
         """Start empty.
@@ -32,13 +32,20 @@
         """
         self._habit = habit
         self.calls = []
+        self.checkpoints = {}
         self.runs = []
         self.tasks = {}
 
     async def list(self):
         """Return the tasks, perhaps as they were a while ago."""
         listed = [
-            WorkerTask(task_id=key[0], epoch=key[1], state=state, needs=NEEDS)
+            WorkerTask(
+                task_id=key[0],
+                epoch=key[1],
+                state=state,
+                needs=NEEDS,
+                checkpoint=self.checkpoints.get(key, ""),
+            )
             for key, state in self.tasks.items()
         ]
         if self._habit == "makes its lists late":
@@ -69,6 +76,7 @@
     async def checkpoint(self, task_id, epoch):
         """Note the call."""
         self.calls.append("checkpoint")
+        self.checkpoints[task_id, epoch] = "c1"
         return "c1"
 
     async def stop(self, task_id, epoch):
@@ -145,6 +153,23 @@
     context.bridge.call(evict)
 
 
+@when("the agent is killed and another one adopts its tasks")
+def _is_killed(context):
+    async def wait_stopped():
+        while "stop" not in context.worker.calls:
+            await trio.sleep(0.01)
+
+    context.bridge.call(wait_stopped)
+    context.bridge.call(_open_keeper, context)
+    context.bridge.call(context.keeper.adopt)
+
+
+@then("it is reported with the checkpoint of its last moment")
+def _last_checkpoint(context):
+    (status,) = context.keeper.statuses()
+    assert status.checkpoint == "c1", status
+
+
 @when("the VM lease is not extended")
 def _not_extended(_context):
     """Do nothing; nobody extends it."""
--- a/tests/scheduler/transitions.feature
+++ b/tests/scheduler/transitions.feature
@@ -12,6 +12,8 @@
       | idempotent     | assigned   | done         | c2         | done      | c1   |
       | idempotent     | assigned   | checkpointed | c2         | queued    | c2   |
       | idempotent     | assigned   | stopped      | c1         | queued    | c1   |
+      | idempotent     | assigned   | stopped      | c2         | queued    | c2   |
+      | idempotent     | assigned   | stopped      | none       | queued    | c1   |
       | idempotent     | assigned   | failed       | c1         | queued    | c1   |
       | non-idempotent | assigned   | checkpointed | c2         | queued    | c2   |
       | non-idempotent | assigned   | stopped      | c1         | lost      | c1   |
--- a/tests/scheduler/transitions_steps.py
+++ b/tests/scheduler/transitions_steps.py
@@ -39,7 +39,7 @@
         task_id="j/0",
         epoch=context.task.epoch,
         phase=TaskPhase(phase),
-        checkpoint=checkpoint,
+        checkpoint="" if checkpoint == "none" else checkpoint,
     )
     context.transition = transitions.reported(
         context.task, context.job, status
