--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -18,6 +18,7 @@
     :param free: What is not promised to a task.
     :param idle_millicores: Processors that probably nobody uses.
     :param serving: Tasks on it that must answer in time.
+    :param filling: Filling tasks on it.
     :param room: Tasks that it may take at most, None for any.
     :param steps: Tasks on it by workflow, occurrence and step.
     """
@@ -31,6 +32,7 @@
     free: Capacity
     idle_millicores: float
     serving: int = 0
+    filling: int = 0
     room: int | None = None
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
@@ -45,6 +47,7 @@
         self.free = self.free - step.reserved
         self.idle_millicores -= expected_millicores(step)
         self.serving += bool(step.latency_target_ms)
+        self.filling += step.fills
         self.steps[key] = self.steps.get(key, 0) + 1
         if self.room is not None:
             self.room -= 1
@@ -54,6 +57,7 @@
         self.free = self.free + step.reserved
         self.idle_millicores += expected_millicores(step)
         self.serving -= bool(step.latency_target_ms)
+        self.filling -= step.fills
         self.steps[key] -= 1
         if self.room is not None:
             self.room += 1
