Stop holding a worker that is silent, and claim the log again after losing it

A run of the new stand-in showed besides that a process which was fenced left its own key as the leader's, and nobody led. Change: a silent worker is not held; a worker that another replaced is gone; VMs whose lease has run out are lost whatever their connection; a leader's key of one's own address is vacant.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -118,8 +118,8 @@
             if member is None and not self._site_keys.is_lost:
                 _log.info("leader_absent")
                 break
-            if member is not None and self._is_earlier_self(member):
-                _log.info("leader_was_earlier_boot", leader=member.process_id)
+            if member is not None and member.address == self._member.address:
+                _log.info("leader_ended_here", leader=member.process_id)
                 break
             if member is not None:
                 self._probe.follow(member)
@@ -135,12 +135,6 @@
             with trio.move_on_after(RETRY_PAUSE_S):
                 await self._registration.wait_changed()
 
-    def _is_earlier_self(self, member):
-        return (
-            member.address == self._member.address
-            and member.process_id != self._member.process_id
-        )
-
     def _may_quarrel(self):
         return boot_clock_s() - self._led_s > QUARREL_PAUSE_S
 
@@ -193,7 +187,7 @@
         member = self.leader_member()
         return (
             member is not None
-            and not self._is_earlier_self(member)
+            and member.address != self._member.address
             and not self._probe.is_gone(member)
         )
 
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -180,8 +180,9 @@
         """Return the ends of all tasks on VMs whose lease has run out."""
         ends = []
         for vm in self._board.busy_vms():
-            if vm in self.sessions or boot_clock_s() < self._lease_end_s(vm):
+            if boot_clock_s() < self._lease_end_s(vm):
                 continue
+            self.sessions.pop(vm, None)
             tasks = self._board.tasks_on(vm)
             _log.warning("vm_lost", vm=vm, tasks=len(tasks))
             ends += [self.interrupted(task) for task in tasks]
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -74,7 +74,7 @@
             kind="dispatcher",
             process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
             zone=cfg.zone,
-            address=cfg.peer_listen,
+            address=cfg.peer_advertise or cfg.peer_listen,
         )
         self._site_watch = SiteWatch(
             store=self._store, prefix=SITE_PREFIX, parse=read_site
@@ -160,20 +160,23 @@
 
     async def _start(self, nursery):
         ready = HttpServer(handler=ReadyApi(is_ready=self._is_ready))
+        bound = []
         for server, address in (
             (self._peers, self._cfg.peer_listen),
             (self._front, self._cfg.http_listen),
             (ready, self._cfg.ready_listen),
         ):
             host, _, port = address.rpartition(":")
-            await nursery.start(
+            port = await nursery.start(
                 functools.partial(server.run, host=host, port=int(port))
             )
+            bound.append(f"{host}:{port}")
         _log.info(
             "listening",
             process=self._member.process_id,
-            http=self._cfg.http_listen,
-            peer=self._cfg.peer_listen,
+            peer=bound[0],
+            http=bound[1],
+            ready=bound[2],
         )
         for part in (
             self._site_watch,
--- a/src/radishlanding/http/client.py
+++ b/src/radishlanding/http/client.py
@@ -108,9 +108,9 @@
         :raises ExchangeFailed: There was no whole response in time.
         """
         all_headers = [
-            ("host", self._address),
+            ("host", dict(headers).get("host", self._address)),
             ("content-length", str(len(body))),
-            *headers,
+            *(item for item in headers if item[0] != "host"),
         ]
         conn = None
         was_sent = False
--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -12,6 +12,7 @@
 from radishlanding.worker import Look
 from radishlanding.worker import RunningRow
 from radishlanding.worker import StartResult
+from radishlanding.worker import WorkerGone
 from radishlanding.worker import WorkerUnavailable
 from radishlanding.workflow import EndKind
 
@@ -119,7 +120,9 @@
         status, answer = await self._call(
             "hold", value, timeout_s=CALL_TIMEOUT_S + wait_s
         )
-        if status in (409, 421):
+        if status == 421:
+            raise WorkerGone("another runner answers")
+        if status == 409:
             return None
         if status != 200:
             raise WorkerUnavailable(f"hold: status {status}")
--- a/src/radishlanding/vmagent/leader_line.py
+++ b/src/radishlanding/vmagent/leader_line.py
@@ -111,6 +111,8 @@
             welcome = await conn.call(hello, timeout_s=CALL_TIMEOUT_S)
         except CallRefused as exc:
             _log.debug("hello_refused", peer=conn.peer, reason=exc)
+            if conn is self.conn:
+                self.lost(conn)
             return
         except ConnectionLost as exc:
             _log.info("hello_unanswered", peer=conn.peer, reason=exc)
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -70,10 +70,10 @@
         self._line.open(nursery)
         server = HttpServer(handler=RegistrationApi(desk=self))
         host, _, port = self._cfg.report_listen.rpartition(":")
-        await nursery.start(
+        port = await nursery.start(
             functools.partial(server.run, host=host, port=int(port))
         )
-        _log.info("listening", reports=self._cfg.report_listen)
+        _log.info("listening", reports=f"{host}:{port}")
         nursery.start_soon(self._seek)
         await serve_metrics(
             nursery,
--- a/src/radishlanding/vmagent/seat_starter.py
+++ b/src/radishlanding/vmagent/seat_starter.py
@@ -87,7 +87,11 @@
         """Send a start; return the result, None where there is none."""
         seat = self._seat
         remaining_s = seat.remaining_s()
-        if remaining_s <= 0 or not seat.clock.is_known:
+        if (
+            remaining_s <= 0
+            or not seat.clock.is_known
+            or not seat.is_answering
+        ):
             return None
         sent_s = boot_clock_s()
         try:
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -11,6 +11,7 @@
 from radishlanding.vmagent.seat_starter import SeatStarter
 from radishlanding.vmagent.seat_table import SeatTable
 from radishlanding.vmagent.seat_task import SeatTask
+from radishlanding.worker import WorkerGone
 from radishlanding.worker import WorkerUnavailable
 from radishlanding.workflow import EndKind
 
@@ -22,6 +23,8 @@
 # Pause of looks while ends wait to be on record, as they answer at once.
 SETTLE_PAUSE_S = 0.05
 RETRY_PAUSE_S = 0.1
+# Time to get the ends of a worker that is gone on record.
+FAREWELL_S = 20.0
 # An order that took longer to arrive may rest on what is no longer true.
 MAX_ORDER_AGE_MS = 3000
 
@@ -36,6 +39,7 @@
         "_vm_lease_s",
         "clock",
         "fence",
+        "is_answering",
         "is_gone",
         "is_listed",
         "is_leaving",
@@ -59,6 +63,7 @@
         self._vm_lease_s = vm_lease_s
         self.clock = SeatClock()
         self.fence = 0
+        self.is_answering = True
         self.is_gone = False
         self.is_leaving = False
         self.is_listed = False
@@ -83,7 +88,9 @@
             pool=self.report.pool,
             labels=list(self.report.labels),
             capacity=self.report.capacity,
-            is_draining=self.report.is_draining or self.is_leaving,
+            is_draining=(
+                self.report.is_draining or self.is_leaving or self.is_gone
+            ),
             remaining_ms=self.report.remaining_ms,
         )
 
@@ -147,6 +154,9 @@
                 while not self.is_gone:
                     await self._round()
                 nursery.cancel_scope.cancel()
+            with trio.move_on_after(FAREWELL_S):
+                while self.table.ended():
+                    await self.table.wait_changed()
 
     async def _round(self):
         if not self.fence:
@@ -155,7 +165,12 @@
             return
         try:
             await self._look()
+            self.is_answering = True
+        except WorkerGone as exc:
+            self._leave(f"{exc}")
+            return
         except WorkerUnavailable as exc:
+            self.is_answering = False
             self._unavailable(exc)
             await trio.sleep(RETRY_PAUSE_S)
             return
@@ -166,13 +181,23 @@
     def _unavailable(self, exc):
         _log.info("look_failed", vm=self.vm, reason=exc)
         if self.is_leaving:
-            self.is_gone = True
-            self.table.end_all(reason="the worker has left")
+            self._leave("the worker has left")
         elif self.table.active() and self.clock.has_lapsed():
             self.table.end_all(reason="the worker is silent and has lapsed")
 
+    def _leave(self, reason):
+        """Note that the worker has ended, with all that it ran."""
+        _log.info("worker_ended", vm=self.vm, reason=reason)
+        self.is_gone = True
+        self.table.end_all(reason=reason)
+
     async def _look(self):
-        remaining_s = self.remaining_s()
+        """Hold the worker, and list what is there.
+
+        A worker that did not answer is not held any longer, so that it is
+        known when the last deadline that it may have taken has passed.
+        """
+        remaining_s = self.remaining_s() if self.is_answering else 0
         deadline_ms = None
         if remaining_s > 0 and self.clock.is_known:
             deadline_ms = self.clock.deadline_ms(remaining_s)
@@ -244,8 +269,10 @@
     def _problem(self, message, age_ms):
         if message.boot != self.report.boot:
             return "meant for another boot of the worker"
-        if self.report.is_draining or self.is_leaving:
+        if self.report.is_draining or self.is_leaving or self.is_gone:
             return "the worker is draining"
+        if not self.is_answering:
+            return "the worker does not answer"
         if age_ms > MAX_ORDER_AGE_MS:
             return f"the order rests on a clock {age_ms} ms old"
         return ""
--- a/src/radishlanding/worker/__init__.py
+++ b/src/radishlanding/worker/__init__.py
@@ -1,6 +1,7 @@
 """The platform's worker, which runs tasks on a VM."""
 
 from radishlanding.worker.ended_row import EndedRow
+from radishlanding.worker.gone import WorkerGone
 from radishlanding.worker.http_worker import HttpWorker
 from radishlanding.worker.leased_worker import LeasedWorker
 from radishlanding.worker.look import Look
@@ -20,6 +21,7 @@
     "RunningRow",
     "StartResult",
     "Worker",
+    "WorkerGone",
     "WorkerRefused",
     "WorkerReport",
     "WorkerTask",
--- /dev/null
+++ b/tests/standin/platform_runner.py
@@ -0,0 +1,265 @@
+"""Stands in for a runner of the users' platform.
+
+Runs tasks by the clock, under one deadline, and keeps a record of every
+run that the checks judge.
+"""
+
+import contextlib
+import random
+import time
+
+import trio
+
+from radishlanding.http import ExchangeFailed
+from radishlanding.http import HttpClient
+from radishlanding.http import HttpResponse
+from radishlanding.http import Problem
+from tests.standin.runner_run import RunnerRun
+
+PACE_S = 0.02
+HOLD_MAX_MS = 10_000
+PING_PAUSE_S = 0.4
+FOREVER_S = 3600.0
+
+
+class PlatformRunner:
+    """Carry out starts, stops and holds of one machine."""
+
+    __slots__ = (
+        "_born_ms",
+        "_born_s",
+        "_changed",
+        "_deadline_ms",
+        "_ended",
+        "_fence",
+        "_forbidden",
+        "_number",
+        "_rng",
+        "_sequence",
+        "address",
+        "capacity",
+        "fails_all",
+        "is_draining",
+        "is_silent",
+        "labels",
+        "late_share",
+        "nursery",
+        "pool",
+        "record",
+        "runs",
+        "work_s",
+        "worker_id",
+        "zone",
+    )
+
+    def __init__(self, *, worker_id, zone, pool, record, seed=1):
+        """Start without runs.
+
+        :param worker_id: Identity.
+        :param zone: Availability zone.
+        :param pool: Name of its service.
+        :param record: List that takes each :class:`RunnerRun`.
+        :param seed: Seed of the faults' dice.
+        """
+        self._changed = trio.Event()
+        self._rng = random.Random(seed)
+        self.address = ""
+        self.capacity = {"cpu": 8000, "memMb": 16000, "gpu": 0}
+        self.fails_all = False
+        self.is_draining = False
+        self.is_silent = False
+        self.labels = ["a", f"{zone}-rack"]
+        self.late_share = 0.0
+        self.nursery = None
+        self.pool = pool
+        self.record = record
+        self.work_s = 0.3
+        self.worker_id = worker_id
+        self.zone = zone
+        self._sequence = 0
+        self.boot()
+
+    def boot(self):
+        """Begin a new life; everything of the last one ends."""
+        for run in getattr(self, "runs", {}).values():
+            run.finish("lost")
+        self._born_s = time.monotonic()
+        self._born_ms = int(time.time() * 1000)
+        self._deadline_ms = 0
+        self._ended = []
+        self._fence = 0
+        self._forbidden = {}
+        self._number = 0
+        self._sequence = 0
+        self.runs = {}
+
+    def clock_ms(self):
+        """Return milliseconds of this life."""
+        return int((time.monotonic() - self._born_s) * 1000)
+
+    async def ping(self, machine):
+        """Say again and again who it is.
+
+        :param machine: The :class:`PlatformMachine` whose agent listens.
+        """
+        while True:
+            if machine.reports_address and not self.is_silent:
+                await self.ping_once(machine.reports_address)
+            await trio.sleep(PING_PAUSE_S)
+
+    async def ping_once(self, address):
+        """Say once who it is; nobody may listen."""
+        client = HttpClient(address=address)
+        self._sequence += 1
+        body = HttpResponse.of_json(
+            {
+                "service": self.pool,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "capacity": 8,
+                "state": "draining" if self.is_draining else "ready",
+                "coldLeftMs": 0,
+                "freeCapacity": self.capacity,
+                "labels": self.labels,
+                "clockMs": self.clock_ms(),
+                "sequence": self._sequence,
+                "born": self._born_ms,
+            }
+        ).body
+        # The agent may be down; the next ping finds it or not.
+        with contextlib.suppress(ExchangeFailed):
+            await client.send(
+                "PUT",
+                f"/-/instances/{self.worker_id}",
+                body=body,
+                timeout_s=1.0,
+            )
+        await client.close()
+
+    async def work(self):
+        """Let runs make progress, end and lapse."""
+        while True:
+            await trio.sleep(PACE_S)
+            if self.runs and self.clock_ms() > self._deadline_ms:
+                for run in list(self.runs.values()):
+                    self._end(run, "lapsed")
+            for run in list(self.runs.values()):
+                run.advance(PACE_S)
+                if self.fails_all and run.progress_s > self.work_s / 3:
+                    self._end(run, "failed")
+                elif run.progress_s >= self.work_s and not run.stands:
+                    self._end(run, "done")
+
+    def _end(self, run, how):
+        del self.runs[run.task]
+        run.finish(how)
+        self._number += 1
+        self._ended.append(
+            [self._number, run.task, run.number, how, run.saved()]
+        )
+        if how in ("stopped", "done"):
+            self._forbid(run.task, run.number)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _forbid(self, task, number):
+        self._forbidden[task] = max(number, self._forbidden.get(task, 0))
+
+    async def respond(self, req):
+        """Answer one call of the agent."""
+        if self.is_silent:
+            await trio.sleep(FOREVER_S)
+        raw = req.json()
+        if req.headers.get("x-expect-instance") != self.worker_id:
+            return HttpResponse.of_json({}, status=421)
+        call = req.path[1]
+        if call != "hold" and self._rng.random() < self.late_share:
+            self.nursery.start_soon(self._carry_out_late, call, raw)
+            await trio.sleep(FOREVER_S)
+        return await self._carry_out(call, raw)
+
+    async def _carry_out_late(self, call, raw):
+        life_ms = self._born_ms
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        if life_ms == self._born_ms:
+            await self._carry_out(call, raw)
+
+    async def _carry_out(self, call, raw):
+        if raw.get("fencingToken", 0) < self._fence:
+            return self._answer(409, reason="fence")
+        self._fence = raw.get("fencingToken", 0)
+        match call:
+            case "run-start":
+                return self._start(raw)
+            case "run-stop":
+                return self._stop(raw)
+            case "hold":
+                return await self._hold(raw)
+            case "pace":
+                return self._pace(raw)
+        raise Problem(status=404, reason="no such call")
+
+    def _answer(self, status, **fields):
+        return HttpResponse.of_json(
+            {"clockMs": self.clock_ms(), "born": self._born_ms, **fields},
+            status=status,
+        )
+
+    def _extend(self, raw):
+        if raw.get("deadlineMs"):
+            limit_ms = self.clock_ms() + HOLD_MAX_MS
+            self._deadline_ms = max(
+                self._deadline_ms, min(raw["deadlineMs"], limit_ms)
+            )
+
+    def _start(self, raw):
+        task, number = raw["task"], raw["run"]
+        known = self.runs.get(task)
+        if known is not None and known.number == number:
+            return self._answer(200)
+        if number <= self._forbidden.get(task, 0) or known is not None:
+            self._extend(raw)
+            return self._answer(409, reason="old")
+        if raw["deadlineMs"] <= self.clock_ms():
+            return self._answer(409, reason="late")
+        self._extend(raw)
+        run = RunnerRun(
+            task=task,
+            number=number,
+            spec=raw["spec"],
+            checkpoint=raw.get("checkpoint", ""),
+            worker_id=self.worker_id,
+            zone=self.zone,
+        )
+        self.runs[task] = run
+        self.record.append(run)
+        return self._answer(200)
+
+    def _stop(self, raw):
+        run = self.runs.get(raw["task"])
+        if run is not None and run.number <= raw["run"]:
+            self._end(run, "stopped")
+        self._forbid(raw["task"], raw["run"])
+        return self._answer(200)
+
+    def _pace(self, raw):
+        run = self.runs.get(raw["task"])
+        if run is None or run.number != raw["run"]:
+            return self._answer(409, reason="old")
+        run.pace = raw["percent"] / 100
+        return self._answer(200)
+
+    async def _hold(self, raw):
+        self._extend(raw)
+        self._ended = [
+            row for row in self._ended if row[0] > raw.get("ackedUpto", 0)
+        ]
+        if not self._ended:
+            with trio.move_on_after(raw.get("waitMs", 0) / 1000):
+                await self._changed.wait()
+        return self._answer(
+            200,
+            running=[run.row(self.work_s) for run in self.runs.values()],
+            ended=self._ended[:500],
+        )
--- /dev/null
+++ b/tests/standin/platform_site.py
@@ -0,0 +1,258 @@
+"""A site of real dispatchers and agents among stand-ins of the platform."""
+
+import contextlib
+import functools
+import json
+import pathlib
+import tempfile
+
+import trio
+
+from radishlanding.http import ExchangeFailed
+from radishlanding.http import HttpClient
+from radishlanding.http import HttpServer
+from tests.standin.platform_machine import PlatformMachine
+from tests.standin.platform_store import PlatformStore
+from tests.standin.process import Process
+from tests.standin.proxy import Proxy
+
+HOST = "desk.example"
+PREFIX = "/jobs/"
+POOL = "order-desk"
+READY_TIMEOUT_S = 15.0
+POLL_PAUSE_S = 0.05
+DEADLINE_S = 3.0
+
+
+class PlatformSite:
+    """The store, machines with runners, and the product's processes."""
+
+    __slots__ = (
+        "_clients",
+        "answers",
+        "dispatchers",
+        "folder",
+        "machines",
+        "nursery",
+        "peer_proxies",
+        "record",
+        "store",
+        "store_address",
+        "store_proxies",
+        "version",
+    )
+
+    def __init__(self, *, folder, dispatchers=2, machines=3, seed=1):
+        """Prepare a site.
+
+        :param folder: Folder for settings and logs.
+        :param dispatchers: Number of dispatchers.
+        :param machines: Number of machines with a runner.
+        :param seed: Seed of the faults' dice.
+        """
+        self._clients = {}
+        self.answers = []
+        self.folder = folder
+        self.nursery = None
+        self.record = []
+        self.store = PlatformStore(seed=seed)
+        self.store_address = ""
+        self.version = 0
+        self.dispatchers = [
+            Process(program="dispatcher", name=f"front-{at}", folder=folder)
+            for at in range(dispatchers)
+        ]
+        self.peer_proxies = [Proxy() for _ in self.dispatchers]
+        self.store_proxies = [Proxy() for _ in self.dispatchers]
+        self.machines = [
+            PlatformMachine(
+                name=f"m{at}",
+                zone=f"z{at % 2}",
+                site=self,
+                seed=seed * 100 + at,
+            )
+            for at in range(machines)
+        ]
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, **options):
+        """Start a site and end all of it afterwards."""
+        with tempfile.TemporaryDirectory(prefix="radishlanding-") as folder:
+            site = cls(folder=pathlib.Path(folder), **options)
+            async with trio.open_nursery() as nursery:
+                site.nursery = site.store.nursery = nursery
+                try:
+                    await site._start()
+                    yield site
+                finally:
+                    with trio.CancelScope(shield=True):
+                        for process in site.processes():
+                            await process.kill()
+                nursery.cancel_scope.cancel()
+
+    def processes(self):
+        """Return all processes of the product."""
+        return [*self.dispatchers, *(m.agent for m in self.machines)]
+
+    async def serve(self, handler):
+        """Serve a handler on a free port; return its address."""
+        port = await self.nursery.start(
+            functools.partial(
+                HttpServer(handler=handler).run, host="127.0.0.1", port=0
+            )
+        )
+        return f"127.0.0.1:{port}"
+
+    async def _start(self):
+        self.store_address = await self.serve(self.store)
+        self.nursery.start_soon(self.store.sweep)
+        self.set_config()
+        for proxy in self.store_proxies:
+            proxy.upstream = self.store_address
+        for proxy in (*self.store_proxies, *self.peer_proxies):
+            await proxy.start(self.nursery)
+        async with trio.open_nursery() as starting:
+            for at in range(len(self.dispatchers)):
+                starting.start_soon(self.start_dispatcher, at)
+            for machine in self.machines:
+                starting.start_soon(machine.start)
+        await self.wait_ready()
+
+    async def start_dispatcher(self, at):
+        """Start a dispatcher."""
+        process = self.dispatchers[at]
+        await process.start(
+            self.nursery,
+            {
+                "id": process.name,
+                "zone": f"z{at % 2}",
+                "store": self.store_proxies[at].address,
+                "http_listen": "127.0.0.1:0",
+                "ready_listen": "127.0.0.1:0",
+                "peer_listen": "127.0.0.1:0",
+                "peer_advertise": self.peer_proxies[at].address,
+                "vm_lease_s": 4.0,
+                "owner_grace_s": 3.0,
+            },
+        )
+        self.peer_proxies[at].upstream = process.ports["peer"]
+
+    def set_config(self, **queue):
+        """Write the operators' configuration, as one newer version."""
+        self.version += 3
+        route = {
+            "name": "q",
+            "host": HOST,
+            "prefix": PREFIX,
+            "service": POOL,
+            "maxAttempts": 3,
+            "stretch": 2.0,
+            "targetLatencyMs": 1000,
+            "priority": 0,
+            **queue,
+        }
+        self.store.put_json(
+            "op/config",
+            {
+                "version": self.version,
+                "routes": [route],
+                "services": [{"name": POOL, "enforcesCapacity": False}],
+                "limits": {},
+            },
+        )
+
+    async def wait_ready(self):
+        """Wait until the workers are followed and a job can be done."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while await self.submit("0" * 16, [{"count": 1}]) != 200:
+                await trio.sleep(POLL_PAUSE_S)
+            while await self.state("0" * 16) != "completed":
+                await trio.sleep(POLL_PAUSE_S)
+        self.record.clear()
+
+    async def ask(self, method, path, *, at=None, body=None):
+        """Send one request to a dispatcher.
+
+        :param at: Number of the dispatcher, None for the first that runs.
+        :returns: The response, or None where there was none.
+        """
+        running = [
+            process for process in self.dispatchers if process.is_running
+        ]
+        process = running[0] if at is None else self.dispatchers[at]
+        address = process.ports.get("http")
+        if address is None:
+            return None
+        client = self._clients.setdefault(address, HttpClient(address=address))
+        try:
+            return await client.send(
+                method,
+                PREFIX + path,
+                body=b"" if body is None else json.dumps(body).encode(),
+                headers=[
+                    ("host", HOST),
+                    ("x-deadline-ms", str(int(DEADLINE_S * 1000))),
+                    ("x-request-id", f"{method}-{path}"),
+                ],
+                timeout_s=DEADLINE_S,
+            )
+        except ExchangeFailed:
+            return None
+
+    async def submit(self, name, steps, *, at=None, spec="work", **fields):
+        """Hand a job in; return the status, 0 where there was none."""
+        plain = [
+            {"cpu": 500, "memMb": 100, "estimatedMs": 300, **step}
+            for step in steps
+        ]
+        response = await self.ask(
+            "POST", name, at=at, body={"spec": spec, "steps": plain, **fields}
+        )
+        status = response.status if response else 0
+        self.answers.append((name, status))
+        return status
+
+    async def submit_surely(self, name, steps, **fields):
+        """Hand a job in until it is accepted, at one after the other."""
+        at = 0
+        while True:
+            at = (at + 1) % len(self.dispatchers)
+            if self.dispatchers[at].is_running:
+                if await self.submit(name, steps, at=at, **fields) == 200:
+                    return
+            await trio.sleep(POLL_PAUSE_S)
+
+    async def state(self, name, *, at=None):
+        """Return a job's state, "absent", or an empty string."""
+        response = await self.ask("GET", name, at=at)
+        if response is None:
+            return ""
+        if response.status == 410:
+            return "absent"
+        return response.json()["state"] if response.status == 200 else ""
+
+    async def wait_state(self, name, state, *, timeout_s):
+        """Wait until a job has a state."""
+        found = ""
+        with trio.move_on_after(timeout_s):
+            while found != state:
+                found = await self.state(name)
+                await trio.sleep(POLL_PAUSE_S)
+        assert found == state, f"{name} is {found!r}, not {state!r}"
+
+    def leader(self):
+        """Return the number of the dispatcher that leads, or None."""
+        value = self.store.get("workflows/site/leader")
+        if value is None:
+            return None
+        address = json.loads(value)["address"]
+        addresses = [proxy.address for proxy in self.peer_proxies]
+        return addresses.index(address)
+
+    def log(self):
+        """Return the logs of all processes."""
+        return "\n".join(
+            f"--- {path.name}\n{path.read_text()[-6000:]}"
+            for path in sorted(self.folder.glob("*.log"))
+        )
--- /dev/null
+++ b/tests/standin/platform_store.py
@@ -0,0 +1,258 @@
+"""Stands in for the metadata store of the users' platform.
+
+Serves items, ranges, watches, transactions and leases as the platform's
+page describes them, with the faults that the page allows.
+"""
+
+import base64
+import itertools
+import json
+import random
+import time
+
+import trio
+
+from radishlanding.http import HttpResponse
+from radishlanding.http import Problem
+
+SWEEP_PAUSE_S = 0.05
+PAGE_ITEMS = 500
+FOREVER_S = 3600.0
+
+
+class PlatformStore:
+    """Keep items in memory; leases lapse, and every call counts."""
+
+    __slots__ = (
+        "_changed",
+        "_events",
+        "_ids",
+        "_items",
+        "_leases",
+        "_oldest",
+        "_rng",
+        "calls",
+        "delay_s",
+        "late_share",
+        "lost_share",
+        "mode",
+        "nursery",
+        "revision",
+    )
+
+    def __init__(self, *, seed=1):
+        """Start empty and without faults.
+
+        :param seed: Seed of the faults' dice.
+        """
+        self._changed = trio.Event()
+        self._events = []
+        self._ids = itertools.count(7000)
+        self._items = {}
+        self._leases = {}
+        self._oldest = 0
+        self._rng = random.Random(seed)
+        self.calls = {}
+        self.delay_s = 0.0
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.mode = ""
+        self.nursery = None
+        self.revision = 1
+
+    async def sweep(self):
+        """Let leases lapse while the store is up."""
+        while True:
+            await trio.sleep(SWEEP_PAUSE_S)
+            if self.mode:
+                continue
+            for lease, (_, until_s) in list(self._leases.items()):
+                if until_s < time.monotonic():
+                    self.end_lease(lease)
+
+    def end_lease(self, lease):
+        """End a lease and remove its keys."""
+        self._leases.pop(lease, None)
+        for key, item in list(self._items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+
+    def end_all_leases(self):
+        """End every lease at once."""
+        for lease in list(self._leases):
+            self.end_lease(lease)
+
+    def put(self, key, value, *, lease=0):
+        """Write a key, as an operator."""
+        self.revision += 1
+        self._write(key, value, lease=lease)
+
+    def _write(self, key, value, *, lease):
+        created = self._items.get(key, {}).get("createdRev", self.revision)
+        self._items[key] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "createdRev": created,
+            "lease": lease,
+        }
+        self._note(dict(self._items[key]))
+
+    def put_json(self, key, value):
+        """Write a key whose value is JSON."""
+        self.put(key, json.dumps(value).encode())
+
+    def remove(self, key):
+        """Remove a key."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note(_deletion(key, self.revision))
+
+    def get(self, key):
+        """Return the bytes of a key, or None."""
+        item = self._items.get(key)
+        return base64.b64decode(item["value"]) if item else None
+
+    def keys(self, prefix):
+        """Return the names of the keys of a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def forget_history(self):
+        """Forget all changes so far, and cut the watches."""
+        self._events = []
+        self._oldest = self.revision
+        self._wake()
+
+    def _note(self, event):
+        self._events.append(event)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def respond(self, req):
+        """Answer one call."""
+        call = req.path[1] if len(req.path) > 1 else ""
+        self.calls[call] = self.calls.get(call, 0) + 1
+        if self.mode == "busy":
+            return HttpResponse(status=503)
+        if self.mode == "silent":
+            await trio.sleep(FOREVER_S)
+        await trio.sleep(self.delay_s)
+        if req.method != "GET" and self._rng.random() < self.late_share:
+            delay_s = self._rng.uniform(0.3, 2.0)
+            self.nursery.start_soon(self._carry_out_late, req, delay_s)
+            await trio.sleep(FOREVER_S)
+        response = await self._carry_out(req)
+        if req.method != "GET" and self._rng.random() < self.lost_share:
+            await trio.sleep(FOREVER_S)
+        return response
+
+    async def _carry_out_late(self, req, delay_s):
+        await trio.sleep(delay_s)
+        await self._carry_out(req)
+
+    async def _carry_out(self, req):
+        query = req.query
+        match req.method, req.path[1]:
+            case "GET", "kv-key":
+                return self._read_key(query["key"])
+            case "GET", "kv-range":
+                return self._read_range(query)
+            case "GET", "kv-watch":
+                return await self._watch(query)
+            case "POST", "kv-txn":
+                return self._transact(req.json())
+            case "POST", "kv-lease":
+                return self._grant(req.json())
+            case "POST", "kv-keep":
+                return self._keep(int(req.path[2]))
+            case "DELETE", "kv-lease-end":
+                self.end_lease(int(req.path[2]))
+                return HttpResponse.of_json({})
+        raise Problem(status=404, reason="no such call")
+
+    def _read_key(self, key):
+        item = self._items.get(key)
+        if item is None:
+            return HttpResponse.of_json({}, status=404)
+        return HttpResponse.of_json({**item, "storeRevision": self.revision})
+
+    def _read_range(self, query):
+        names = [
+            key
+            for key in self.keys(query["prefix"])
+            if key > query.get("after", "")
+        ]
+        page = names[:PAGE_ITEMS]
+        return HttpResponse.of_json(
+            {
+                "items": [self._items[key] for key in page],
+                "morePages": len(names) > len(page),
+                "storeRevision": self.revision,
+            }
+        )
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while after >= self._oldest:
+                events = self._events_of(query["prefix"], after)
+                if events:
+                    break
+                await self._changed.wait()
+        if after < self._oldest:
+            return HttpResponse.of_json({}, status=410)
+        return HttpResponse.of_json(
+            {
+                "events": self._events_of(query["prefix"], after),
+                "storeRevision": self.revision,
+            }
+        )
+
+    def _events_of(self, prefix, after):
+        return [
+            event
+            for event in self._events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _transact(self, raw):
+        rows = [*raw["expectedRev"], *raw["writes"], *raw["remove"]]
+        assert len(rows) <= 32, "a transaction takes 32 entries"
+        for row in raw["expectedRev"]:
+            item = self._items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return HttpResponse.of_json({"items": []}, status=412)
+        for row in raw["writes"]:
+            lease = row.get("lease", 0)
+            if lease and lease not in self._leases:
+                return HttpResponse.of_json({}, status=404)
+            if row["key"].startswith(("op/", "servers/")):
+                return HttpResponse.of_json({}, status=403)
+        self.revision += 1
+        for row in raw["writes"]:
+            value = base64.b64decode(row["value"])
+            self._write(row["key"], value, lease=row.get("lease", 0))
+        for key in raw["remove"]:
+            if self._items.pop(key, None) is not None:
+                self._note(_deletion(key, self.revision))
+        return HttpResponse.of_json({"revision": self.revision})
+
+    def _grant(self, raw):
+        lease = next(self._ids)
+        ttl_s = raw["ttlMs"] / 1000
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return HttpResponse.of_json({"lease": lease, "ttlMs": raw["ttlMs"]})
+
+    def _keep(self, lease):
+        if lease not in self._leases:
+            return HttpResponse.of_json({}, status=404)
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return HttpResponse.of_json({"ttlMs": int(ttl_s * 1000)})
+
+
+def _deletion(key, revision):
+    return {"key": key, "revision": revision, "deleted": True}
--- a/tests/standin/process.py
+++ b/tests/standin/process.py
@@ -28,7 +28,7 @@
     def __init__(self, *, program, name, folder):
         """Prepare a process.
 
-        :param program: ``agent``, ``entry`` or ``scheduler``.
+        :param program: Name of the program, without its prefix.
         :param name: Name for its files.
         :param folder: Folder for its settings and log.
         """
@@ -51,10 +51,17 @@
         )
         self.popen = await trio.lowlevel.open_process(
             [str(PROGRAMS / f"radishlanding-{self.program}"), str(path)],
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
         )
         nursery.start_soon(self._read_log, self.popen)
-        wanted = {"agent": "announce", "entry": "http", "scheduler": "peer"}
+        wanted = {
+            "agent": "announce",
+            "dispatcher": "http",
+            "entry": "http",
+            "scheduler": "peer",
+            "vmagent": "reports",
+        }
         with trio.fail_after(START_TIMEOUT_S):
             while wanted[self.program] not in self.ports:
                 await self._changed.wait()
@@ -63,7 +70,7 @@
         log = (self._folder / f"{self.name}.log").open("ab")
         rest = b""
         with log:
-            async for data in popen.stderr:
+            async for data in popen.stdout:
                 log.write(data)
                 log.flush()
                 *lines, rest = (rest + data).split(b"\n")
@@ -76,7 +83,7 @@
             pair.partition("=")[::2] for pair in line.split() if "=" in pair
         )
         if pairs.get("event") == "listening":
-            for kind in ("announce", "http", "peer"):
+            for kind in ("announce", "http", "peer", "ready", "reports"):
                 if kind in pairs:
                     self.ports[kind] = pairs[kind]
             self._changed.set()
--- /dev/null
+++ b/tests/standin/runner_run.py
@@ -0,0 +1,69 @@
+"""One run of a task on a runner."""
+
+import time
+
+
+class RunnerRun:
+    """Keep what a run did, for the checks."""
+
+    __slots__ = (
+        "began_s",
+        "checkpoint",
+        "ended_s",
+        "how",
+        "number",
+        "pace",
+        "progress_s",
+        "spec",
+        "stands",
+        "task",
+        "worker_id",
+        "zone",
+    )
+
+    def __init__(self, *, task, number, spec, checkpoint, worker_id, zone):
+        """Begin a run.
+
+        :param task: Name of the task.
+        :param number: Number of the run.
+        :param spec: What it was told to run.
+        :param checkpoint: Progress that it resumes, or an empty string.
+        :param worker_id: Runner that runs it.
+        :param zone: Availability zone of the runner.
+        """
+        self.began_s = time.monotonic()
+        self.checkpoint = checkpoint
+        self.ended_s = None
+        self.how = ""
+        self.number = number
+        self.pace = 1.0
+        self.progress_s = float(checkpoint or 0)
+        self.spec = spec
+        self.stands = spec == "stand"
+        self.task = task
+        self.worker_id = worker_id
+        self.zone = zone
+
+    def advance(self, passed_s):
+        """Make progress."""
+        self.progress_s += passed_s * self.pace
+
+    def finish(self, how):
+        """Note the end."""
+        if self.ended_s is None:
+            self.ended_s = time.monotonic()
+            self.how = how
+
+    def saved(self):
+        """Return its progress as a checkpoint."""
+        return f"{self.progress_s:.2f}"
+
+    def row(self, work_s):
+        """Return what a runner lists of it."""
+        percent = min(100, int(100 * self.progress_s / work_s))
+        return [self.task, self.number, self.saved(), percent, 0]
+
+    def overlaps(self, other):
+        """Return whether two runs were there at the same time."""
+        first, second = sorted((self, other), key=lambda run: run.began_s)
+        return first.ended_s is None or first.ended_s > second.began_s
