Name a VM by its worker's address, so that a new worker proves the old one's end

Change: a VM is the address that its worker listens on; a newer boot there ends every task of the earlier ones.

--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -117,7 +117,7 @@
 
         :param report: A :class:`radishlanding.worker.WorkerReport`.
         """
-        seat = self._seats.get(report.worker_id)
+        seat = self._seats.get(report.address)
         if seat is None:
             self._add_seat(report)
         elif self._is_newer(report, seat.report):
@@ -129,16 +129,15 @@
     def _add_seat(self, report):
         seat = WorkerSeat(
             report=report,
-            worker=Runner(address=report.address, worker_id=report.worker_id),
+            make_worker=_make_runner,
             vm_lease_s=self._cfg.vm_lease_s,
             nursery=self._nursery,
         )
-        self._seats[report.worker_id] = seat
+        self._seats[seat.vm] = seat
         _log.info(
             "worker_found",
-            vm=report.worker_id,
+            vm=seat.vm,
             boot=report.boot,
-            address=report.address,
             pool=report.pool,
             millicores=report.capacity.millicores,
             memory_mb=report.capacity.memory_mb,
@@ -149,16 +148,16 @@
         self._line.seat_added(seat)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._line.report, seat)
-            await seat.run()
-            nursery.cancel_scope.cancel()
-        if self._seats.get(seat.vm) is seat:
-            del self._seats[seat.vm]
-        _log.info("worker_gone", vm=seat.vm)
+            nursery.start_soon(seat.run)
 
     def left(self, worker_id):
         """Note that a worker says that it ends."""
-        seat = self._seats.get(worker_id)
-        if seat is not None:
-            _log.info("worker_leaves", vm=worker_id)
-            seat.is_leaving = True
-            seat.table.notify()
+        for seat in self._seats.values():
+            if seat.report.worker_id == worker_id:
+                _log.info("worker_leaves", vm=seat.vm, worker=worker_id)
+                seat.is_leaving = True
+                seat.table.notify()
+
+
+def _make_runner(report):
+    return Runner(address=report.address, worker_id=report.worker_id)
--- a/src/radishlanding/vmagent/seat_starter.py
+++ b/src/radishlanding/vmagent/seat_starter.py
@@ -149,7 +149,7 @@
 
     async def _stop_surely(self, task, report):
         """Tell one boot of the worker to stop an attempt until it answers."""
-        while not self._seat.is_gone:
+        while not self._seat.has_left:
             if report.worker_id != self._seat.report.worker_id:
                 return
             try:
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -23,8 +23,6 @@
 # Pause of looks while ends wait to be on record, as they answer at once.
 SETTLE_PAUSE_S = 0.05
 RETRY_PAUSE_S = 0.1
-# Time to get the ends of a worker that is gone on record.
-FAREWELL_S = 20.0
 # An order that took longer to arrive may rest on what is no longer true.
 MAX_ORDER_AGE_MS = 3000
 
@@ -35,50 +33,53 @@
     """Start, watch and stop the tasks of one boot of a worker."""
 
     __slots__ = (
+        "_make_worker",
         "_starter",
-        "_vm_lease_s",
         "clock",
         "fence",
         "is_answering",
-        "is_gone",
+        "has_left",
         "is_listed",
         "is_leaving",
         "lease",
         "pace",
         "report",
-        "scope",
         "table",
         "worker",
     )
 
-    def __init__(self, *, report, worker, vm_lease_s, nursery):
+    def __init__(self, *, report, make_worker, vm_lease_s, nursery):
         """Prepare; :meth:`run` works.
 
         :param report: The :class:`radishlanding.worker.WorkerReport` that
             told of the worker.
-        :param worker: A :class:`radishlanding.worker.LeasedWorker`.
+        :param make_worker: Callable that takes a report and returns a
+            :class:`radishlanding.worker.LeasedWorker`.
         :param vm_lease_s: How long tasks run without an acknowledgement.
         :param nursery: Nursery for starts and stops.
         """
-        self._vm_lease_s = vm_lease_s
+        self._make_worker = make_worker
         self.clock = SeatClock()
         self.fence = 0
         self.is_answering = True
-        self.is_gone = False
+        self.has_left = False
         self.is_leaving = False
         self.is_listed = False
         self.lease = VmLease(duration_s=vm_lease_s)
         self.report = report
-        self.scope = trio.CancelScope()
         self.table = SeatTable()
-        self.worker = worker
+        self.worker = make_worker(report)
         self.pace = SeatPace(seat=self)
         self._starter = SeatStarter(seat=self, nursery=nursery)
 
     @property
     def vm(self):
-        """Return the identity of the VM."""
-        return self.report.worker_id
+        """Return the identity of the VM.
+
+        It is the address of its worker, which outlives the worker's boots:
+        where another worker listens there, the earlier one has ended.
+        """
+        return self.report.address
 
     def state(self):
         """Return what to report of the VM."""
@@ -89,7 +90,7 @@
             labels=list(self.report.labels),
             capacity=self.report.capacity,
             is_draining=(
-                self.report.is_draining or self.is_leaving or self.is_gone
+                self.report.is_draining or self.is_leaving or self.has_left
             ),
             remaining_ms=self.report.remaining_ms,
         )
@@ -111,8 +112,8 @@
                 boot=report.boot,
                 before=self.report.boot,
             )
-            self.report = report
-            self._begin_boot()
+            before, self.report = self.report, report
+            self._begin_boot(before)
         self.report = report
         if is_news:
             _log.info(
@@ -125,14 +126,23 @@
             )
             self.table.notify()
 
-    def _begin_boot(self):
-        """Drop what only an earlier boot of the worker knew."""
+    def _begin_boot(self, before):
+        """Drop what only an earlier boot of the worker knew.
+
+        :param before: The newest report of that boot.
+        """
         unsure = [task for task in self.table.active() if task.is_unsure]
         self.table.end_all(reason="the worker has started again")
         self.table.reset_numbers()
         self.clock.forget()
         self.clock.held_until_s = 0.0
+        self.is_answering = True
+        self.is_leaving = False
+        self.has_left = False
         self.is_listed = False
+        if before.worker_id != self.report.worker_id:
+            self.worker = self._make_worker(self.report)
+            return
         for task in unsure:
             self._starter.forbid(task)
 
@@ -147,19 +157,14 @@
         return min(self.lease.remaining_s(), HOLD_S)
 
     async def run(self):
-        """Hold and watch the worker until it is gone."""
-        with self.scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.pace.run)
-                while not self.is_gone:
-                    await self._round()
-                nursery.cancel_scope.cancel()
-            with trio.move_on_after(FAREWELL_S):
-                while self.table.ended():
-                    await self.table.wait_changed()
+        """Hold and watch the worker until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.pace.run)
+            while True:
+                await self._round()
 
     async def _round(self):
-        if not self.fence:
+        if not self.fence or self.has_left:
             with trio.move_on_after(LOOK_WAIT_S):
                 await self.table.wait_changed()
             return
@@ -186,9 +191,12 @@
             self.table.end_all(reason="the worker is silent and has lapsed")
 
     def _leave(self, reason):
-        """Note that the worker has ended, with all that it ran."""
+        """Note that the worker has ended, with all that it ran.
+
+        Another one may register in its place.
+        """
         _log.info("worker_ended", vm=self.vm, reason=reason)
-        self.is_gone = True
+        self.has_left = True
         self.table.end_all(reason=reason)
 
     async def _look(self):
@@ -269,7 +277,7 @@
     def _problem(self, message, age_ms):
         if message.boot != self.report.boot:
             return "meant for another boot of the worker"
-        if self.report.is_draining or self.is_leaving or self.is_gone:
+        if self.report.is_draining or self.is_leaving or self.has_left:
             return "the worker is draining"
         if not self.is_answering:
             return "the worker does not answer"
