--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -6,6 +6,8 @@
 
 import json
 
+import trio
+
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
 from radishlanding.worker import EndedRow
@@ -21,6 +23,9 @@
 CALL_TIMEOUT_S = 1.0
 # A look may list 500 ends and all that runs.
 MAX_ANSWER_BYTES = 1024 * 1024
+# Each call in flight has a connection, and each new connection is work for
+# the runner; one of these waits in a look most of the time.
+MAX_CALLS = 4
 
 _RESULTS = {
     "fence": StartResult.FENCED,
@@ -42,7 +47,7 @@
 class Runner:
     """A :class:`radishlanding.worker.LeasedWorker` at an address."""
 
-    __slots__ = ("_client", "_headers")
+    __slots__ = ("_client", "_headers", "_limiter")
 
     def __init__(self, *, address, worker_id):
         """Prepare without connecting.
@@ -57,16 +62,18 @@
             ("content-type", "application/json"),
             ("x-expect-instance", worker_id),
         )
+        self._limiter = trio.CapacityLimiter(MAX_CALLS)
 
     async def _call(self, path, value, *, timeout_s=CALL_TIMEOUT_S):
         try:
-            response = await self._client.send(
-                "POST",
-                f"/-/{path}",
-                body=json.dumps(value).encode(),
-                headers=self._headers,
-                timeout_s=timeout_s,
-            )
+            async with self._limiter:
+                response = await self._client.send(
+                    "POST",
+                    f"/-/{path}",
+                    body=json.dumps(value).encode(),
+                    headers=self._headers,
+                    timeout_s=timeout_s,
+                )
             answer = response.json()
         except (ExchangeFailed, ValueError) as exc:
             raise WorkerUnavailable(f"{path}: {exc}") from exc
