--- a/src/radishlanding/dispatch/orders.py
+++ b/src/radishlanding/dispatch/orders.py
@@ -91,6 +91,7 @@
             spec=record.workflow.spec,
             reserved=step.reserved,
             checkpoint=task.checkpoint,
+            image=step.image,
             fills=step.fills,
             latency_target_ms=step.latency_target_ms,
             estimated_ms=0 if step.standing else step.estimated_ms,
--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -10,6 +10,8 @@
     :param task_id: Name of the task.
     :param attempt: Number of the attempt.
     :param checkpoint: Newest progress to resume from, or an empty string.
+    :param gauge: Over the last half second, the tail latency of a serving
+        task in milliseconds, or the millicores that another task used.
     :param progress: Share of its work that is done, in percent.
     """
 
@@ -17,3 +19,4 @@
     attempt: int
     checkpoint: str = ""
     progress: int = 0
+    gauge: float = 0.0
--- a/src/radishlanding/message/task_order.py
+++ b/src/radishlanding/message/task_order.py
@@ -15,6 +15,7 @@
     :param reserved: What it takes from the capacity.
     :param checkpoint: Progress to resume from, or an empty string.
     :param ticket: Permit of the advisor, or an empty string.
+    :param image: Name of what it runs; equal images behave alike.
     :param fills: Whether it only uses processors that others leave.
     :param latency_target_ms: Bound of its tail latency, 0 for none.
     :param estimated_ms: Rough run time, 0 for a standing task.
@@ -26,6 +27,7 @@
     reserved: Capacity
     checkpoint: str = ""
     ticket: str = ""
+    image: str = ""
     fills: bool = False
     latency_target_ms: int = 0
     estimated_ms: int = 0
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -58,6 +58,7 @@
             attempt=self.attempt,
             checkpoint=self.checkpoint,
             progress=self.progress,
+            gauge=self.gauge,
         )
 
     def end_report(self):
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -402,9 +402,10 @@
   reserved @3 :Capacity;
   checkpoint @4 :Text;
   ticket @5 :Text;
-  fills @6 :Bool;
-  latencyTargetMs @7 :Int64;
-  estimatedMs @8 :Int64;
+  image @6 :Text;
+  fills @7 :Bool;
+  latencyTargetMs @8 :Int64;
+  estimatedMs @9 :Int64;
 }
 
 struct TaskEndReport {
@@ -420,6 +421,7 @@
   attempt @1 :Int64;
   checkpoint @2 :Text;
   progress @3 :Int64;
+  gauge @4 :Float64;
 }
 
 struct VmState {
