Test the board, the log and the agent's seat; weigh images that fill

A standing task that its worker calls done completed its workflow (found by the new feature 'a standing workflow never fails and never completes'); it is started again now.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -1,6 +1,7 @@
 """The VMs that follow a leader."""
 
 from radishlanding.dispatch.vm_session import VmSession
+from radishlanding.message import ImageWeight
 from radishlanding.message import VmWelcome
 from radishlanding.observe import EventLog
 from radishlanding.policy import Quarantine
@@ -27,6 +28,7 @@
         "_epoch",
         "_fences",
         "_granted_s",
+        "_interference",
         "_opened_s",
         "_quarantines",
         "_timing",
@@ -34,18 +36,21 @@
         "unsent",
     )
 
-    def __init__(self, *, board, epoch, timing):
+    def __init__(self, *, board, epoch, timing, interference):
         """Start without VMs.
 
         :param board: The :class:`radishlanding.workflow.Board`.
         :param epoch: Number of the leadership.
         :param timing: A :class:`radishlanding.vm.Timing`.
+        :param interference: The
+            :class:`radishlanding.policy.Interference` to teach.
         """
         self._board = board
         self._checkpoints = {}
         self._epoch = epoch
         self._fences = 0
         self._granted_s = {}
+        self._interference = interference
         self._opened_s = boot_clock_s()
         self._quarantines = {}
         self._timing = timing
@@ -106,11 +111,30 @@
         for task in report.running:
             if task.checkpoint:
                 self._checkpoints[task.task_id] = task.checkpoint
+        self._observe(session)
         ends = [self._end(session, item) for item in report.ended]
         if report.is_full:
             ends += self._missing(session, {end.task_id for end in ends})
         return ends
 
+    def _observe(self, session):
+        """Learn from the figures of a VM's tasks."""
+        millicores = session.state.capacity.millicores
+        serving, filling = [], {}
+        for item in session.running.values():
+            record, _ = self._board.find(item.task_id)
+            if record is None or not item.gauge or not record.workflow.steps:
+                continue
+            place = TaskPlace.parse(item.task_id)
+            step = record.workflow.steps[place.step]
+            if step.latency_target_ms:
+                share = item.gauge / step.latency_target_ms
+                serving.append((step.image, share))
+            elif step.fills and millicores:
+                load = item.gauge / millicores
+                filling[step.image] = filling.get(step.image, 0.0) + load
+        self._interference.observe(serving, filling)
+
     def _end(self, session, item):
         _log.info(
             "task_ended",
@@ -199,6 +223,19 @@
             granted_s = self._opened_s + self._timing.owner_grace_s
         return granted_s + self._timing.vm_lease_s + self._timing.drift_s
 
+    def weights(self, session):
+        """Return the weight of each image that fills a VM."""
+        images = set()
+        for task in self._board.tasks_on(session.vm):
+            place = TaskPlace.parse(task.task_id)
+            steps = self._board.workflows[place.workflow_id].workflow.steps
+            if steps and steps[place.step].fills:
+                images.add(steps[place.step].image)
+        return [
+            ImageWeight(image=image, weight=self._interference.weight(image))
+            for image in sorted(images)
+        ]
+
     def judge(self, end, vm):
         """Note what an end says of its VM."""
         if end.kind == EndKind.FAILED:
@@ -246,7 +283,9 @@
         for task in tasks:
             place = TaskPlace.parse(task.task_id)
             record = self._board.workflows[place.workflow_id]
-            load.add(place[:3], record.workflow.steps[place.step])
+            step = record.workflow.steps[place.step]
+            load.add(place[:3], step)
+            load.press += self._interference.press(step, load.capacity)
         quarantine = self._quarantines.get(session.vm)
         if quarantine is not None:
             load.room = quarantine.room_for_tasks(
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -51,13 +51,25 @@
         "fleet",
     )
 
-    def __init__(self, *, log, board, site_watch, planner, timing, counters):
+    def __init__(
+        self,
+        *,
+        log,
+        board,
+        site_watch,
+        planner,
+        interference,
+        timing,
+        counters,
+    ):
         """Prepare; :meth:`run` leads.
 
         :param log: A claimed :class:`EntryLog`.
         :param board: The :class:`radishlanding.workflow.Board` on record.
         :param site_watch: A :class:`SiteWatch`.
         :param planner: A :class:`radishlanding.policy.WorkflowPlanner`.
+        :param interference: The
+            :class:`radishlanding.policy.Interference` of the planner.
         :param timing: A :class:`radishlanding.vm.Timing`.
         :param counters: Counts of the process.
         """
@@ -71,7 +83,12 @@
         self._site_watch = site_watch
         self._timing = timing
         self._wake = trio.Event()
-        self.fleet = Fleet(board=board, epoch=log.epoch, timing=timing)
+        self.fleet = Fleet(
+            board=board,
+            epoch=log.epoch,
+            timing=timing,
+            interference=interference,
+        )
         self._orders = Orders(
             board=board, fleet=self.fleet, epoch=log.epoch, counters=counters
         )
@@ -243,7 +260,9 @@
         granted = self._proof_age_s() < self._timing.owner_grace_s
         if granted:
             self.fleet.grant(session)
-        return VmReportAck(granted=granted)
+        return VmReportAck(
+            granted=granted, weights=self.fleet.weights(session)
+        )
 
     def drop(self, conn):
         """Forget the VMs of a connection."""
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -26,6 +26,7 @@
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
 from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import Interference
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.store import CallBudget
 from radishlanding.store import PrefixWatch
@@ -46,6 +47,7 @@
         "_counters",
         "_front",
         "_handler",
+        "_interference",
         "_is_stopping",
         "_member",
         "_peers",
@@ -62,6 +64,7 @@
         """
         self._cfg = cfg
         self._counters = Counters()
+        self._interference = Interference()
         self._is_stopping = False
         self._store = KvStore(
             address=cfg.store,
@@ -115,7 +118,10 @@
             log=log,
             board=board,
             site_watch=self._site_watch,
-            planner=WorkflowPlanner(order=EarliestDeadline()),
+            planner=WorkflowPlanner(
+                order=EarliestDeadline(), interference=self._interference
+            ),
+            interference=self._interference,
             timing=Timing(
                 vm_lease_s=self._cfg.vm_lease_s,
                 owner_grace_s=self._cfg.owner_grace_s,
--- a/src/radishlanding/message/__init__.py
+++ b/src/radishlanding/message/__init__.py
@@ -19,6 +19,7 @@
 from radishlanding.message.heartbeat import Heartbeat
 from radishlanding.message.heartbeat_ack import HeartbeatAck
 from radishlanding.message.hello_answer import HelloAnswer
+from radishlanding.message.image_weight import ImageWeight
 from radishlanding.message.job_answer import JobAnswer
 from radishlanding.message.job_summary import JobSummary
 from radishlanding.message.leader_notice import LeaderNotice
@@ -77,6 +78,7 @@
     "Heartbeat",
     "HeartbeatAck",
     "HelloAnswer",
+    "ImageWeight",
     "JobAnswer",
     "JobSummary",
     "LeaderNotice",
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -2,6 +2,8 @@
 
 from radishlanding.policy.earliest_deadline import EarliestDeadline
 from radishlanding.policy.fair_queue import FairQueue
+from radishlanding.policy.interference import Interference
+from radishlanding.policy.interference import LIGHT_WEIGHT
 from radishlanding.policy.least_outstanding import LeastOutstanding
 from radishlanding.policy.pace_control import PaceControl
 from radishlanding.policy.placement import Placement
@@ -21,8 +23,10 @@
 from radishlanding.policy.workflow_planner import WorkflowPlanner
 
 __all__ = [
+    "LIGHT_WEIGHT",
     "EarliestDeadline",
     "FairQueue",
+    "Interference",
     "LeastOutstanding",
     "PaceControl",
     "Placement",
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -19,6 +19,8 @@
     :param idle_millicores: Processors that probably nobody uses.
     :param serving: Tasks on it that must answer in time.
     :param filling: Filling tasks on it.
+    :param press: How much its filling tasks disturb, see
+        :class:`Interference`.
     :param room: Tasks that it may take at most, None for any.
     :param steps: Tasks on it by workflow, occurrence and step.
     """
@@ -33,6 +35,7 @@
     idle_millicores: float
     serving: int = 0
     filling: int = 0
+    press: float = 0.0
     room: int | None = None
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -8,23 +8,28 @@
 MIN_FILL_SHARE = 0.6
 # Assignments of one entry of the log; more would delay its answer.
 MAX_ASSIGNMENTS = 150
-# A workflow may have nothing running for 3 s where there is room; this leaves
-# half of that for the start itself.
-STARVED_MS = 1500
+# Growth of tail latencies that filling tasks may cause on a VM, as a share of
+# their bounds; at rest they take about half of them.
+MAX_PRESS = 0.25
+# Filling tasks that disturb wait this long for a VM without serving tasks;
+# that is about a third of the time in which such a workflow is due.
+STARVED_MS = 7000
 
 
 class WorkflowPlanner:
     """Place the tasks of workflows, first come by an order of choice."""
 
-    __slots__ = ("_idle_since_ms", "_order", "_rng")
+    __slots__ = ("_idle_since_ms", "_interference", "_order", "_rng")
 
-    def __init__(self, *, order, rng=None):
+    def __init__(self, *, order, interference, rng=None):
         """Prepare a planner.
 
         :param order: A :class:`WorkflowOrder`.
+        :param interference: An :class:`Interference`.
         :param rng: Source of random numbers, for equal VMs.
         """
         self._idle_since_ms = {}
+        self._interference = interference
         self._order = order
         self._rng = rng or random.Random()
 
@@ -91,7 +96,7 @@
             vm = self._choose(key, step, vms, is_starved=is_starved)
             if vm is None:
                 break
-            vm.add(key, step)
+            self._add(vm, key, step)
             assignments.append(_assign(task, vm, task.attempt + 1))
         return assignments
 
@@ -123,41 +128,58 @@
                 for taken in chosen:
                     taken.remove(key, step)
                 return []
-            vm.add(key, step)
+            self._add(vm, key, step)
             chosen.append(vm)
         return chosen
 
+    def _add(self, vm, key, step):
+        vm.add(key, step)
+        vm.press += self._interference.press(step, vm.capacity)
+
     def _choose(self, key, step, vms, *, is_starved=False):
         """Return the best VM for one more task of a step, or None.
 
-        Filling tasks disturb those that serve, so they share a VM with them
-        only when their workflow would come to a standstill.
+        Filling tasks that disturb share a VM with those that serve only
+        when their workflow would come to a standstill.
         """
         fitting = [vm for vm in vms if vm.holds(key, step)]
         if step.fills:
-            least = step.needs.millicores * MIN_FILL_SHARE
             fitting = [
                 vm
                 for vm in fitting
-                if vm.idle_millicores >= least
-                and (is_starved or not vm.serving)
+                if self._may_fill(vm, step, is_starved=is_starved)
             ]
         if not fitting:
             return None
         near = [vm for vm in fitting if vm.is_near(step)]
-        return max(near or fitting, key=lambda vm: _score(vm, step))
+        is_light = self._interference.is_light(step.image)
+        return max(
+            near or fitting,
+            key=lambda vm: _score(vm, step, is_light=is_light),
+        )
+
+    def _may_fill(self, vm, step, *, is_starved):
+        """Return whether a filling task may go to a VM that has room."""
+        least = step.needs.millicores * MIN_FILL_SHARE
+        if vm.idle_millicores < least:
+            return False
+        if not vm.serving or is_starved:
+            return True
+        press = self._interference.press(step, vm.capacity)
+        return vm.press + press <= MAX_PRESS
 
 
-def _score(vm, step):
+def _score(vm, step, *, is_light):
     """Return how well a VM suits a task; higher is better.
 
-    Serving tasks gather on few VMs, with the tasks that neither serve nor
-    fill, so that the others are left to filling tasks.
+    Serving tasks are packed tightly, with the tasks that neither serve nor
+    fill and those that hardly disturb, so that whole VMs are left to the
+    filling tasks that do.
     """
-    if step.fills:
-        return (not vm.serving, vm.idle_millicores)
     if step.latency_target_ms:
-        return (vm.serving > 0, -vm.filling, vm.free.millicores)
+        return (vm.serving > 0, -vm.press, -vm.free.millicores)
+    if step.fills and not is_light:
+        return (not vm.serving, -vm.press, vm.idle_millicores)
     return (vm.serving > 0, vm.idle_millicores)
 
 
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.observe import EventLog
+from radishlanding.policy import LIGHT_WEIGHT
 from radishlanding.policy import PaceControl
 from radishlanding.vm import boot_clock_s
 from radishlanding.worker import WorkerUnavailable
@@ -19,7 +20,7 @@
 class SeatPace:
     """Keep the tail latency of serving tasks within their bounds."""
 
-    __slots__ = ("_control", "_repeat_s", "_seat")
+    __slots__ = ("_control", "_repeat_s", "_seat", "_weights")
 
     def __init__(self, *, seat):
         """Prepare; :meth:`run` controls.
@@ -29,6 +30,24 @@
         self._control = PaceControl()
         self._repeat_s = 0.0
         self._seat = seat
+        self._weights = {}
+
+    def learn(self, weights):
+        """Take newer weights of images that fill the VM.
+
+        :param weights: Weights by image, see
+            :class:`radishlanding.policy.Interference`.
+        """
+        self._weights.update(weights)
+
+    def _is_light(self, task):
+        weight = self._weights.get(task.order.image)
+        return weight is not None and weight <= LIGHT_WEIGHT
+
+    def _percent(self, task):
+        if self._is_light(task):
+            return self._control.light_percent
+        return self._control.heavy_percent
 
     def _worst_share(self):
         shares = [
@@ -54,29 +73,37 @@
         """Control the pace until cancelled."""
         while True:
             await trio.sleep(CONTROL_PAUSE_S)
-            share = self._worst_share()
-            before = self._control.percent
-            percent = self._control.update(share)
-            if percent != before:
-                _log.info(
-                    "pace_changed",
-                    vm=self._seat.vm,
-                    percent=percent,
-                    before=before,
-                    share=f"{share:.2f}",
-                )
+            fillers = self._fillers()
+            self._decide(fillers)
             is_due = boot_clock_s() > self._repeat_s
             if is_due:
                 self._repeat_s = boot_clock_s() + REPEAT_S
-            for task in self._fillers():
+            for task in fillers:
+                percent = self._percent(task)
                 if task.pace_percent != percent or (
                     is_due and percent != FULL_PERCENT
                 ):
                     await self.apply(task)
 
+    def _decide(self, fillers):
+        control = self._control
+        share = self._worst_share()
+        before = (control.heavy_percent, control.light_percent)
+        control.update(share, has_heavy=not all(map(self._is_light, fillers)))
+        after = (control.heavy_percent, control.light_percent)
+        if fillers and after != before:
+            _log.info(
+                "pace_changed",
+                vm=self._seat.vm,
+                heavy_percent=control.heavy_percent,
+                light_percent=control.light_percent,
+                share=f"{share:.2f}",
+                tasks=len(fillers),
+            )
+
     async def apply(self, task):
         """Tell the worker the present pace of a filling task."""
-        percent = self._control.percent
+        percent = self._percent(task)
         if percent == FULL_PERCENT and task.pace_percent == FULL_PERCENT:
             return
         try:
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -50,10 +50,11 @@
     getBacklog @43 :GetBacklog;
     backlogAnswer @44 :BacklogAnswer;
     leaderNotice @45 :LeaderNotice;
-    taskOrder @46 :TaskOrder;
-    taskEndReport @47 :TaskEndReport;
-    runningTask @48 :RunningTask;
-    vmState @49 :VmState;
+    imageWeight @46 :ImageWeight;
+    taskOrder @47 :TaskOrder;
+    taskEndReport @48 :TaskEndReport;
+    runningTask @49 :RunningTask;
+    vmState @50 :VmState;
   }
 }
 
@@ -355,6 +356,7 @@
 
 struct VmReportAck {
   granted @0 :Bool;
+  weights @1 :List(ImageWeight);
 }
 
 struct EndsRecorded {
@@ -395,6 +397,11 @@
   epoch @0 :Int64;
 }
 
+struct ImageWeight {
+  image @0 :Text;
+  weight @1 :Float64;
+}
+
 struct TaskOrder {
   taskId @0 :Text;
   attempt @1 :Int64;
--- a/src/radishlanding/workflow/board.py
+++ b/src/radishlanding/workflow/board.py
@@ -141,6 +141,8 @@
 
     def _done(self, record, task, made_ms):
         place = TaskPlace.parse(task.task_id)
+        if record.workflow.steps[place.step].standing:
+            return
         for member in _members(record, task):
             if not member.is_done:
                 member.is_done = True
--- /dev/null
+++ b/tests/dispatch/entry_log_steps.py
@@ -0,0 +1,241 @@
+"""Steps about the log of workflows."""
+
+import functools
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.dispatch import EntryLog
+from radishlanding.dispatch import keys
+from radishlanding.journal import Fenced
+from radishlanding.observe import Counters
+from radishlanding.platform import KvStore
+from radishlanding.store import CallBudget
+from radishlanding.store import Write
+from radishlanding.workflow import Entry
+from radishlanding.workflow import Step
+from tests.standin.open_platform import open_platform_store
+from tests.workflow.workflow_steps import make_workflow
+from tests.workflow.workflow_steps import NEEDS
+
+
+def make_store(address):
+    """Return a client of the platform's store."""
+    return KvStore(
+        address=address,
+        budget=CallBudget(rate=1000.0, burst=1000.0),
+        counters=Counters(),
+    )
+
+
+class Claimant:
+    """A process that may lead the log."""
+
+    __slots__ = ("board", "log", "name", "refused", "store")
+
+    def __init__(self, name, address):
+        """Prepare a process of that name."""
+        self.board = None
+        self.name = name
+        self.refused = False
+        self.store = make_store(address)
+        self.log = EntryLog(store=self.store)
+
+    async def claim(self, *, version=None):
+        """Claim the log on the present version of the leader's key."""
+        if version is None:
+            kv = await self.store.get(keys.LEADER)
+            version = kv.version if kv else 0
+        write = Write(key=keys.LEADER, value=self.name.encode())
+        try:
+            self.board = await self.log.claim(
+                process_id=self.name,
+                leader_write=write,
+                leader_version=version,
+            )
+        except Fenced:
+            self.refused = True
+
+    async def append(self, at):
+        """Record one workflow."""
+        workflow = make_workflow(
+            [Step(count=1, needs=NEEDS)], name=f"{self.name}{at:015d}"
+        )
+        entry = Entry(
+            commit_id=f"{self.name}-{at}", made_ms=at, accepted=[workflow]
+        )
+        await self.log.append(entry)
+        self.board.apply(entry)
+
+
+def _claimant(context, name):
+    if name not in context.claimants:
+        context.claimants[name] = Claimant(name, context.address)
+    return context.claimants[name]
+
+
+@given("a log that nobody leads")
+def _no_leader(context):
+    context.claimants = {}
+    context.platform_store, context.address = context.bridge.call(
+        open_platform_store, context.bridge.nursery
+    )
+
+
+@given("a log that {name} leads with {count:d} workflows")
+@given("a log that {name} leads with {count:d} workflow")
+def _a_log(context, name, count):
+    _no_leader(context)
+    claimant = _claimant(context, name)
+    context.bridge.call(claimant.claim)
+    for at in range(count):
+        context.bridge.call(claimant.append, at)
+
+
+@when("{name:w} claims the log")
+def _claims(context, name):
+    context.bridge.call(_claimant(context, name).claim)
+
+
+@when("{first:w} and {second:w} claim it at once")
+def _claim_at_once(context, first, second):
+    async def both():
+        async with trio.open_nursery() as nursery:
+            for name in (first, second):
+                nursery.start_soon(
+                    functools.partial(
+                        _claimant(context, name).claim, version=0
+                    )
+                )
+
+    context.bridge.call(both)
+
+
+@when("{name:w} claims it as if the leader's key were absent")
+def _claims_blindly(context, name):
+    context.bridge.call(_claimant(context, name).claim, version=0)
+
+
+@when("the log's answer to {name:w} is lost as it appends")
+def _answer_lost(context, name):
+    context.platform_store.lost_share = 1.0
+
+    async def append_and_heal():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_claimant(context, name).append, 100)
+            await trio.sleep(0.4)
+            context.platform_store.lost_share = 0.0
+
+    context.bridge.call(append_and_heal)
+
+
+@when(
+    "{name:w}'s next append is carried out only after {other:w} has claimed "
+    "the log"
+)
+def _carried_out_late(context, name, other):
+    store = context.platform_store
+    claimant = _claimant(context, name)
+    context.fenced = False
+
+    async def append():
+        try:
+            await claimant.append(100)
+        except Fenced:
+            context.fenced = True
+
+    async def race():
+        store.late_share = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(append)
+            await trio.sleep(0.15)
+            store.late_share = 0.0
+            await _claimant(context, other).claim()
+
+    context.bridge.call(race)
+    context.bridge.call(trio.sleep, 2.2)
+
+
+@when("{name:w} takes a snapshot")
+def _snapshot(context, name):
+    claimant = _claimant(context, name)
+    context.bridge.call(claimant.log.snapshot, claimant.board, now_ms=1000)
+
+
+@when("{name:w} resigns as the leader")
+def _resigns(context, name):
+    context.bridge.call(_claimant(context, name).log.resign)
+
+
+@then("{name:w} has {count:d} workflows and epoch {epoch:d}")
+def _has(context, name, count, epoch):
+    claimant = _claimant(context, name)
+    assert len(claimant.board.workflows) == count
+    assert claimant.log.epoch == epoch
+
+
+def _is_fenced(context, function, *args):
+    async def attempt():
+        try:
+            await function(*args)
+        except Fenced:
+            return True
+        return False
+
+    return context.bridge.call(attempt)
+
+
+@then("the log fences {name:w} when it appends")
+def _fenced_append(context, name):
+    assert _is_fenced(context, _claimant(context, name).append, 900)
+
+
+@then("the log fences {name:w} when it confirms")
+def _fenced_confirm(context, name):
+    assert _is_fenced(context, _claimant(context, name).log.confirm)
+
+
+@then("exactly one of them leads")
+def _one_leads(context):
+    refused = [claimant.refused for claimant in context.claimants.values()]
+    assert sorted(refused) == [False, True], refused
+
+
+@then("the claim of {name:w} is refused")
+def _refused(context, name):
+    assert _claimant(context, name).refused
+
+
+@then("{name}'s append succeeds and stands in the log once")
+def _stands_once(context, name):
+    found = context.platform_store.keys(keys.LOG)
+    assert found == [keys.segment(1), keys.segment(2)], found
+
+
+@then("{name:w}'s board lacks that workflow, now and when it is read again")
+def _lacks(context, name):
+    claimant = _claimant(context, name)
+    late = "A" + f"{100:015d}"
+    assert late not in claimant.board.workflows
+    reader = Claimant("R", context.address)
+    context.bridge.call(reader.claim)
+    assert late not in reader.board.workflows
+
+
+@then("the store holds no entry of the log")
+def _no_entries(context):
+    assert context.platform_store.keys(keys.LOG) == []
+
+
+@then("{name:w} recovers {count:d} workflows")
+def _recovers(context, name, count):
+    claimant = _claimant(context, name)
+    context.bridge.call(claimant.claim)
+    assert len(claimant.board.workflows) == count
+
+
+@then("the leader's key is absent")
+def _key_absent(context):
+    assert context.platform_store.get(keys.LEADER) is None
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -1,7 +1,6 @@
 """A site of real dispatchers and agents among stand-ins of the platform."""
 
 import contextlib
-import functools
 import json
 import pathlib
 import tempfile
@@ -10,7 +9,7 @@
 
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
-from radishlanding.http import HttpServer
+from tests.standin.open_platform import serve
 from tests.standin.platform_machine import PlatformMachine
 from tests.standin.platform_store import PlatformStore
 from tests.standin.process import Process
@@ -97,12 +96,7 @@
 
     async def serve(self, handler):
         """Serve a handler on a free port; return its address."""
-        port = await self.nursery.start(
-            functools.partial(
-                HttpServer(handler=handler).run, host="127.0.0.1", port=0
-            )
-        )
-        return f"127.0.0.1:{port}"
+        return await serve(self.nursery, handler)
 
     async def _start(self):
         self.store_address = await self.serve(self.store)
--- /dev/null
+++ b/tests/vmagent/fake_worker.py
@@ -0,0 +1,127 @@
+"""A worker of workflows in memory."""
+
+import time
+
+import trio
+
+from radishlanding.worker import EndedRow
+from radishlanding.worker import Look
+from radishlanding.worker import RunningRow
+from radishlanding.worker import StartResult
+from radishlanding.worker import WorkerUnavailable
+from radishlanding.workflow import EndKind
+
+KINDS = {"done": EndKind.DONE, "failed": EndKind.FAILED}
+
+
+class FakeLeasedWorker:
+    """Run attempts without work, and forget no end too early."""
+
+    __slots__ = (
+        "_changed",
+        "_ended",
+        "_has_room",
+        "_lost_starts",
+        "forbidden",
+        "is_silent",
+        "running",
+        "settled_number",
+        "starts",
+    )
+
+    def __init__(self, *, lost_starts=0, has_room=True):
+        """Start without attempts.
+
+        :param lost_starts: Starts that are carried out and not answered;
+            where there is no room, they are not carried out either.
+        :param has_room: Whether starts are carried out.
+        """
+        self._changed = trio.Event()
+        self._ended = []
+        self._has_room = has_room
+        self._lost_starts = lost_starts
+        self.forbidden = set()
+        self.is_silent = False
+        self.running = {}
+        self.settled_number = 0
+        self.starts = []
+
+    def _check(self):
+        if self.is_silent:
+            raise WorkerUnavailable("silent")
+
+    def _clock_ms(self):
+        return int(time.monotonic() * 1000)
+
+    async def start(self, order, *, fence, deadline_ms):
+        """Start an attempt once."""
+        self._check()
+        key = (order.task_id, order.attempt)
+        if key in self.forbidden:
+            return StartResult.OLD, self._clock_ms()
+        if self._has_room and key not in self.running:
+            self.running[key] = order.checkpoint
+            self.starts.append(key)
+        if self._lost_starts:
+            self._lost_starts -= 1
+            raise WorkerUnavailable("no answer")
+        if not self._has_room:
+            return StartResult.NO_ROOM, self._clock_ms()
+        return StartResult.STARTED, self._clock_ms()
+
+    async def stop(self, task_id, attempt, *, fence):
+        """Stop an attempt, or forbid it."""
+        self._check()
+        self.forbidden.add((task_id, attempt))
+        if (task_id, attempt) in self.running:
+            await self.finish(task_id, attempt, "stopped")
+        return True
+
+    async def finish(self, task_id, attempt, how):
+        """End an attempt."""
+        saved = self.running.pop((task_id, attempt))
+        number = self.settled_number + len(self._ended) + 1
+        self._ended.append(
+            EndedRow(
+                number=number,
+                task_id=task_id,
+                attempt=attempt,
+                kind=KINDS.get(how, EndKind.INTERRUPTED),
+                reason=how,
+                checkpoint=saved,
+            )
+        )
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def look(self, *, fence, settled_number, deadline_ms, wait_s):
+        """List everything."""
+        self._check()
+        self.settled_number = max(self.settled_number, settled_number)
+        self._ended = [
+            row for row in self._ended if row.number > self.settled_number
+        ]
+        if not self._ended:
+            with trio.move_on_after(wait_s):
+                await self._changed.wait()
+        self._check()
+        return Look(
+            clock_ms=self._clock_ms(),
+            born_ms=0,
+            running=[
+                RunningRow(
+                    task_id=key[0],
+                    attempt=key[1],
+                    checkpoint=saved,
+                    progress=0,
+                    gauge=0.0,
+                )
+                for key, saved in self.running.items()
+            ],
+            ended=list(self._ended),
+        )
+
+    async def pace(self, task_id, attempt, *, percent, fence):
+        """Take any pace."""
+        self._check()
+        return True
--- /dev/null
+++ b/tests/vmagent/seat_steps.py
@@ -0,0 +1,234 @@
+"""Steps about the agent's seat at a worker."""
+
+import dataclasses
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.message import StartOrders
+from radishlanding.message import TaskOrder
+from radishlanding.vm import boot_clock_s
+from radishlanding.vm import Capacity
+from radishlanding.vm import clock_ms
+from radishlanding.vmagent.worker_seat import WorkerSeat
+from radishlanding.worker import WorkerReport
+from tests.vmagent.fake_worker import FakeLeasedWorker
+
+TASK = "0123456789abcdef.0.0.0"
+REPORT = WorkerReport(
+    worker_id="i-1",
+    born_ms=1000,
+    number=1,
+    pool="order-desk",
+    address="127.0.0.1:1",
+    zone="z0",
+    labels=["a", "rack"],
+    capacity=Capacity(millicores=8000, memory_mb=8000),
+    is_draining=False,
+    remaining_ms=0,
+)
+
+
+def _open(context, worker):
+    context.worker = worker
+    context.ordered_boot = REPORT.boot
+    context.bridge.call(_open_seat, context)
+
+
+async def _open_seat(context):
+    nursery = context.bridge.nursery
+    context.seat = WorkerSeat(
+        report=REPORT,
+        make_worker=lambda _report: context.worker,
+        vm_lease_s=30.0,
+        nursery=nursery,
+    )
+    context.seat.lease.extend(sent_s=boot_clock_s())
+    context.seat.follow(7)
+    nursery.start_soon(context.seat.run)
+    with trio.fail_after(2):
+        while not context.seat.is_listed:
+            await trio.sleep(0.01)
+
+
+@given("a seat whose worker loses the answers to {count:d} starts")
+@given("a seat whose worker loses the answer to {count:d} start")
+def _loses(context, count):
+    _open(context, FakeLeasedWorker(lost_starts=count))
+
+
+@given("a seat whose worker has no room")
+def _no_room(context):
+    _open(context, FakeLeasedWorker(has_room=False))
+
+
+@given(
+    "a seat whose worker loses the answer to {count:d} start and then has no "
+    "room"
+)
+def _loses_and_full(context, count):
+    _open(context, FakeLeasedWorker(lost_starts=count, has_room=False))
+
+
+@given("a seat whose worker runs nothing")
+def _runs_nothing(context):
+    _open(context, FakeLeasedWorker())
+
+
+@given("a seat whose worker runs an attempt")
+def _runs(context):
+    _open(context, FakeLeasedWorker())
+    _order(context)
+    context.bridge.call(_wait, context, lambda task: task.is_confirmed, 2)
+
+
+@given("a worker that runs an attempt of an earlier agent")
+def _runs_already(context):
+    context.worker = FakeLeasedWorker()
+    context.worker.running[(TASK, 1)] = "c9"
+
+
+@when("a seat follows a leader")
+def _follows(context):
+    _open(context, context.worker)
+
+
+def _order(context, *, age_ms=0, boot=None):
+    message = StartOrders(
+        vm=REPORT.address,
+        epoch=1,
+        boot=boot or context.seat.report.boot,
+        clock_echo_ms=clock_ms() - age_ms,
+        orders=[
+            TaskOrder(
+                task_id=TASK,
+                attempt=1,
+                spec="work",
+                reserved=Capacity(millicores=500),
+            )
+        ],
+    )
+
+    async def start():
+        context.seat.start(message, clock_ms=clock_ms())
+
+    context.bridge.call(start)
+
+
+@when("an attempt is ordered")
+def _ordered(context):
+    _order(context)
+
+
+@when("an attempt is ordered on a clock {age_ms:d} ms old")
+def _ordered_late(context, age_ms):
+    _order(context, age_ms=age_ms)
+
+
+@when("an attempt is ordered for the earlier boot")
+def _ordered_boot(context):
+    _order(context, boot=REPORT.boot)
+
+
+@when("it is to be stopped")
+def _to_stop(context):
+    async def stop():
+        await trio.sleep(0.3)
+        context.seat.stop([(TASK, 1)])
+
+    context.bridge.call(stop)
+
+
+@when("the worker lists it as {how}")
+def _lists(context, how):
+    context.bridge.call(context.worker.finish, TASK, 1, how)
+
+
+@when("the worker falls silent")
+def _silent(context):
+    context.worker.is_silent = True
+    context.silent_s = boot_clock_s()
+
+
+def _update(context, **changes):
+    report = dataclasses.replace(REPORT, **changes)
+
+    async def update():
+        context.seat.update(report)
+
+    context.bridge.call(update)
+
+
+@when("a new boot of the worker reports")
+def _new_boot(context):
+    context.worker.running.clear()
+    _update(context, born_ms=2000)
+
+
+@when("the worker reports that it is draining")
+def _draining(context):
+    _update(context, is_draining=True, number=2)
+
+
+async def _wait(context, test, timeout_s):
+    with trio.fail_after(timeout_s):
+        while True:
+            task = context.seat.table.get(TASK, 1)
+            if task is not None and test(task):
+                return task
+            await trio.sleep(0.01)
+
+
+@then("within {wait_s:d} s it runs, was started once, and no end is reported")
+def _it_runs(context, wait_s):
+    context.bridge.call(_wait, context, lambda task: task.is_confirmed, wait_s)
+    assert context.worker.starts == [(TASK, 1)], context.worker.starts
+    assert context.seat.ends() == []
+
+
+@then("within {wait_s:d} s its end is {kind:w}")
+def _its_end(context, wait_s, kind):
+    task = context.bridge.call(
+        _wait, context, lambda task: task.end is not None, wait_s
+    )
+    assert task.end == kind, (task.end, task.end_reason)
+
+
+@then("the worker was told to refuse it before that")
+def _refused_before(context):
+    assert (TASK, 1) in context.worker.forbidden
+
+
+@then("the worker refuses a late copy of its start")
+def _refuses_late(context):
+    assert (TASK, 1) in context.worker.forbidden
+    assert (TASK, 1) not in context.worker.running
+
+
+@then("the worker may forget it only once the end is on record")
+def _may_forget(context):
+    assert context.worker.settled_number == 0
+
+    async def settle():
+        context.seat.table.settle([(TASK, 1)])
+        with trio.fail_after(2):
+            while context.worker.settled_number != 1:
+                await trio.sleep(0.01)
+
+    context.bridge.call(settle)
+    assert context.seat.ends() == []
+
+
+@then("within {wait_s:d} s it is listed with that attempt")
+def _is_listed(context, wait_s):
+    task = context.bridge.call(_wait, context, lambda task: True, wait_s)
+    assert context.seat.is_listed
+    assert (task.end, task.checkpoint) == (None, "c9"), task
+
+
+@then("its end is not reported before its last deadline")
+def _not_before(context):
+    context.bridge.call(trio.sleep, 3.0)
+    assert context.seat.ends() == []
