Take a new boot of a worker from its list, before its numbers are settled

Cause: the new site feature, under 'workers start again', saw tasks run again after an end that was noted. A worker that starts again numbers its ends anew; until its next report the agent went on to settle numbers of the boot before, which let the worker forget ends that nobody had seen. Change: a list with a later start begins the new boot at once. The check of doubled runs now asks whether an end was noted, as the trace of a frozen agent showed one that was not: its lease had lapsed, which the platform's rules allow.

--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -1,5 +1,7 @@
 """Runs the tasks of one worker."""
 
+import dataclasses
+
 import trio
 
 from radishlanding.message import VmState
@@ -222,6 +224,15 @@
             _log.info("look_refused", vm=self.vm, fence=fence, boot=boot)
             await trio.sleep(RETRY_PAUSE_S)
             return
+        if look.born_ms > self.report.born_ms:
+            # Numbers of ends begin anew with each boot; what was settled in
+            # the one before must not settle any of these.
+            self.update(
+                dataclasses.replace(
+                    self.report, born_ms=look.born_ms, number=0
+                )
+            )
+            return
         self.clock.read(look.clock_ms)
         self.table.take_look(look, sent_s=sent_s, now_s=boot_clock_s())
         if fence == self.fence and not self.is_listed:
--- /dev/null
+++ b/tests/dispatcher/faults.py
@@ -0,0 +1,165 @@
+"""What happens to a platform site while it works."""
+
+import functools
+
+import trio
+
+
+async def _killed_leader(site):
+    at = site.leader()
+    await site.dispatchers[at].kill()
+    await trio.sleep(0.5)
+    await site.start_dispatcher(at)
+
+
+async def _stopped_leader(site):
+    at = site.leader()
+    await site.dispatchers[at].stop()
+    await site.start_dispatcher(at)
+
+
+async def _frozen_leader(site):
+    process = site.dispatchers[site.leader()]
+    process.freeze()
+    await trio.sleep(4.0)
+    process.thaw()
+
+
+async def _cut_leader(site):
+    proxy = site.store_proxies[site.leader()]
+    await proxy.refuse()
+    await trio.sleep(4.0)
+    proxy.heal()
+
+
+async def _killed_agent(site):
+    machine = site.machines[0]
+    await machine.agent.kill()
+    await trio.sleep(0.3)
+    await machine.start_agent()
+
+
+async def _frozen_agent(site):
+    site.machines[0].agent.freeze()
+    await trio.sleep(7.0)
+    site.machines[0].agent.thaw()
+
+
+async def _killed_all(site):
+    for process in site.processes():
+        await process.kill()
+    async with trio.open_nursery() as nursery:
+        for at in range(len(site.dispatchers)):
+            nursery.start_soon(site.start_dispatcher, at)
+        for machine in site.machines:
+            nursery.start_soon(machine.start_agent)
+
+
+async def _killed_all_twice(site):
+    await _killed_all(site)
+    await trio.sleep(0.4)
+    await _killed_all(site)
+
+
+async def _store_mode(site, *, mode):
+    site.store.mode = mode
+    await trio.sleep(3.0)
+    site.store.mode = ""
+
+
+async def _store_lossy(site):
+    site.store.lost_share = 0.3
+    await trio.sleep(4.0)
+    site.store.lost_share = 0.0
+
+
+async def _store_late(site):
+    site.store.late_share = 0.3
+    await trio.sleep(4.0)
+    site.store.late_share = 0.0
+
+
+async def _store_slow(site):
+    site.store.delay_s = 0.25
+    await trio.sleep(4.0)
+    site.store.delay_s = 0.0
+
+
+async def _history_forgotten(site):
+    for _ in range(4):
+        site.store.forget_history()
+        site.set_config()
+        await trio.sleep(0.3)
+
+
+async def _leases_revoked(site):
+    for _ in range(3):
+        site.store.end_all_leases()
+        await trio.sleep(0.8)
+
+
+async def _silent_connections(site):
+    for proxy in (*site.store_proxies, *site.peer_proxies):
+        proxy.silence()
+    await trio.sleep(3.0)
+
+
+async def _late_orders(site):
+    for machine in site.machines:
+        machine.runner.late_share = 0.25
+    await trio.sleep(4.0)
+    for machine in site.machines:
+        machine.runner.late_share = 0.0
+
+
+async def _reborn_workers(site):
+    for machine in site.machines:
+        machine.runner.boot()
+        await trio.sleep(0.8)
+
+
+async def _silent_worker(site):
+    site.machines[0].runner.is_silent = True
+    await trio.sleep(6.0)
+    site.machines[0].runner.is_silent = False
+
+
+async def _store_down_and_all_killed(site):
+    site.store.mode = "silent"
+    await _killed_all(site)
+    await trio.sleep(1.5)
+    site.store.mode = ""
+
+
+FAULTS = {
+    "nothing": trio.lowlevel.checkpoint,
+    "the leader is killed": _killed_leader,
+    "the leader is stopped": _stopped_leader,
+    "the leader is frozen": _frozen_leader,
+    "the leader is cut from the store": _cut_leader,
+    "an agent is killed": _killed_agent,
+    "an agent is frozen past its lease": _frozen_agent,
+    "everything is killed": _killed_all,
+    "everything is killed, twice": _killed_all_twice,
+    "the store is busy": functools.partial(_store_mode, mode="busy"),
+    "the store is silent": functools.partial(_store_mode, mode="silent"),
+    "the store loses answers": _store_lossy,
+    "the store writes late": _store_late,
+    "the store is slow": _store_slow,
+    "the store forgets its history": _history_forgotten,
+    "the store revokes leases": _leases_revoked,
+    "open connections go silent": _silent_connections,
+    "workers carry orders out late": _late_orders,
+    "workers start again": _reborn_workers,
+    "a worker is silent past its deadline": _silent_worker,
+    "all is killed while the store is down": _store_down_and_all_killed,
+}
+
+
+async def cause(site, name):
+    """Cause a fault by name."""
+    fault = FAULTS[name]
+    if name == "nothing":
+        await fault()
+    else:
+        await fault(site)
--- /dev/null
+++ b/tests/dispatcher/site_steps.py
@@ -0,0 +1,100 @@
+"""Steps about a whole platform site under faults."""
+
+import itertools
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from tests.dispatcher.faults import cause
+from tests.standin import platform_checks as checks
+
+MILLICORES = 500
+CAPACITY = 8000
+JOB_PAUSE_S = 0.15
+AFTER_S = 1.0
+STEPS = [
+    {"count": 3, "cpu": MILLICORES, "checkpointing": True},
+    {"count": 2, "cpu": MILLICORES, "after": [0], "checkpointing": True},
+]
+
+
+class JobSource:
+    """Hand jobs in until it is stopped."""
+
+    __slots__ = ("_is_stopped", "_site", "names")
+
+    def __init__(self, site):
+        """Prepare jobs for a site."""
+        self._is_stopped = False
+        self._site = site
+        self.names = []
+
+    async def run(self):
+        """Hand in one job after the other, each until it is accepted."""
+        for number in itertools.count(1):
+            if self._is_stopped:
+                return
+            self._site.nursery.start_soon(self._submit, f"{number:016x}")
+            await trio.sleep(JOB_PAUSE_S)
+
+    async def _submit(self, name):
+        await self._site.submit_surely(name, STEPS)
+        self.names.append(name)
+
+    def stop(self):
+        """Hand nothing more in."""
+        self._is_stopped = True
+
+
+@given("a platform site that takes jobs all the time")
+def _a_site(context):
+    context.platform_site = context.bridge.open_platform_site()
+    context.source = JobSource(context.platform_site)
+    context.bridge.spawn(context.source.run)
+    context.bridge.call(trio.sleep, AFTER_S)
+
+
+@when("{fault} there")
+def _fault(context, fault):
+    context.bridge.call(cause, context.platform_site, fault)
+    context.bridge.call(trio.sleep, AFTER_S)
+
+
+@then("every job that was accepted is completed within {wait_s:d} s")
+def _all_completed(context, wait_s):
+    context.source.stop()
+    context.bridge.call(_wait_completed, context, wait_s)
+
+
+async def _wait_completed(context, wait_s):
+    site = context.platform_site
+    with trio.fail_after(wait_s):
+        while len(context.source.names) < len(set(_handed_in(site))):
+            await trio.sleep(0.05)
+    assert len(context.source.names) >= 5, context.source.names
+    for name in context.source.names:
+        await site.wait_state(name, "completed", timeout_s=wait_s)
+
+
+def _handed_in(site):
+    return [name for name, _ in site.answers if name != "0" * 16]
+
+
+@then("no task ran twice, too early, or on a full runner")
+def _ran_right(context):
+    record = context.platform_site.record
+    findings = checks.double_runs(record)
+    findings += checks.out_of_order(record)
+    findings += checks.too_full(
+        record, millicores=MILLICORES, capacity=CAPACITY
+    )
+    assert not findings, findings[:5]
+
+
+@then("nothing ran that was refused")
+def _refused(context):
+    site = context.platform_site
+    findings = checks.refused_runs(site.record, site.answers)
+    assert not findings, findings[:5]
--- a/tests/standin/bridge.py
+++ b/tests/standin/bridge.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from tests.standin.platform_site import PlatformSite
 from tests.standin.site import Site
 
 
@@ -66,6 +67,20 @@
             task_status.started(site)
             await trio.sleep_forever()
 
+    def open_platform_site(self, **options):
+        """Start a platform site that ends with the scenario."""
+        return self.call(self._open_platform_site, options)
+
+    async def _open_platform_site(self, options):
+        site = await self.nursery.start(self._hold_platform_site, options)
+        self._sites.append(site)
+        return site
+
+    async def _hold_platform_site(self, options, *, task_status):
+        async with PlatformSite.open(**options) as site:
+            task_status.started(site)
+            await trio.sleep_forever()
+
     def print_logs(self):
         """Print the logs of the scenario's sites."""
         for site in self._sites:
--- /dev/null
+++ b/tests/standin/platform_checks.py
@@ -0,0 +1,95 @@
+"""Judges a platform site by what its runners and callers saw."""
+
+import collections
+
+
+def double_runs(record):
+    """Return findings of tasks that ran in two places, or after their end.
+
+    An end counts once it was noted: the agent let the runner forget it, and
+    the runner's lease did not lapse before that. What a runner did without
+    anybody's knowledge until its lease lapsed, or until it started again,
+    has to be done again.
+
+    :param record: :class:`tests.standin.runner_run.RunnerRun` objects.
+    """
+    by_task = collections.defaultdict(list)
+    for run in record:
+        by_task[run.task].append(run)
+    findings = []
+    for task, runs in by_task.items():
+        runs.sort(key=lambda run: run.began_s)
+        for at, run in enumerate(runs):
+            for later in runs[at + 1 :]:
+                if run.overlaps(later):
+                    findings.append(_pair(task, "overlaps", run, later))
+                elif run.how == "done" and run.is_noted:
+                    findings.append(_pair(task, "ran again", run, later))
+    return findings
+
+
+def _pair(task, what, first, second):
+    return (
+        f"{task} {what}: #{first.number} on {first.worker_id} "
+        f"{first.began_s:.2f}-{first.ended_s or 0:.2f} {first.how}, "
+        f"#{second.number} on {second.worker_id} from {second.began_s:.2f}"
+    )
+
+
+def refused_runs(record, answers):
+    """Return findings of jobs that ran though every answer refused them.
+
+    :param answers: Pairs of job and status, 0 for no answer.
+    """
+    statuses = collections.defaultdict(set)
+    for name, status in answers:
+        statuses[name].add(status)
+    refused = {
+        name
+        for name, found in statuses.items()
+        if found <= {400, 404, 429, 503}
+    }
+    return [
+        f"{run.task} ran, and its job was refused"
+        for run in record
+        if run.task.partition(".")[0] in refused
+    ]
+
+
+def out_of_order(record):
+    """Return findings of tasks that ran before the step before was done.
+
+    Takes each step to come after the one before it.
+    """
+    done = {}
+    for run in record:
+        if run.how == "done":
+            done[run.task] = run.ended_s
+    findings = []
+    for run in record:
+        name, occurrence, step, _ = run.task.split(".")
+        before = f"{name}.{occurrence}.{int(step) - 1}."
+        for other, ended_s in done.items():
+            if other.startswith(before) and ended_s > run.began_s:
+                findings.append(f"{run.task} began before {other} was done")
+    return findings
+
+
+def too_full(record, *, millicores, capacity):
+    """Return findings of runners with more runs than they hold.
+
+    :param millicores: Size of each task.
+    :param capacity: Size of each runner.
+    """
+    findings = []
+    for run in record:
+        beside = [
+            other
+            for other in record
+            if other.worker_id == run.worker_id
+            and other.began_s <= run.began_s
+            and (other.ended_s is None or other.ended_s > run.began_s)
+        ]
+        if len(beside) * millicores > capacity:
+            findings.append(f"{run.worker_id} had {len(beside)} runs")
+    return findings
--- a/tests/standin/runner_run.py
+++ b/tests/standin/runner_run.py
@@ -11,6 +11,8 @@
         "checkpoint",
         "ended_s",
         "how",
+        "is_noted",
+        "is_void",
         "number",
         "pace",
         "progress_s",
@@ -35,6 +37,10 @@
         self.checkpoint = checkpoint
         self.ended_s = None
         self.how = ""
+        # Whether the agent let the runner forget the end, and whether the
+        # runner's lease lapsed before that.
+        self.is_noted = False
+        self.is_void = False
         self.number = number
         self.pace = 1.0
         self.progress_s = float(checkpoint or 0)
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -45,6 +45,11 @@
     When a new boot of the worker reports
     Then within 1 s its end is interrupted
 
+  Scenario: a list of a new boot tells of it before any report
+    Given a seat whose worker runs an attempt
+    When the worker starts again without a report
+    Then no end of the new boot was settled by numbers of the earlier one
+
   Scenario: an order for an earlier boot is refused
     Given a seat whose worker runs nothing
     When a new boot of the worker reports
