Stop what was started on a new boot in the belief that it was the old one

A worker may start again under its name between two lists; a start that was sent in between lands on the new boot, and the agent ended it together with all that the old boot had run. Change: attempts that the old boot never listed are stopped on the new one before they count as ended, and the leader takes no listed attempt for gone.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -159,7 +159,7 @@
         """
         ends = []
         for task in self._board.tasks_on(session.vm):
-            is_here = task.boot == session.state.boot and (
+            is_here = (
                 task.task_id in session.running
                 or task.task_id in ended
                 or task.task_id in self.unsent
--- a/src/radishlanding/vmagent/seat_starter.py
+++ b/src/radishlanding/vmagent/seat_starter.py
@@ -45,10 +45,6 @@
         """Stop an attempt, in the background."""
         self._nursery.start_soon(self._stop, task)
 
-    def forbid(self, task):
-        """Let the worker refuse a start that may still come."""
-        self._nursery.start_soon(self._stop_surely, task, self._seat.report)
-
     async def _start(self, task):
         boot = self._seat.report.boot
         result = None
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -67,7 +67,11 @@
 
     def end_all(self, *, reason):
         """Note that everything was killed."""
-        for task in self.active():
+        self.end_each(self.active(), reason=reason)
+
+    def end_each(self, tasks, *, reason):
+        """Note that attempts were killed."""
+        for task in tasks:
             self.end(task, EndKind.INTERRUPTED, reason=reason)
 
     def settle(self, keys):
@@ -107,6 +111,7 @@
             task.checkpoint = row.checkpoint or task.checkpoint
             task.progress = row.progress
             task.gauge = row.gauge
+            task.is_listed = True
             if not task.is_confirmed:
                 task.is_confirmed = True
                 task.confirmed_s = now_s
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -16,6 +16,7 @@
     :param attempt: Number of the attempt.
     :param order: What was ordered, None for an attempt that was found.
     :param taken_s: When its order came, on the boot clock.
+    :param is_listed: Whether the worker has listed it.
     :param is_confirmed: Whether the worker has said that it runs.
     :param confirmed_s: When it said so, on the boot clock.
     :param is_unsure: Whether a start got no answer, and may come late.
@@ -34,6 +35,7 @@
     attempt: int
     order: TaskOrder | None = None
     taken_s: float = 0.0
+    is_listed: bool = False
     is_confirmed: bool = False
     confirmed_s: float = 0.0
     is_unsure: bool = False
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -131,10 +131,18 @@
     def _begin_boot(self, before):
         """Drop what only an earlier boot of the worker knew.
 
+        An attempt that the earlier boot never listed may have been started
+        on this one, which has the same name; it is stopped there.
+
         :param before: The newest report of that boot.
         """
-        unsure = [task for task in self.table.active() if task.is_unsure]
-        self.table.end_all(reason="the worker has started again")
+        is_renamed = before.worker_id != self.report.worker_id
+        surely_gone = [
+            task
+            for task in self.table.active()
+            if task.is_listed or is_renamed
+        ]
+        self.table.end_each(surely_gone, reason="the worker has started again")
         self.table.reset_numbers()
         self.clock.forget()
         self.clock.held_until_s = 0.0
@@ -142,11 +150,9 @@
         self.is_leaving = False
         self.has_left = False
         self.is_listed = False
-        if before.worker_id != self.report.worker_id:
+        if is_renamed:
             self.worker = self._make_worker(self.report)
-            return
-        for task in unsure:
-            self._starter.forbid(task)
+        self.stop([task.key for task in self.table.active()])
 
     def follow(self, fence):
         """Use a new fencing token; what runs has to be listed again."""
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -50,6 +50,12 @@
     When the worker starts again without a report
     Then no end of the new boot was settled by numbers of the earlier one
 
+  Scenario: a start that met a new boot is stopped before it counts as ended
+    Given a seat whose worker runs nothing
+    When the worker starts again, and at once an attempt is ordered
+    Then within 3 s its end is interrupted
+    And the worker refuses a late copy of its start
+
   Scenario: an order for an earlier boot is refused
     Given a seat whose worker runs nothing
     When a new boot of the worker reports
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -172,6 +172,18 @@
     _update(context, born_ms=2000)
 
 
+@when("the worker starts again, and at once an attempt is ordered")
+def _starts_again_and_order(context):
+    async def boot_and_order():
+        context.worker.boot(born_ms=2000)
+        _start_attempt(context, 1)
+        with trio.fail_after(2):
+            while not context.worker.starts:
+                await trio.sleep(0)
+
+    context.bridge.call(boot_and_order)
+
+
 @when("the worker starts again without a report")
 def _starts_again(context):
     async def settle_one():
