--- a/src/radishlanding/observe/setup.py
+++ b/src/radishlanding/observe/setup.py
@@ -3,17 +3,20 @@
 import logging
 import sys
 
+from radishlanding.observe.bounded_handler import BoundedHandler
+
 
 def set_up_logging(*, level, program, process_id):
-    """Send log lines with time, level and process to standard error.
+    """Send log lines with time, level and process to standard output.
 
     :param level: Name of the lowest level that is written.
     :param program: Name of the program.
     :param process_id: Identity of this process in the site.
     """
     prefix = f"program={program} id={process_id}"
+    handler = BoundedHandler(descriptor=sys.stdout.fileno())
     logging.basicConfig(
-        stream=sys.stderr,
+        handlers=[handler],
         level=level.upper(),
         format=f"time=%(created).3f level=%(levelname)s {prefix} %(message)s",
         force=True,
--- a/src/radishlanding/platform/client_api.py
+++ b/src/radishlanding/platform/client_api.py
@@ -99,7 +99,7 @@
 
 
 def _request_id(req):
-    return req.headers.get("x-request-id", "none")
+    return req.headers.get("request-id", "none")
 
 
 def _timeout_s(req):
--- a/tests/observe/observe.feature
+++ b/tests/observe/observe.feature
@@ -17,3 +17,14 @@
 
   Scenario: the metrics SDK is loaded only where an endpoint is set
     Then a process without an endpoint has not imported the SDK
+
+  Scenario: logs never wait for who reads them, and say what was dropped
+    Given a log whose reader has stopped reading
+    When 20000 lines are logged
+    Then that took less than 5 s
+    And once the reader reads again a line tells how many were dropped
+
+  Scenario: the volume of logs is bounded
+    Given a log whose reader reads all
+    When 5000 lines are logged within 1 s
+    Then no more than 2400 of them are written, and the rest is counted
--- a/tests/observe/observe_steps.py
+++ b/tests/observe/observe_steps.py
@@ -1,12 +1,16 @@
 """Steps about logs and metrics."""
 
 import logging
+import os
 import subprocess
 import sys
+import time
 
+from behave import given
 from behave import then
 from behave import when
 
+from radishlanding.observe import BoundedHandler
 from radishlanding.observe import EventLog
 
 CHECK = (
@@ -67,3 +71,91 @@
 @then("a process without an endpoint has not imported the SDK")
 def _no_sdk(_context):
     assert subprocess.run([sys.executable, "-c", CHECK]).returncode == 0
+
+
+class _Pipe:
+    """A log that ends in a pipe."""
+
+    __slots__ = ("_logger", "clock_s", "lines", "reader")
+
+    def __init__(self):
+        self.lines = []
+        self.reader, writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.clock_s = 0.0
+        handler = BoundedHandler(descriptor=writer, clock=lambda: self.clock_s)
+        self._logger = logging.Logger("tests.pipe")
+        self._logger.addHandler(handler)
+
+    def log(self, count, *, pause_s):
+        """Log lines, some time after each other."""
+        for number in range(count):
+            self.clock_s += pause_s
+            self._logger.warning("event=line number=%d", number)
+
+    def read(self):
+        """Return the lines that can be read."""
+        data = b""
+        try:
+            while part := os.read(self.reader, 65536):
+                data += part
+        except BlockingIOError:
+            pass
+        lines = data.decode().splitlines()
+        self.lines += lines
+        return lines
+
+    def dropped(self):
+        """Return how many lines the log says were dropped."""
+        return sum(
+            int(line.rpartition("=")[2])
+            for line in self.lines
+            if "lines_dropped" in line
+        )
+
+
+@given("a log whose reader has stopped reading")
+@given("a log whose reader reads all")
+def _a_pipe(context):
+    context.pipe = _Pipe()
+
+
+@when("{count:d} lines are logged")
+def _lines_are_logged(context, count):
+    began_s = time.monotonic()
+    context.pipe.log(count, pause_s=0.01)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("that took less than {bound_s:d} s")
+def _took(context, bound_s):
+    assert context.took_s < bound_s, context.took_s
+
+
+@then("once the reader reads again a line tells how many were dropped")
+def _tells(context):
+    for _ in range(10):
+        context.pipe.read()
+        context.pipe.log(1, pause_s=1.0)
+    lines = context.pipe.read()
+    assert lines, "nothing is written any more"
+    assert context.pipe.dropped(), "no line tells of it"
+
+
+@when("{count:d} lines are logged within 1 s")
+def _burst(context, count):
+    context.written = []
+    for _ in range(count // 100):
+        context.pipe.log(100, pause_s=1 / count)
+        context.written += context.pipe.read()
+    context.count = count
+
+
+@then("no more than {bound:d} of them are written, and the rest is counted")
+def _bounded(context, bound):
+    written = [line for line in context.written if "number=" in line]
+    assert len(written) <= bound, len(written)
+    context.pipe.log(1, pause_s=1.0)
+    context.pipe.read()
+    dropped = context.pipe.dropped()
+    assert dropped == context.count - len(written), (dropped, len(written))
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -187,7 +187,7 @@
                 headers=[
                     ("host", HOST),
                     ("x-deadline-ms", str(int(DEADLINE_S * 1000))),
-                    ("x-request-id", f"{method}-{path}"),
+                    ("request-id", f"{method}-{path}"),
                 ],
                 timeout_s=DEADLINE_S,
             )
