--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -129,11 +129,23 @@
             step = record.workflow.steps[place.step]
             if step.latency_target_ms:
                 share = item.gauge / step.latency_target_ms
-                serving.append((step.image, share))
+                serving.append((item.task_id, share))
             elif step.fills and millicores:
                 load = item.gauge / millicores
                 filling[step.image] = filling.get(step.image, 0.0) + load
+        before = {
+            image: self._interference.is_light(image) for image in filling
+        }
         self._interference.observe(serving, filling)
+        for image, was_light in before.items():
+            if self._interference.is_light(image) != was_light:
+                _log.info(
+                    "image_weighed",
+                    image=image,
+                    light=not was_light,
+                    weight=f"{self._interference.weight(image):.2f}",
+                    vm=session.vm,
+                )
 
     def _end(self, session, item):
         _log.info(
@@ -223,6 +235,23 @@
             granted_s = self._opened_s + self._timing.owner_grace_s
         return granted_s + self._timing.vm_lease_s + self._timing.drift_s
 
+    def running_tasks(self, loads):
+        """Return what runs on VMs, for who looks for tasks to move.
+
+        :param loads: :class:`radishlanding.policy.VmLoad` objects.
+        :returns: Tuples of workflow record, task record, step and load.
+        """
+        found = []
+        for load in loads:
+            running = self.sessions[load.vm].running
+            for task in self._board.tasks_on(load.vm):
+                if task.task_id in running:
+                    record, _ = self._board.find(task.task_id)
+                    place = TaskPlace.parse(task.task_id)
+                    step = record.workflow.steps[place.step]
+                    found.append((record, task, step, load))
+        return found
+
     def weights(self, session):
         """Return the weight of each image that fills a VM."""
         images = set()
@@ -232,8 +261,13 @@
             if steps and steps[place.step].fills:
                 images.add(steps[place.step].image)
         return [
-            ImageWeight(image=image, weight=self._interference.weight(image))
+            ImageWeight(
+                image=image,
+                weight=self._interference.weight(image),
+                is_light=self._interference.is_light(image),
+            )
             for image in sorted(images)
+            if self._interference.is_known(image)
         ]
 
     def judge(self, end, vm):
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -13,6 +13,8 @@
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
 from radishlanding.observe import EventLog
+from radishlanding.policy import Migration
+from radishlanding.policy import MIN_FILL_SHARE
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import Entry
@@ -20,6 +22,8 @@
 
 # Looks at due times, leases and quarantines when nothing else happens.
 TICK_S = 0.25
+# A second for the figures to show what the last moves were worth.
+TICKS_PER_MIGRATION = 4
 # Half of the time after which a VM's lease is not extended any more would do;
 # this also keeps answers about unknown workflows cheap.
 CONFIRM_PAUSE_S = 0.7
@@ -43,6 +47,7 @@
         "_ends",
         "_intake",
         "_log",
+        "_migration",
         "_orders",
         "_planner",
         "_site_watch",
@@ -79,6 +84,9 @@
         self._ends = {}
         self._intake = Intake(board=board, wake=self.wake)
         self._log = log
+        self._migration = Migration(
+            interference=interference, min_share=MIN_FILL_SHARE
+        )
         self._planner = planner
         self._site_watch = site_watch
         self._timing = timing
@@ -118,9 +126,30 @@
 
     async def _tick(self):
         while True:
-            await trio.sleep(TICK_S)
-            self._add_ends(self.fleet.lost_ends(), vm="")
-            self.wake()
+            for _ in range(TICKS_PER_MIGRATION):
+                await trio.sleep(TICK_S)
+                self._add_ends(self.fleet.lost_ends(), vm="")
+                self.wake()
+            self._migrate()
+
+    def _migrate(self):
+        """Stop tasks that are to go on at another VM."""
+        loads = self.fleet.loads(self._site_watch.site)
+        now_ms = _now_ms()
+        tasks = sorted(
+            self.fleet.running_tasks(loads),
+            key=lambda item: self._planner.rank(item[0], now_ms=now_ms),
+        )
+        moves = self._migration.choose([item[1:] for item in tasks], loads)
+        for task in moves:
+            _log.info(
+                "task_moves",
+                task=task.task_id,
+                attempt=task.attempt,
+                vm=task.vm,
+                epoch=self.epoch,
+            )
+            self._orders.stop(self.fleet.sessions[task.vm], [task])
 
     async def _confirm(self):
         while True:
--- a/src/radishlanding/message/image_weight.py
+++ b/src/radishlanding/message/image_weight.py
@@ -9,7 +9,9 @@
 
     :param image: Name of the image.
     :param weight: See :class:`radishlanding.policy.Interference`.
+    :param is_light: Whether it may run at full speed.
     """
 
     image: str
     weight: float
+    is_light: bool
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -3,8 +3,8 @@
 from radishlanding.policy.earliest_deadline import EarliestDeadline
 from radishlanding.policy.fair_queue import FairQueue
 from radishlanding.policy.interference import Interference
-from radishlanding.policy.interference import LIGHT_WEIGHT
 from radishlanding.policy.least_outstanding import LeastOutstanding
+from radishlanding.policy.migration import Migration
 from radishlanding.policy.pace_control import PaceControl
 from radishlanding.policy.placement import Placement
 from radishlanding.policy.power_of_two import PowerOfTwo
@@ -20,14 +20,16 @@
 from radishlanding.policy.vm_load import VmLoad
 from radishlanding.policy.vm_view import VmView
 from radishlanding.policy.workflow_order import WorkflowOrder
+from radishlanding.policy.workflow_planner import MIN_FILL_SHARE
 from radishlanding.policy.workflow_planner import WorkflowPlanner
 
 __all__ = [
-    "LIGHT_WEIGHT",
+    "MIN_FILL_SHARE",
     "EarliestDeadline",
     "FairQueue",
     "Interference",
     "LeastOutstanding",
+    "Migration",
     "PaceControl",
     "Placement",
     "PowerOfTwo",
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -18,7 +18,7 @@
     :param free: What is not promised to a task.
     :param idle_millicores: Processors that probably nobody uses.
     :param serving: Tasks on it that must answer in time.
-    :param filling: Filling tasks on it.
+    :param filling: Filling tasks on it by image.
     :param press: How much its filling tasks disturb, see
         :class:`Interference`.
     :param room: Tasks that it may take at most, None for any.
@@ -34,7 +34,7 @@
     free: Capacity
     idle_millicores: float
     serving: int = 0
-    filling: int = 0
+    filling: dict[str, int] = dataclasses.field(default_factory=dict)
     press: float = 0.0
     room: int | None = None
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
@@ -50,7 +50,7 @@
         self.free = self.free - step.reserved
         self.idle_millicores -= expected_millicores(step)
         self.serving += bool(step.latency_target_ms)
-        self.filling += step.fills
+        self._count_filling(step, 1)
         self.steps[key] = self.steps.get(key, 0) + 1
         if self.room is not None:
             self.room -= 1
@@ -60,11 +60,16 @@
         self.free = self.free + step.reserved
         self.idle_millicores += expected_millicores(step)
         self.serving -= bool(step.latency_target_ms)
-        self.filling -= step.fills
+        self._count_filling(step, -1)
         self.steps[key] -= 1
         if self.room is not None:
             self.room += 1
 
+    def _count_filling(self, step, change):
+        if step.fills:
+            known = self.filling.get(step.image, 0)
+            self.filling[step.image] = known + change
+
     def holds(self, key, step):
         """Return whether it may take one more task of a step."""
         return (
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -12,8 +12,8 @@
 # their bounds; at rest they take about half of them.
 MAX_PRESS = 0.25
 # Filling tasks that disturb wait this long for a VM without serving tasks;
-# that is about a third of the time in which such a workflow is due.
-STARVED_MS = 7000
+# that is a fifth of the time in which such a workflow is due.
+STARVED_MS = 4000
 
 
 class WorkflowPlanner:
@@ -33,6 +33,10 @@
         self._order = order
         self._rng = rng or random.Random()
 
+    def rank(self, record, *, now_ms):
+        """Return the sort key of a workflow; see :class:`WorkflowOrder`."""
+        return self._order.key(record, now_ms=now_ms)
+
     def plan(self, records, loads, *, now_ms):
         """Return assignments of waiting tasks.
 
@@ -45,9 +49,7 @@
         assignments = []
         self._rng.shuffle(loads)
         self._forget_ended(records)
-        ranked = sorted(
-            records, key=lambda rec: self._order.key(rec, now_ms=now_ms)
-        )
+        ranked = sorted(records, key=lambda rec: self.rank(rec, now_ms=now_ms))
         for record in ranked:
             if len(assignments) >= MAX_ASSIGNMENTS:
                 break
@@ -147,7 +149,7 @@
             fitting = [
                 vm
                 for vm in fitting
-                if self._may_fill(vm, step, is_starved=is_starved)
+                if self._may_fill(vm, step, vms, is_starved=is_starved)
             ]
         if not fitting:
             return None
@@ -158,13 +160,22 @@
             key=lambda vm: _score(vm, step, is_light=is_light),
         )
 
-    def _may_fill(self, vm, step, *, is_starved):
-        """Return whether a filling task may go to a VM that has room."""
+    def _may_fill(self, vm, step, vms, *, is_starved):
+        """Return whether a filling task may go to a VM that has room.
+
+        One task of an image that is not known yet is tried beside serving
+        tasks; the others wait for what it shows.
+        """
         least = step.needs.millicores * MIN_FILL_SHARE
         if vm.idle_millicores < least:
             return False
         if not vm.serving or is_starved:
             return True
+        if not self._interference.is_known(step.image):
+            return not any(
+                other.serving and other.filling.get(step.image, 0)
+                for other in vms
+            )
         press = self._interference.press(step, vm.capacity)
         return vm.press + press <= MAX_PRESS
 
--- a/src/radishlanding/vmagent/leader_line.py
+++ b/src/radishlanding/vmagent/leader_line.py
@@ -161,7 +161,7 @@
             _log.info("report_unanswered", peer=conn.peer, reason=exc)
             conn.abort()
             return
-        seat.pace.learn({item.image: item.weight for item in ack.weights})
+        seat.pace.learn({item.image: item.is_light for item in ack.weights})
         if ack.granted and conn is self.conn:
             was_held = seat.lease.remaining_s() > 0
             seat.lease.extend(sent_s=sent_s)
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -3,7 +3,6 @@
 import trio
 
 from radishlanding.observe import EventLog
-from radishlanding.policy import LIGHT_WEIGHT
 from radishlanding.policy import PaceControl
 from radishlanding.vm import boot_clock_s
 from radishlanding.worker import WorkerUnavailable
@@ -13,6 +12,8 @@
 # A pace that was carried out late is set right by the next call.
 REPEAT_S = 3.0
 FULL_PERCENT = 100
+# Pace at which an image shows whether it disturbs.
+TRIAL_PERCENT = 60
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -20,7 +21,7 @@
 class SeatPace:
     """Keep the tail latency of serving tasks within their bounds."""
 
-    __slots__ = ("_control", "_repeat_s", "_seat", "_weights")
+    __slots__ = ("_control", "_repeat_s", "_seat", "_lightness")
 
     def __init__(self, *, seat):
         """Prepare; :meth:`run` controls.
@@ -30,24 +31,26 @@
         self._control = PaceControl()
         self._repeat_s = 0.0
         self._seat = seat
-        self._weights = {}
+        self._lightness = {}
 
-    def learn(self, weights):
-        """Take newer weights of images that fill the VM.
+    def learn(self, lightness):
+        """Take what the leader knows of images that fill the VM.
 
-        :param weights: Weights by image, see
-            :class:`radishlanding.policy.Interference`.
+        :param lightness: Whether each image may run at full speed.
         """
-        self._weights.update(weights)
+        self._lightness.update(lightness)
 
     def _is_light(self, task):
-        weight = self._weights.get(task.order.image)
-        return weight is not None and weight <= LIGHT_WEIGHT
+        return self._lightness.get(task.order.image, False)
 
     def _percent(self, task):
+        """Return the pace of a task; an unknown one is tried at some pace."""
         if self._is_light(task):
             return self._control.light_percent
-        return self._control.heavy_percent
+        percent = self._control.heavy_percent
+        if percent and task.order.image not in self._lightness:
+            return max(percent, TRIAL_PERCENT)
+        return percent
 
     def _worst_share(self):
         shares = [
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -400,6 +400,7 @@
 struct ImageWeight {
   image @0 :Text;
   weight @1 :Float64;
+  isLight @2 :Bool;
 }
 
 struct TaskOrder {
--- a/tests/observe/observe_steps.py
+++ b/tests/observe/observe_steps.py
@@ -74,11 +74,12 @@
 
 
 class _Pipe:
-    """A log that ends in a pipe."""
+    """A log that ends in a pipe; a line may be read in two parts."""
 
-    __slots__ = ("_logger", "clock_s", "lines", "reader")
+    __slots__ = ("_logger", "_rest", "clock_s", "lines", "reader")
 
     def __init__(self):
+        self._rest = ""
         self.lines = []
         self.reader, writer = os.pipe()
         os.set_blocking(self.reader, False)
@@ -101,7 +102,8 @@
                 data += part
         except BlockingIOError:
             pass
-        lines = data.decode().splitlines()
+        text = self._rest + data.decode()
+        *lines, self._rest = text.split("\n")
         self.lines += lines
         return lines
 
@@ -110,7 +112,7 @@
         return sum(
             int(line.rpartition("=")[2])
             for line in self.lines
-            if "lines_dropped" in line
+            if "lines_dropped count=" in line
         )
 
 
