--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -188,7 +188,8 @@
     filling tasks that do.
     """
     if step.latency_target_ms:
-        return (vm.serving > 0, -vm.press, -vm.free.millicores)
+        press = 0.0 if vm.serving else -vm.press
+        return (vm.serving > 0, press, -vm.free.millicores)
     if step.fills and not is_light:
         return (not vm.serving, -vm.press, vm.idle_millicores)
     return (vm.serving > 0, vm.idle_millicores)
