--- a/src/radishlanding/worker/start_result.py
+++ b/src/radishlanding/worker/start_result.py
@@ -4,8 +4,7 @@
 
 
 class StartResult(enum.StrEnum):
-    """Answers to a start; all but ``STARTED`` mean that this call did
-    nothing.
+    """Answers to a start; all but ``STARTED`` mean that it did nothing.
 
     ``OLD`` says that this attempt, or a later one, was stopped or has ended
     there; ``LATE`` that the deadline has passed.
--- /dev/null
+++ b/tests/policy/workflows_steps.py
@@ -0,0 +1,331 @@
+"""Steps about decisions on workflows."""
+
+import collections
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import Interference
+from radishlanding.policy import Migration
+from radishlanding.policy import PaceControl
+from radishlanding.policy import VmLoad
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.vm import Capacity
+from radishlanding.workflow import Step
+from radishlanding.workflow import TaskRecord
+from radishlanding.workflow import WorkflowRecord
+from tests.workflow.workflow_steps import make_workflow
+
+NOW_MS = 1_000_000
+IMAGE = "cruncher"
+
+
+def _step(count=1, cores=1, memory_mb=100, **fields):
+    return Step(
+        count=count,
+        needs=Capacity(millicores=cores * 1000, memory_mb=memory_mb),
+        **fields,
+    )
+
+
+@given("workflows")
+def _workflows(context):
+    context.records = []
+    for row in context.table:
+        steps = [
+            _step(
+                estimated_ms=int(row["chain_s"]) * 1000,
+                standing=row["standing"] == "yes",
+            )
+        ]
+        workflow = make_workflow(
+            steps,
+            name=row["name"],
+            priority=int(row["priority"]),
+            stretch=2.0,
+            accepted_ms=NOW_MS - int(row["age_s"]) * 1000,
+        )
+        context.records.append(WorkflowRecord(workflow=workflow))
+
+
+@then("they are ranked {names}")
+def _ranked(context, names):
+    order = EarliestDeadline()
+    context.records.sort(key=lambda rec: order.key(rec, now_ms=NOW_MS))
+    found = " ".join(rec.workflow.workflow_id for rec in context.records)
+    assert found == names, found
+
+
+@given("VMs")
+def _vms(context):
+    context.loads = []
+    context.interference = Interference()
+    for row in context.table:
+        capacity = Capacity(
+            millicores=int(row["cores"]) * 1000,
+            memory_mb=int(row["free_mb"]),
+        )
+        context.loads.append(
+            VmLoad(
+                vm=row["vm"],
+                boot="b",
+                pool="order-desk",
+                zone=row["zone"],
+                labels=row["labels"].split(","),
+                capacity=capacity,
+                free=capacity,
+                idle_millicores=capacity.millicores,
+            )
+        )
+
+
+@given("a serving task on {vm:w}")
+def _serving(context, vm):
+    step = _step(cores=8, standing=True, latency_target_ms=100)
+    _load(context, vm).add(("serve", 0, 0), step)
+
+
+def _load(context, vm):
+    return next(load for load in context.loads if load.vm == vm)
+
+
+def _teach(context, growth, times):
+    for _ in range(4):
+        context.interference.observe([("t", 0.4)], {})
+    for _ in range(times):
+        context.interference.observe([("t", 0.4 + growth)], {IMAGE: 0.1})
+
+
+@given("an image that disturbs")
+def _heavy(context):
+    _teach(context, 0.9, 12)
+
+
+@given("an image that hardly disturbs")
+def _light(context):
+    _teach(context, 0.0, 12)
+
+
+def _plan(context, workflow, *, now_ms=NOW_MS, planner=None):
+    context.planner = planner or WorkflowPlanner(
+        order=EarliestDeadline(),
+        interference=context.interference,
+        rng=random.Random(1),
+    )
+    context.workflow = workflow
+    context.assignments = context.planner.plan(
+        [WorkflowRecord(workflow=workflow)], context.loads, now_ms=now_ms
+    )
+
+
+def _plan_step(context, step, **fields):
+    _plan(context, make_workflow([step], **fields))
+
+
+@when("a step of {count:d} tasks of {cores:d} cores and {mb:d} MB is planned")
+def _sized(context, count, cores, mb):
+    _plan_step(context, _step(count, cores, mb))
+
+
+@when(
+    "a step of {count:d} tasks of {cores:d} cores and {mb:d} MB that needs "
+    "label {label:w} is planned"
+)
+def _labelled(context, count, cores, mb, label):
+    _plan_step(context, _step(count, cores, mb, label=label))
+
+
+@when("a step of {count:d} tasks with at most {limit:d} on a VM is planned")
+def _spread(context, count, limit):
+    _plan_step(context, _step(count, max_per_vm=limit))
+
+
+@when(
+    "a step of {count:d} tasks of {cores:d} cores with its data on {rack:w} "
+    "is planned"
+)
+def _near(context, count, cores, rack):
+    _plan_step(context, _step(count, cores, data_rack=rack))
+
+
+@when("a gang of {count:d} tasks of {cores:d} cores is planned")
+def _gang(context, count, cores):
+    for load in context.loads:
+        load.free = load.capacity
+        load.idle_millicores = load.capacity.millicores
+    _plan_step(context, _step(count, cores, gang=True))
+
+
+@when("a gang of {count:d} tasks of {cores:d} cores on one rack is planned")
+def _rack_gang(context, count, cores):
+    _plan_step(context, _step(count, cores, gang=True, same_rack=True))
+
+
+@when(
+    "a step of {count:d} occurrences, one due 1 s ago and one each 10 s, is "
+    "planned"
+)
+def _timed(context, count):
+    _plan_step(
+        context,
+        _step(2),
+        repeats=count,
+        first_due_ms=NOW_MS - 1000,
+        interval_ms=10_000,
+    )
+
+
+@when("a step of {count:d} filling tasks of that image is planned")
+def _filling(context, count):
+    _plan_step(context, _step(count, 4, fills=True, image=IMAGE))
+
+
+@when("a step of {count:d} filling tasks of a new image is planned")
+def _filling_new(context, count):
+    _plan_step(context, _step(count, 4, fills=True, image="new"))
+
+
+@when("it is planned again {wait_s:d} s later")
+def _again(context, wait_s):
+    _plan(
+        context,
+        context.workflow,
+        now_ms=NOW_MS + wait_s * 1000,
+        planner=context.planner,
+    )
+
+
+def _by_vm(context):
+    return collections.Counter(item.vm for item in context.assignments)
+
+
+@then("nothing is placed")
+def _nothing(context):
+    assert not context.assignments, context.assignments
+
+
+@then("{count:d} tasks go to {vm:w}")
+@then("{count:d} task goes to {vm:w}")
+def _one_place(context, count, vm):
+    assert _by_vm(context) == {vm: count}, _by_vm(context)
+
+
+@then("{first:d} tasks go to {a:w} and {second:d} tasks go to {b:w}")
+@then("{first:d} tasks go to {a:w} and {second:d} task goes to {b:w}")
+def _two_places(context, first, a, second, b):
+    assert _by_vm(context) == {a: first, b: second}, _by_vm(context)
+
+
+@then("none goes to {vm:w}")
+def _none_goes(context, vm):
+    assert context.assignments
+    assert _by_vm(context)[vm] == 0, _by_vm(context)
+
+
+@then("all of them have one number")
+def _one_number(context):
+    assert len({item.attempt for item in context.assignments}) == 1
+
+
+@then("the tasks of occurrence {number:d} are placed")
+def _occurrence(context, number):
+    found = {item.task_id.split(".")[1] for item in context.assignments}
+    assert found == {str(number)}, found
+
+
+@when(
+    "an image whose tasks use a tenth of a VM is seen {times:d} times to let "
+    "tails grow by {growth:g}"
+)
+def _seen(context, times, growth):
+    context.interference = Interference()
+    _teach(context, growth, times)
+
+
+@when(
+    "an image is seen {bad:d} times to let tails grow by {growth:g} and "
+    "{good:d} times by 0.0, by turns"
+)
+def _seen_by_turns(context, bad, growth, good):
+    context.interference = Interference()
+    for _ in range(bad):
+        _teach(context, growth, 1)
+        _teach(context, 0.0, good // bad)
+
+
+@then("it counts as {kind:w}")
+def _counts_as(context, kind):
+    is_light = context.interference.is_light(IMAGE)
+    weight = context.interference.weight(IMAGE)
+    assert is_light == (kind == "light"), weight
+
+
+@given("a VM with heavy and light filling tasks at full pace")
+def _pace(context):
+    context.control = PaceControl()
+    context.control.update(0.0, has_heavy=True)
+
+
+@when("the worst tail latency is {share:g} of its bound")
+def _tail(context, share):
+    context.control.update(share, has_heavy=True)
+
+
+@when("it is {share:g} again, twice")
+def _tail_twice(context, share):
+    context.control.update(share, has_heavy=True)
+    context.control.update(share, has_heavy=True)
+
+
+@when("it is {share:g} for {rounds:d} rounds")
+def _tail_rounds(context, share, rounds):
+    for _ in range(rounds):
+        context.control.update(share, has_heavy=True)
+
+
+@when("nothing serves on it")
+def _no_serving(context):
+    context.control.update(1.5, has_heavy=True)
+    context.control.update(0.0, has_heavy=True)
+
+
+@then("heavy tasks stand still and light ones work on")
+def _heavy_stand(context):
+    paces = (context.control.heavy_percent, context.control.light_percent)
+    assert paces == (0, 100), paces
+
+
+@then("light tasks stand still, too")
+def _light_stand(context):
+    assert context.control.light_percent == 0
+
+
+@then("heavy tasks work at less than half their speed")
+def _slowly(context):
+    assert 0 < context.control.heavy_percent < 50
+
+
+@then("all work at full speed")
+def _full(context):
+    paces = (context.control.heavy_percent, context.control.light_percent)
+    assert paces == (100, 100), paces
+
+
+@when("tasks of it run on {vm:w}, with checkpoints and without")
+def _run_there(context, vm):
+    load = _load(context, vm)
+    tasks = []
+    for name, saves in (("saves", True), ("does-not", False)):
+        step = _step(1, 4, fills=True, image=IMAGE, checkpointing=saves)
+        load.add((name, 0, 0), step)
+        tasks.append((TaskRecord(task_id=name, vm=vm), step, load))
+    migration = Migration(interference=context.interference, min_share=0.6)
+    context.moves = migration.choose(tasks, context.loads)
+
+
+@then("only the one with checkpoints moves")
+def _moves(context):
+    assert [task.task_id for task in context.moves] == ["saves"]
