--- /dev/null
+++ b/tests/platform/platform_steps.py
@@ -0,0 +1,564 @@
+"""Steps about the translation of the platform's names."""
+
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.config import Queue
+from radishlanding.config import Site
+from radishlanding.http import HttpRequest
+from radishlanding.http import Problem
+from radishlanding.message import TaskOrder
+from radishlanding.message import WorkflowAnswer
+from radishlanding.platform import ClientApi
+from radishlanding.platform import read_site
+from radishlanding.platform import RegistrationApi
+from radishlanding.platform import Runner
+from radishlanding.store import Conflict
+from radishlanding.store import HistoryGone
+from radishlanding.store import KeyValue
+from radishlanding.store import LeaseGone
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import Write
+from radishlanding.vm import Capacity
+from radishlanding.worker import StartResult
+from radishlanding.worker import WorkerGone
+from radishlanding.workflow import WorkflowOutcome
+from tests.dispatch.entry_log_steps import make_store
+from tests.standin.open_platform import open_platform_store
+from tests.standin.open_platform import serve
+from tests.standin.platform_runner import PlatformRunner
+
+JOB = "0123456789abcdef"
+
+
+@given("a store of the platform")
+def _a_store(context):
+    context.platform_store, address = context.bridge.call(
+        open_platform_store, context.bridge.nursery
+    )
+    context.store = make_store(address)
+    context.before = context.platform_store.revision
+
+
+def _call(context, function, *args, **kwargs):
+    async def attempt():
+        try:
+            return await function(*args, **kwargs)
+        except (Conflict, HistoryGone, LeaseGone, StoreUnavailable) as exc:
+            return exc
+
+    return context.bridge.call(attempt)
+
+
+def _write(context, *names, expected=None, lease=0, value=b"v"):
+    return _call(
+        context,
+        context.store.transact,
+        expected=expected or {},
+        writes=[Write(key=name, value=value, lease=lease) for name in names],
+    )
+
+
+@when("two keys are written at once")
+def _two_keys(context):
+    context.version = _write(context, "my/b", "my/a")
+
+
+@then("both are read with one version")
+def _both_read(context):
+    for name in ("my/a", "my/b"):
+        kv = _call(context, context.store.get, name)
+        assert (kv.value, kv.version) == (b"v", context.version), kv
+
+
+@then("a listing of their prefix has them in order")
+def _listed(context):
+    listing = _call(context, context.store.list, "my/")
+    assert [item.key for item in listing.items] == ["my/a", "my/b"]
+
+
+@then("a watch from before tells of both")
+def _watched(context):
+    changes = _call(
+        context, context.store.watch, "my/", after=context.before, wait_s=1
+    )
+    assert sorted(item.key for item in changes.written) == ["my/a", "my/b"]
+    assert changes.revision >= context.version
+
+
+@when("a key is written that is expected to be absent, twice")
+def _twice(context):
+    context.answers = [
+        _write(context, "my/a", expected={"my/a": 0}, value=value)
+        for value in (b"first", b"second")
+    ]
+
+
+@then("the second is a conflict, and the first value stands")
+def _conflict(context):
+    assert isinstance(context.answers[1], Conflict)
+    assert context.platform_store.get("my/a") == b"first"
+
+
+@when("{count:d} keys are written")
+def _many(context, count):
+    for number in range(count):
+        context.platform_store.put(f"my/{number:05d}", b"v")
+    context.count = count
+
+
+@then("a listing of their prefix has all of them")
+def _all_listed(context):
+    listing = _call(context, context.store.list, "my/")
+    assert len({item.key for item in listing.items}) == context.count
+
+
+@when("a key is written and the store forgets its history")
+def _forgets(context):
+    _write(context, "my/a")
+    context.platform_store.forget_history()
+
+
+@then("a watch from before says that it has to be read again")
+def _gone(context):
+    answer = _call(
+        context, context.store.watch, "my/", after=context.before, wait_s=1
+    )
+    assert isinstance(answer, HistoryGone), answer
+
+
+@when("a key is written under a lease that ends")
+def _leased(context):
+    context.lease = _call(context, context.store.grant, ttl_s=5)
+    _write(context, "my/a", lease=context.lease)
+    assert context.platform_store.get("my/a") == b"v"
+    _call(context, context.store.revoke, context.lease)
+
+
+@then("the key is absent")
+def _absent(context):
+    assert _call(context, context.store.get, "my/a") is None
+    assert not _call(context, context.store.keep_alive, context.lease)
+
+
+@then("another write under that lease is refused")
+def _refused_lease(context):
+    answer = _write(context, "my/a", lease=context.lease)
+    assert isinstance(answer, LeaseGone), answer
+
+
+@when("it is {mode:w} and a key is written")
+def _mode(context, mode):
+    context.platform_store.mode = mode
+    context.answer = _write(context, "my/a")
+
+
+@then("that is unavailable, and the write {effect} have taken effect")
+def _unavailable(context, effect):
+    assert isinstance(context.answer, StoreUnavailable), context.answer
+    assert context.answer.was_sent == (effect == "may")
+
+
+def _config(**changes):
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "q",
+                "host": "desk.example",
+                "prefix": "/jobs/",
+                "service": "pool-a",
+                "priority": 2,
+                "maxAttempts": 3,
+                "stretch": 1.5,
+                "targetLatencyMs": 250,
+                "timeoutMs": 3000,
+            },
+            {
+                "name": "special",
+                "host": "desk.example",
+                "prefix": "/jobs/special/",
+                "service": "pool-a",
+            },
+        ],
+        "services": [{"name": "pool-b", "spare": True}],
+        **changes,
+    }
+
+
+def _operators_keys(value, *zones):
+    keys = {"op/config": value}
+    keys.update({f"op/evacuate/{zone}": b"{}" for zone in zones})
+    return {
+        key: KeyValue(key=key, value=data, version=1)
+        for key, data in keys.items()
+    }
+
+
+@given("operators' keys with a queue, two zones out and a spare pool")
+def _operators(context):
+    value = json.dumps(_config()).encode()
+    context.site = read_site(_operators_keys(value, "z0", "z1"))
+
+
+@then("the site has that queue, both zones and that pool")
+def _site(context):
+    assert context.site.version == 7
+    assert context.site.zones_out == {"z0", "z1"}
+    assert context.site.spare_pools == {"pool-b"}
+    assert context.site.queues["q"] == Queue(
+        name="q",
+        host="desk.example",
+        prefix="/jobs/",
+        pool="pool-a",
+        priority=2,
+        max_attempts=3,
+        stretch=1.5,
+        latency_ms=250,
+        timeout_ms=3000,
+    )
+
+
+@then("a request is matched by its host and the longest prefix")
+def _matched(context):
+    find = context.site.find_queue
+    assert find("desk.example", "/jobs/1").name == "q"
+    assert find("desk.example", "/jobs/special/1").name == "special"
+    assert find("else.example", "/jobs/1") is None
+
+
+@given("operators' keys whose configuration is {damage}")
+def _damaged(context, damage):
+    value = {
+        "no JSON": b"{",
+        "a list": b"[]",
+        "without routes": b'{"version":1}',
+        "a route by words": b'{"version":1,"routes":["x"]}',
+    }[damage]
+    context.site = read_site(_operators_keys(value))
+
+
+@then("the site has version 0")
+def _version_0(context):
+    assert context.site.version == 0
+
+
+class _Desk:
+    """Note what is reported."""
+
+    __slots__ = ("reports",)
+
+    def __init__(self):
+        self.reports = []
+
+    def reported(self, report):
+        """Note a report."""
+        self.reports.append(report)
+
+    def left(self, worker_id):
+        """Note that a worker leaves."""
+        self.reports.append(worker_id)
+
+
+def _ping(context, body):
+    context.desk = _Desk()
+    api = RegistrationApi(desk=context.desk)
+    req = HttpRequest(method="PUT", target="/-/instances/i-1", body=body)
+    context.status = _respond(context, api, req).status
+
+
+def _respond(context, api, req):
+    async def respond():
+        try:
+            return await api.respond(req)
+        except Problem as exc:
+            return exc
+
+    return context.bridge.call(respond)
+
+
+PING = {
+    "service": "pool-a",
+    "address": "10.0.0.1:80",
+    "zone": "z0",
+    "state": "draining",
+    "sequence": 4,
+    "born": 1700,
+    "freeCapacity": {"cpu": 16000, "memMb": 32768, "gpu": 1},
+    "labels": ["a", "r1"],
+    "remainingMs": 900,
+    "new field": None,
+}
+
+
+@when("a runner says that it is draining")
+def _says_draining(context):
+    _ping(context, json.dumps(PING).encode())
+
+
+@then("the report says so, with its boot, labels and capacity")
+def _report(context):
+    (report,) = context.desk.reports
+    assert context.status == 200
+    assert report.is_draining
+    assert report.remaining_ms == 900
+    assert report.boot == "i-1/1700"
+    assert report.labels == ["a", "r1"]
+    assert report.capacity == Capacity(
+        millicores=16000, memory_mb=32768, accelerators=1
+    )
+
+
+@when("a runner's ping has {damage}")
+def _bad_ping(context, damage):
+    ping = dict(PING)
+    match damage:
+        case "no state":
+            del ping["state"]
+        case "an unknown state":
+            ping["state"] = "resting"
+        case "a text for a number":
+            ping["sequence"] = "4"
+        case "true for a number":
+            ping["born"] = True
+        case "no room":
+            ping["freeCapacity"] = None
+        case "labels of numbers":
+            ping["labels"] = [1]
+    body = b"{" if damage == "no JSON" else json.dumps(ping).encode()
+    _ping(context, body)
+
+
+@then("it is answered 400 and reported to nobody")
+def _rejected(context):
+    assert context.status == 400, context.status
+    assert context.desk.reports == []
+
+
+class _QueueDesk:
+    """Answer every question alike."""
+
+    __slots__ = ("_answer", "asked")
+
+    def __init__(self, outcome):
+        retry_after_s = 1 if outcome == WorkflowOutcome.REFUSED else 0
+        self._answer = WorkflowAnswer(
+            outcome=outcome, phase="running", retry_after_s=retry_after_s
+        )
+        self.asked = []
+
+    async def submit(self, workflow, *, request_id, timeout_s):
+        """Answer a submission."""
+        self.asked.append(workflow)
+        return self._answer
+
+    async def find(self, workflow_id, *, timeout_s):
+        """Answer a question."""
+        self.asked.append(workflow_id)
+        return self._answer
+
+
+def _client_api(context, outcome="found"):
+    context.queue_desk = _QueueDesk(WorkflowOutcome(outcome))
+    queue = Queue(
+        name="q",
+        host="desk.example",
+        prefix="/jobs/",
+        pool="pool-a",
+        priority=2,
+        max_attempts=3,
+        stretch=1.5,
+        latency_ms=250,
+    )
+    site = Site(version=1, queues={"q": queue})
+    return ClientApi(desk=context.queue_desk, site=lambda: site)
+
+
+def _client(
+    context, method, path, *, host="desk.example", body=b"", **options
+):
+    req = HttpRequest(
+        method=method, target=path, headers={"host": host}, body=body
+    )
+    api = _client_api(context, **options)
+    context.response = _respond(context, api, req)
+
+
+def _body(**changes):
+    step = {"count": 2, "cpu": 500, "memMb": 100, "estimatedMs": 900}
+    return json.dumps({"spec": "s", "steps": [step], **changes}).encode()
+
+
+@given("a queue whose leader answers a submission {outcome:w}")
+def _submission(context, outcome):
+    _client(context, "POST", f"/jobs/{JOB}", body=_body(), outcome=outcome)
+
+
+@given("a queue whose leader answers a question {outcome:w}")
+def _question(context, outcome):
+    _client(context, "GET", f"/jobs/{JOB}", outcome=outcome)
+
+
+@then("the client gets {status:d} and {advice}")
+def _client_gets(context, status, advice):
+    assert context.response.status == status, context.response
+    found = context.response.headers.get("retry-after", "")
+    assert found == ("1" if "1 s" in advice else ""), found
+
+
+@then("the client that asks gets {status:d}")
+@then("it gets {status:d}")
+def _gets(context, status):
+    assert context.response.status == status, context.response
+    if status == 200:
+        assert context.response.json() == {"state": "running"}
+
+
+@when("a client hands in a job with {damage}")
+def _bad_job(context, damage):
+    body = {
+        "no JSON": b"{",
+        "no steps": _body(steps=[]),
+        "a step after itself": _body(steps=[{"count": 1, "after": [0]}]),
+        "a step of 0 tasks": _body(steps=[{"count": 0}]),
+        "a spec of 5000 bytes": _body(spec="x" * 5000),
+        "a spec that is a number": _body(spec=1),
+    }[damage]
+    _client(context, "POST", f"/jobs/{JOB}", body=body)
+
+
+@then("it gets 400 and the leader is not asked")
+def _not_asked(context):
+    assert context.response.status == 400, context.response
+    assert context.queue_desk.asked == []
+
+
+@when("a client asks for {path} of {host}")
+def _asks(context, path, host):
+    _client(context, "GET", path, host=host)
+
+
+@when("a client hands in a job whose step uses every field")
+def _every_field(context):
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "memMb": 100,
+        "gpu": 1,
+        "estimatedMs": 900,
+        "after": [0],
+        "checkpointing": True,
+        "gang": True,
+        "sameRack": True,
+        "requirements": "a",
+        "affinity": "r1",
+        "antiAffinity": 3,
+        "speculative": True,
+        "longRunning": True,
+        "image": "i",
+        "targetMs": 70,
+        "fills": True,
+        "mayMiss": 1,
+    }
+    body = _body(
+        steps=[{"count": 1}, step],
+        repeatCount=3,
+        firstRunMs=5000,
+        intervalMs=700,
+    )
+    _client(context, "POST", f"/jobs/{JOB}", body=body)
+
+
+@then("the workflow says the same in the product's words")
+def _same(context):
+    (workflow,) = context.queue_desk.asked
+    assert (workflow.queue, workflow.pool) == ("q", "pool-a")
+    assert (workflow.priority, workflow.max_attempts) == (2, 3)
+    assert (workflow.stretch, workflow.latency_ms) == (1.5, 250)
+    assert workflow.due_ms(2) == 6400
+    step = workflow.steps[1]
+    assert step.needs == Capacity(
+        millicores=500, memory_mb=100, accelerators=1
+    )
+    assert (step.count, step.estimated_ms, step.after) == (2, 900, [0])
+    assert all(
+        (
+            step.checkpointing,
+            step.gang,
+            step.same_rack,
+            step.speculative,
+            step.standing,
+            step.fills,
+        )
+    )
+    assert (step.label, step.data_rack, step.max_per_vm) == ("a", "r1", 3)
+    assert (step.image, step.latency_target_ms) == ("i", 70)
+    assert step.max_unavailable == 1
+    assert step.reserved.millicores == 0
+
+
+@given("a runner of the platform")
+def _a_runner(context):
+    context.bridge.call(_open_runner, context)
+
+
+async def _open_runner(context):
+    nursery = context.bridge.nursery
+    runner = PlatformRunner(
+        worker_id="i-1", zone="z0", pool="pool-a", record=[]
+    )
+    context.runner_address = await serve(nursery, runner)
+    context.runner = Runner(address=context.runner_address, worker_id="i-1")
+    nursery.start_soon(runner.work)
+
+
+def _order(index):
+    return TaskOrder(
+        task_id=f"{JOB}.0.0.{index}",
+        attempt=1,
+        spec="stand",
+        reserved=Capacity(),
+    )
+
+
+@when("a task is started there, and one on an older token")
+def _two_starts(context):
+    context.results = [
+        context.bridge.call(
+            context.runner.start, _order(index), fence=fence, deadline_ms=9000
+        )[0]
+        for index, fence in ((0, 7), (1, 6))
+    ]
+
+
+@then("the first has started and the second is fenced")
+def _results(context):
+    wanted = [StartResult.STARTED, StartResult.FENCED]
+    assert context.results == wanted, context.results
+
+
+def _look(context, runner):
+    return context.bridge.call(
+        runner.look, fence=7, settled_number=0, deadline_ms=9000, wait_s=0
+    )
+
+
+@then("a look lists the first")
+def _looks(context):
+    look = _look(context, context.runner)
+    (row,) = look.running
+    assert (row.task_id, row.attempt) == (f"{JOB}.0.0.0", 1)
+    assert look.born_ms > 0
+
+
+@then("a call for another runner says that it is gone")
+def _other(context):
+    other = Runner(address=context.runner_address, worker_id="i-2")
+    try:
+        _look(context, other)
+    except WorkerGone:
+        return
+    raise AssertionError("it answered")
