Report a forbidden attempt by what the worker lists after that

Change: after the stop the next list decides: a listed end counts, and only an attempt that is not listed never ran. Ruled out: late copies after the stop (the worker refuses them).

--- a/src/radishlanding/vmagent/seat_starter.py
+++ b/src/radishlanding/vmagent/seat_starter.py
@@ -128,20 +128,22 @@
             await self._seat.pace.apply(task)
 
     async def _give_up(self, task, result):
-        """Report an attempt that the worker refused."""
+        """Report an attempt that the worker refused.
+
+        Where a start went unanswered the worker may have run it, and may
+        list its end: it is forbidden first, and the next list decides.
+        """
         if task.is_unsure or result == StartResult.OLD:
-            await self._stop_surely(task, self._seat.report)
-            if result == StartResult.OLD:
-                # Its end may be listed, or be on record already.
-                await trio.sleep(RETRY_PAUSE_S)
-        self._seat.table.end(task, EndKind.NOT_RUN, reason=f"{result}")
+            task.given_up = f"{result}"
+            await self._stop(task)
+        else:
+            self._seat.table.end(task, EndKind.NOT_RUN, reason=f"{result}")
 
     async def _stop(self, task):
-        """Stop an attempt; its end is listed, or it never ran."""
+        """Stop an attempt; its end is listed, or the worker has it not."""
         await self._stop_surely(task, self._seat.report)
-        stopped_s = boot_clock_s()
         task.is_confirmed = True
-        task.confirmed_s = stopped_s
+        task.confirmed_s = boot_clock_s()
 
     async def _stop_surely(self, task, report):
         """Tell one boot of the worker to stop an attempt until it answers."""
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -136,9 +136,14 @@
                 and task.is_confirmed
                 and task.confirmed_s < sent_s
             ):
-                self.end(
-                    task, EndKind.INTERRUPTED, reason="unknown to the worker"
-                )
+                self._end_unlisted(task)
+
+    def _end_unlisted(self, task):
+        """Note the end of an attempt that a worker does not have."""
+        if task.given_up and not task.is_listed:
+            self.end(task, EndKind.NOT_RUN, reason=task.given_up)
+        else:
+            self.end(task, EndKind.INTERRUPTED, reason="unknown to the worker")
 
     def _find(self, row):
         task = self._tasks.get((row.task_id, row.attempt))
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -20,6 +20,8 @@
     :param is_confirmed: Whether the worker has said that it runs.
     :param confirmed_s: When it said so, on the boot clock.
     :param is_unsure: Whether a start got no answer, and may come late.
+    :param given_up: Why it is to be reported as never run, where a later
+        list proves that; empty before.
     :param is_stopping: Whether it is being stopped.
     :param checkpoint: Newest progress to resume from.
     :param progress: Share of its work that is done, in percent.
@@ -39,6 +41,7 @@
     is_confirmed: bool = False
     confirmed_s: float = 0.0
     is_unsure: bool = False
+    given_up: str = ""
     is_stopping: bool = False
     checkpoint: str = ""
     progress: int = 0
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -25,6 +25,7 @@
         "born_ms",
         "forbidden",
         "is_silent",
+        "loses_looks",
         "running",
         "settled_number",
         "starts",
@@ -44,6 +45,7 @@
         self.born_ms = 1000
         self.forbidden = set()
         self.is_silent = False
+        self.loses_looks = False
         self.running = {}
         self.settled_number = 0
         self.starts = []
@@ -52,6 +54,11 @@
         if self.is_silent:
             raise WorkerUnavailable("silent")
 
+    def _check_look(self):
+        self._check()
+        if self.loses_looks:
+            raise WorkerUnavailable("no answer")
+
     def _clock_ms(self):
         return int(time.monotonic() * 1000)
 
@@ -105,7 +112,7 @@
 
     async def look(self, *, fence, settled_number, deadline_ms, wait_s):
         """List everything."""
-        self._check()
+        self._check_look()
         if settled_number > self.settled_number:
             self.settled_number = settled_number
         self._ended = [
@@ -114,7 +121,7 @@
         if not self._ended:
             with trio.move_on_after(wait_s):
                 await self._changed.wait()
-        self._check()
+        self._check_look()
         return Look(
             clock_ms=self._clock_ms(),
             born_ms=self.born_ms,
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -16,6 +16,12 @@
     Then within 3 s its end is not_run
     And the worker was told to refuse it before that
 
+  Scenario: a start that ran unseen is not given up as never run
+    Given a seat whose worker loses the answers to 30 starts
+    When an attempt is ordered, and its looks go unanswered, too
+    And the agent gives it up, and looks are answered again
+    Then within 2 s its end is interrupted
+
   Scenario Outline: ends of the worker
     Given a seat whose worker runs an attempt
     When the worker lists it as <how>
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -137,6 +137,29 @@
     _order(context, boot=REPORT.boot)
 
 
+@when("an attempt is ordered, and its looks go unanswered, too")
+def _looks_unanswered(context):
+    async def order():
+        _start_attempt(context, 1)
+        with trio.fail_after(2):
+            while not context.worker.starts:
+                await trio.sleep(0)
+        context.worker.loses_looks = True
+
+    context.bridge.call(order)
+
+
+@when("the agent gives it up, and looks are answered again")
+def _gives_up(context):
+    async def wait_given_up():
+        with trio.fail_after(6):
+            while (TASK, 1) not in context.worker.forbidden:
+                await trio.sleep(0.01)
+        context.worker.loses_looks = False
+
+    context.bridge.call(wait_given_up)
+
+
 @when("it is to be stopped")
 def _to_stop(context):
     async def stop():
