--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -6,7 +6,9 @@
 import trio
 
 from radishlanding.dispatch import keys
+from radishlanding.dispatch.chunks import make_chunks
 from radishlanding.dispatch.head import Head
+from radishlanding.dispatch.log_reader import read_board
 from radishlanding.journal import Fenced
 from radishlanding.observe import EventLog
 from radishlanding.store import Conflict
@@ -15,14 +17,10 @@
 from radishlanding.store import unpack
 from radishlanding.store import Write
 from radishlanding.vm import boot_clock_s
-from radishlanding.workflow import Board
 from radishlanding.workflow import Entry
-from radishlanding.workflow import WorkflowRecord
 
 MIN_RETRY_S = 0.03
 MAX_RETRY_S = 0.5
-# A value holds at most 1 MB in the store.
-CHUNK_BYTES = 400_000
 # Entries that a new leader replays at most, besides the newest few.
 SNAPSHOT_ENTRIES = 150
 # The store takes 32 entries in a transaction.
@@ -105,30 +103,8 @@
             raise Fenced("the head was replaced") from exc
         self._head, self._head_version = head, version
         self.confirmed_s = sent_s
-        return await self._read()
-
-    async def _read(self):
-        board = Board()
-        for index in range(self._head.chunks):
-            key = keys.chunk(
-                self._head.number, self._head.snapshot_epoch, index
-            )
-            kv = await self._store.get(key)
-            if kv is None:
-                raise Fenced("the snapshot was replaced while it was read")
-            board.load(unpack(list[WorkflowRecord], kv.value))
-        self._last = self._head.number
-        listing = await self._store.list(keys.LOG)
-        for item in listing.items:
-            if item.key <= keys.segment(self._last):
-                continue
-            if item.key != keys.segment(self._last + 1):
-                raise Fenced(f"entry {self._last + 1} is missing")
-            board.apply(unpack(Entry, item.value))
-            self._last += 1
-        self._since_snapshot = self._last - self._head.number
-        for record in board.workflows.values():
-            record.shown = record.phase
+        board, self._last = await read_board(self._store, head)
+        self._since_snapshot = self._last - head.number
         return board
 
     async def append(self, entry):
@@ -228,7 +204,7 @@
         """
         board.prune(before_ms=now_ms - KEEP_ENDED_MS)
         head = self._next_head()
-        chunks = _chunks(board.workflows.values())
+        chunks = make_chunks(board.workflows.values())
         expected = {keys.HEAD: self._head_version}
         try:
             for index, value in enumerate(chunks):
@@ -271,18 +247,3 @@
                 expected={keys.HEAD: self._head_version},
                 removes=gone[start : start + MAX_REMOVES],
             )
-
-
-def _chunks(records):
-    """Return the records as JSON lists of a bounded size."""
-    chunks, parts, size = [], [], 0
-    for record in records:
-        part = pack(record)
-        if parts and size + len(part) > CHUNK_BYTES:
-            chunks.append(b"[" + b",".join(parts) + b"]")
-            parts, size = [], 0
-        parts.append(part)
-        size += len(part)
-    if parts:
-        chunks.append(b"[" + b",".join(parts) + b"]")
-    return chunks
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -1,7 +1,8 @@
 """The VMs that follow a leader."""
 
+from radishlanding.dispatch.image_watch import ImageWatch
+from radishlanding.dispatch.lease_book import LeaseBook
 from radishlanding.dispatch.vm_session import VmSession
-from radishlanding.message import ImageWeight
 from radishlanding.message import VmWelcome
 from radishlanding.observe import EventLog
 from radishlanding.policy import Quarantine
@@ -27,11 +28,10 @@
         "_checkpoints",
         "_epoch",
         "_fences",
-        "_granted_s",
+        "_images",
         "_interference",
-        "_opened_s",
+        "_leases",
         "_quarantines",
-        "_timing",
         "sessions",
         "unsent",
     )
@@ -49,11 +49,10 @@
         self._checkpoints = {}
         self._epoch = epoch
         self._fences = 0
-        self._granted_s = {}
+        self._images = ImageWatch(board=board, interference=interference)
         self._interference = interference
-        self._opened_s = boot_clock_s()
+        self._leases = LeaseBook(timing=timing)
         self._quarantines = {}
-        self._timing = timing
         self.sessions = {}
         # Names of tasks whose assignment is not on record yet; no VM can
         # know of them.
@@ -69,7 +68,7 @@
         self.sessions[hello.vm] = VmSession(
             vm=hello.vm, conn=conn, state=hello.state, clock_ms=hello.clock_ms
         )
-        self._granted_s[hello.vm] = boot_clock_s()
+        self._leases.grant(hello.vm)
         fence = self._epoch * FENCES_PER_EPOCH + self._fences
         _log.info(
             "vm_followed",
@@ -96,7 +95,7 @@
 
     def grant(self, session):
         """Note that a VM's lease is being extended."""
-        self._granted_s[session.vm] = boot_clock_s()
+        self._leases.grant(session.vm)
 
     def update(self, session, report):
         """Take a report; return the ends that it tells of.
@@ -111,42 +110,12 @@
         for task in report.running:
             if task.checkpoint:
                 self._checkpoints[task.task_id] = task.checkpoint
-        self._observe(session)
+        self._images.observe(session)
         ends = [self._end(session, item) for item in report.ended]
         if report.is_full:
             ends += self._missing(session, {end.task_id for end in ends})
         return ends
 
-    def _observe(self, session):
-        """Learn from the figures of a VM's tasks."""
-        millicores = session.state.capacity.millicores
-        serving, filling = [], {}
-        for item in session.running.values():
-            record, _ = self._board.find(item.task_id)
-            if record is None or not item.gauge or not record.workflow.steps:
-                continue
-            place = TaskPlace.parse(item.task_id)
-            step = record.workflow.steps[place.step]
-            if step.latency_target_ms:
-                share = item.gauge / step.latency_target_ms
-                serving.append((item.task_id, share))
-            elif step.fills and millicores:
-                load = item.gauge / millicores
-                filling[step.image] = filling.get(step.image, 0.0) + load
-        before = {
-            image: self._interference.is_light(image) for image in filling
-        }
-        self._interference.observe(serving, filling)
-        for image, was_light in before.items():
-            if self._interference.is_light(image) != was_light:
-                _log.info(
-                    "image_weighed",
-                    image=image,
-                    light=not was_light,
-                    weight=f"{self._interference.weight(image):.2f}",
-                    vm=session.vm,
-                )
-
     def _end(self, session, item):
         _log.info(
             "task_ended",
@@ -216,7 +185,7 @@
         """Return the ends of all tasks on VMs whose lease has run out."""
         ends = []
         for vm in self._board.busy_vms():
-            if boot_clock_s() < self._lease_end_s(vm):
+            if not self._leases.has_lapsed(vm):
                 continue
             self.sessions.pop(vm, None)
             tasks = self._board.tasks_on(vm)
@@ -224,51 +193,9 @@
             ends += [self.interrupted(task) for task in tasks]
         return ends
 
-    def _lease_end_s(self, vm):
-        """Return the time at which nothing of a VM's lease can be left.
-
-        A VM that was never heard here may have a lease from an earlier
-        leader, which may have extended it for its whole grace.
-        """
-        granted_s = self._granted_s.get(vm)
-        if granted_s is None:
-            granted_s = self._opened_s + self._timing.owner_grace_s
-        return granted_s + self._timing.vm_lease_s + self._timing.drift_s
-
-    def running_tasks(self, loads):
-        """Return what runs on VMs, for who looks for tasks to move.
-
-        :param loads: :class:`radishlanding.policy.VmLoad` objects.
-        :returns: Tuples of workflow record, task record, step and load.
-        """
-        found = []
-        for load in loads:
-            running = self.sessions[load.vm].running
-            for task in self._board.tasks_on(load.vm):
-                if task.task_id in running:
-                    record, _ = self._board.find(task.task_id)
-                    place = TaskPlace.parse(task.task_id)
-                    step = record.workflow.steps[place.step]
-                    found.append((record, task, step, load))
-        return found
-
     def weights(self, session):
-        """Return the weight of each image that fills a VM."""
-        images = set()
-        for task in self._board.tasks_on(session.vm):
-            place = TaskPlace.parse(task.task_id)
-            steps = self._board.workflows[place.workflow_id].workflow.steps
-            if steps and steps[place.step].fills:
-                images.add(steps[place.step].image)
-        return [
-            ImageWeight(
-                image=image,
-                weight=self._interference.weight(image),
-                is_light=self._interference.is_light(image),
-            )
-            for image in sorted(images)
-            if self._interference.is_known(image)
-        ]
+        """Return what is known of the images that fill a VM."""
+        return self._images.weights(session)
 
     def judge(self, end, vm):
         """Note what an end says of its VM."""
--- /dev/null
+++ b/src/radishlanding/dispatch/image_watch.py
@@ -0,0 +1,71 @@
+"""Teaches how much the images on VMs disturb."""
+
+from radishlanding.message import ImageWeight
+from radishlanding.observe import EventLog
+from radishlanding.workflow import TaskPlace
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class ImageWatch:
+    """Pass the figures of VMs to the interference model, and its word back."""
+
+    __slots__ = ("_board", "_interference")
+
+    def __init__(self, *, board, interference):
+        """Prepare.
+
+        :param board: The :class:`radishlanding.workflow.Board`.
+        :param interference: The
+            :class:`radishlanding.policy.Interference` to teach.
+        """
+        self._board = board
+        self._interference = interference
+
+    def observe(self, session):
+        """Learn from the figures of a VM's tasks."""
+        millicores = session.state.capacity.millicores
+        serving, filling = [], {}
+        for item in session.running.values():
+            record, _ = self._board.find(item.task_id)
+            if record is None or not item.gauge or not record.workflow.steps:
+                continue
+            place = TaskPlace.parse(item.task_id)
+            step = record.workflow.steps[place.step]
+            if step.latency_target_ms:
+                share = item.gauge / step.latency_target_ms
+                serving.append((item.task_id, share))
+            elif step.fills and millicores:
+                load = item.gauge / millicores
+                filling[step.image] = filling.get(step.image, 0.0) + load
+        before = {
+            image: self._interference.is_light(image) for image in filling
+        }
+        self._interference.observe(serving, filling)
+        for image, was_light in before.items():
+            if self._interference.is_light(image) != was_light:
+                _log.info(
+                    "image_weighed",
+                    image=image,
+                    light=not was_light,
+                    weight=f"{self._interference.weight(image):.2f}",
+                    vm=session.vm,
+                )
+
+    def weights(self, session):
+        """Return the weight of each image that fills a VM."""
+        images = set()
+        for task in self._board.tasks_on(session.vm):
+            place = TaskPlace.parse(task.task_id)
+            steps = self._board.workflows[place.workflow_id].workflow.steps
+            if steps and steps[place.step].fills:
+                images.add(steps[place.step].image)
+        return [
+            ImageWeight(
+                image=image,
+                weight=self._interference.weight(image),
+                is_light=self._interference.is_light(image),
+            )
+            for image in sorted(images)
+            if self._interference.is_known(image)
+        ]
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -1,14 +1,13 @@
 """Leads the workflows of a site."""
 
-import time
-import uuid
-
 import trio
 
 from radishlanding.dispatch import intake
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.intake import Intake
 from radishlanding.dispatch.orders import Orders
+from radishlanding.dispatch.recorder import Recorder
+from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.journal import Fenced
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
@@ -17,7 +16,6 @@
 from radishlanding.policy import MIN_FILL_SHARE
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import boot_clock_s
-from radishlanding.workflow import Entry
 from radishlanding.workflow import WorkflowOutcome
 
 # Looks at due times, leases and quarantines when nothing else happens.
@@ -34,25 +32,21 @@
 
 
 class Leader:
-    """Record what happens to workflows, and start their tasks.
+    """Answer callers and VMs about the workflows of a site.
 
-    The board runs ahead of the log by the entry that is being written.
-    Nothing is told to a caller or a VM before its entry is on record.
+    What they ask for is put on record first; see :class:`Recorder`.
     """
 
     __slots__ = (
         "_board",
-        "_committing",
-        "_counters",
-        "_ends",
         "_intake",
         "_log",
         "_migration",
         "_orders",
         "_planner",
+        "_recorder",
         "_site_watch",
         "_timing",
-        "_wake",
         "fleet",
     )
 
@@ -79,10 +73,6 @@
         :param counters: Counts of the process.
         """
         self._board = board
-        self._committing = {}
-        self._counters = counters
-        self._ends = {}
-        self._intake = Intake(board=board, wake=self.wake)
         self._log = log
         self._migration = Migration(
             interference=interference, min_share=MIN_FILL_SHARE
@@ -90,7 +80,6 @@
         self._planner = planner
         self._site_watch = site_watch
         self._timing = timing
-        self._wake = trio.Event()
         self.fleet = Fleet(
             board=board,
             epoch=log.epoch,
@@ -100,16 +89,23 @@
         self._orders = Orders(
             board=board, fleet=self.fleet, epoch=log.epoch, counters=counters
         )
+        self._recorder = Recorder(
+            log=log,
+            board=board,
+            site_watch=site_watch,
+            planner=planner,
+            fleet=self.fleet,
+            orders=self._orders,
+            counters=counters,
+        )
+        self._intake = Intake(board=board, wake=self._recorder.wake)
+        self._recorder.connect(self._intake)
 
     @property
     def epoch(self):
         """Return the number of the leadership."""
         return self._log.epoch
 
-    def wake(self):
-        """Look for something to record."""
-        self._wake.set()
-
     async def run(self):
         """Lead until another process does.
 
@@ -120,7 +116,7 @@
                 self._orders.open(nursery)
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._confirm)
-                await self._record()
+                await self._recorder.run()
         finally:
             self._intake.close()
 
@@ -128,17 +124,16 @@
         while True:
             for _ in range(TICKS_PER_MIGRATION):
                 await trio.sleep(TICK_S)
-                self._add_ends(self.fleet.lost_ends(), vm="")
-                self.wake()
+                self._recorder.add_ends(self.fleet.lost_ends(), vm="")
+                self._recorder.wake()
             self._migrate()
 
     def _migrate(self):
         """Stop tasks that are to go on at another VM."""
         loads = self.fleet.loads(self._site_watch.site)
-        now_ms = _now_ms()
         tasks = sorted(
             self.fleet.running_tasks(loads),
-            key=lambda item: self._planner.rank(item[0], now_ms=now_ms),
+            key=lambda item: self._planner.rank(item[0], now_ms=now_ms()),
         )
         moves = self._migration.choose([item[1:] for item in tasks], loads)
         for task in moves:
@@ -163,111 +158,6 @@
     def _proof_age_s(self):
         return boot_clock_s() - self._log.confirmed_s
 
-    async def _record(self):
-        while True:
-            await self._wake.wait()
-            self._wake = trio.Event()
-            entry = self._collect()
-            while entry.size():
-                await self._log.append(entry)
-                self._publish(entry)
-                entry = self._collect()
-            if self._log.wants_snapshot():
-                await self._snapshot()
-
-    async def _snapshot(self):
-        try:
-            await self._log.snapshot(self._board, now_ms=_now_ms())
-        except StoreUnavailable as exc:
-            _log.warning("snapshot_failed", reason=exc)
-
-    def _collect(self):
-        """Return the next entry, and apply it to the board."""
-        accepted, cancelled = self._intake.collect()
-        entry = Entry(
-            commit_id=uuid.uuid4().hex,
-            made_ms=_now_ms(),
-            accepted=accepted,
-            cancelled=cancelled,
-            ends=[end for end, _ in self._ends.values()],
-        )
-        self._judge_ends()
-        self._committing = self._ends
-        self._ends = {}
-        self._board.apply(entry)
-        assignments = self._plan(entry.made_ms)
-        if assignments:
-            planned = Entry(
-                commit_id="",
-                made_ms=entry.made_ms,
-                assignments=assignments,
-            )
-            self._board.apply(planned)
-            entry.assignments = assignments
-            self.fleet.unsent.update(item.task_id for item in assignments)
-        return entry
-
-    def _judge_ends(self):
-        for end, vm in self._ends.values():
-            if vm:
-                self.fleet.judge(end, vm)
-
-    def _plan(self, now_ms):
-        if not self._site_watch.is_ready:
-            return []
-        active = [
-            record
-            for record in self._board.workflows.values()
-            if not record.phase.has_ended
-        ]
-        loads = self.fleet.loads(self._site_watch.site)
-        if not active or not loads:
-            return []
-        return self._planner.plan(active, loads, now_ms=now_ms)
-
-    def _publish(self, entry):
-        """Tell everybody what is on record now."""
-        self._counters.add("entries")
-        self._counters.add("entry_changes", entry.size())
-        names = {workflow.workflow_id for workflow in entry.accepted}
-        names.update(entry.cancelled)
-        names.update(end.task_id.partition(".")[0] for end in entry.ends)
-        names.update(
-            item.task_id.partition(".")[0] for item in entry.assignments
-        )
-        for name in names:
-            record = self._board.workflows.get(name)
-            if record is not None and record.shown != record.phase:
-                _log.info(
-                    "workflow_changed",
-                    workflow=name,
-                    queue=record.workflow.queue,
-                    phase=record.phase,
-                    before=record.shown or "new",
-                    age_ms=entry.made_ms - record.workflow.accepted_ms,
-                )
-                record.shown = record.phase
-        self._intake.recorded(entry)
-        self._orders.acknowledge(self._committing.values())
-        self._committing = {}
-        self._orders.start(entry.assignments)
-        if entry.cancelled:
-            self._orders.stop_unwanted()
-
-    def _add_ends(self, ends, *, vm):
-        """Note ends; those that change nothing are settled at once."""
-        settled = []
-        for end in ends:
-            key = (end.task_id, end.attempt)
-            if key in self._ends or key in self._committing:
-                continue
-            if self._board.matches(end):
-                self._ends[key] = (end, vm)
-                self.wake()
-            else:
-                settled.append(end)
-        return settled
-
     def hello(self, hello, conn):
         """Let a VM follow this leader."""
         return self.fleet.welcome(hello, conn)
@@ -281,11 +171,11 @@
         """
         was_listed = session.is_listed
         ends = self.fleet.update(session, report)
-        settled = self._add_ends(ends, vm=session.vm)
+        settled = self._recorder.add_ends(ends, vm=session.vm)
         self._orders.settle(session, settled)
         self._orders.stop(session, self.fleet.unwanted(session))
         if session.is_listed != was_listed:
-            self.wake()
+            self._recorder.wake()
         granted = self._proof_age_s() < self._timing.owner_grace_s
         if granted:
             self.fleet.grant(session)
@@ -348,7 +238,7 @@
                     outcome=WorkflowOutcome.UNCERTAIN, reason=str(exc)
                 )
             except Fenced as exc:
-                self.wake()
+                self._recorder.wake()
                 return WorkflowAnswer(
                     outcome=WorkflowOutcome.UNCERTAIN, reason=str(exc)
                 )
@@ -361,7 +251,3 @@
     def backlog(self, queue):
         """Return how many workflows of a queue have not begun."""
         return self._board.backlog(queue)
-
-
-def _now_ms():
-    return int(time.time() * 1000)
--- /dev/null
+++ b/src/radishlanding/dispatch/log_reader.py
@@ -0,0 +1,38 @@
+"""Reads the log of workflows."""
+
+from radishlanding.dispatch import keys
+from radishlanding.journal import Fenced
+from radishlanding.store import unpack
+from radishlanding.workflow import Board
+from radishlanding.workflow import Entry
+from radishlanding.workflow import WorkflowRecord
+
+
+async def read_board(store, head):
+    """Return the board on record and the number of the last entry.
+
+    :param store: A :class:`radishlanding.store.TransactionalStore`.
+    :param head: The :class:`Head` that this process has written, so that
+        nobody else adds to the log.
+    :raises Fenced: Parts are missing; another process has replaced them.
+    :raises StoreUnavailable: The store gave no answer.
+    """
+    board = Board()
+    for index in range(head.chunks):
+        key = keys.chunk(head.number, head.snapshot_epoch, index)
+        kv = await store.get(key)
+        if kv is None:
+            raise Fenced("the snapshot was replaced while it was read")
+        board.load(unpack(list[WorkflowRecord], kv.value))
+    last = head.number
+    listing = await store.list(keys.LOG)
+    for item in listing.items:
+        if item.key <= keys.segment(last):
+            continue
+        if item.key != keys.segment(last + 1):
+            raise Fenced(f"entry {last + 1} is missing")
+        board.apply(unpack(Entry, item.value))
+        last += 1
+    for record in board.workflows.values():
+        record.shown = record.phase
+    return board, last
--- /dev/null
+++ b/src/radishlanding/dispatch/recorder.py
@@ -0,0 +1,180 @@
+"""Puts what happens to workflows on record."""
+
+import uuid
+
+import trio
+
+from radishlanding.dispatch.wall_clock import now_ms
+from radishlanding.observe import EventLog
+from radishlanding.store import StoreUnavailable
+from radishlanding.workflow import Entry
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Recorder:
+    """Write entries of the log, one after the other, and publish them.
+
+    The board runs ahead of the log by the entry that is being written.
+    Nothing is told to a caller or a VM before its entry is on record.
+    """
+
+    __slots__ = (
+        "_board",
+        "_committing",
+        "_counters",
+        "_ends",
+        "_fleet",
+        "_intake",
+        "_log",
+        "_orders",
+        "_planner",
+        "_site_watch",
+        "_wake",
+    )
+
+    def __init__(
+        self, *, log, board, site_watch, planner, fleet, orders, counters
+    ):
+        """Prepare; :meth:`run` records.
+
+        :param log: A claimed :class:`EntryLog`.
+        :param board: The :class:`radishlanding.workflow.Board` on record.
+        :param site_watch: A :class:`SiteWatch`.
+        :param planner: A :class:`radishlanding.policy.WorkflowPlanner`.
+        :param fleet: The :class:`Fleet`.
+        :param orders: The :class:`Orders`.
+        :param counters: Counts of the process.
+        """
+        self._board = board
+        self._committing = {}
+        self._counters = counters
+        self._ends = {}
+        self._fleet = fleet
+        self._intake = None
+        self._log = log
+        self._orders = orders
+        self._planner = planner
+        self._site_watch = site_watch
+        self._wake = trio.Event()
+
+    def connect(self, intake):
+        """Take workflows and cancellations from an :class:`Intake`."""
+        self._intake = intake
+
+    def wake(self):
+        """Look for something to record."""
+        self._wake.set()
+
+    async def run(self):
+        """Record until another process leads.
+
+        :raises Fenced: It does.
+        """
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            entry = self._collect()
+            while entry.size():
+                await self._log.append(entry)
+                self._publish(entry)
+                entry = self._collect()
+            if self._log.wants_snapshot():
+                await self._snapshot()
+
+    async def _snapshot(self):
+        try:
+            await self._log.snapshot(self._board, now_ms=now_ms())
+        except StoreUnavailable as exc:
+            _log.warning("snapshot_failed", reason=exc)
+
+    def _collect(self):
+        """Return the next entry, and apply it to the board."""
+        accepted, cancelled = self._intake.collect()
+        entry = Entry(
+            commit_id=uuid.uuid4().hex,
+            made_ms=now_ms(),
+            accepted=accepted,
+            cancelled=cancelled,
+            ends=[end for end, _ in self._ends.values()],
+        )
+        self._judge_ends()
+        self._committing = self._ends
+        self._ends = {}
+        self._board.apply(entry)
+        assignments = self._plan(entry.made_ms)
+        if assignments:
+            planned = Entry(
+                commit_id="",
+                made_ms=entry.made_ms,
+                assignments=assignments,
+            )
+            self._board.apply(planned)
+            entry.assignments = assignments
+            self._fleet.unsent.update(item.task_id for item in assignments)
+        return entry
+
+    def _judge_ends(self):
+        for end, vm in self._ends.values():
+            if vm:
+                self._fleet.judge(end, vm)
+
+    def _plan(self, now_ms):
+        if not self._site_watch.is_ready:
+            return []
+        active = [
+            record
+            for record in self._board.workflows.values()
+            if not record.phase.has_ended
+        ]
+        loads = self._fleet.loads(self._site_watch.site)
+        if not active or not loads:
+            return []
+        return self._planner.plan(active, loads, now_ms=now_ms)
+
+    def _publish(self, entry):
+        """Tell everybody what is on record now."""
+        self._counters.add("entries")
+        self._counters.add("entry_changes", entry.size())
+        names = {workflow.workflow_id for workflow in entry.accepted}
+        names.update(entry.cancelled)
+        names.update(end.task_id.partition(".")[0] for end in entry.ends)
+        names.update(
+            item.task_id.partition(".")[0] for item in entry.assignments
+        )
+        for name in names:
+            record = self._board.workflows.get(name)
+            if record is not None and record.shown != record.phase:
+                _log.info(
+                    "workflow_changed",
+                    workflow=name,
+                    queue=record.workflow.queue,
+                    phase=record.phase,
+                    before=record.shown or "new",
+                    age_ms=entry.made_ms - record.workflow.accepted_ms,
+                )
+                record.shown = record.phase
+        self._intake.recorded(entry)
+        self._orders.acknowledge(self._committing.values())
+        self._committing = {}
+        self._orders.start(entry.assignments)
+        if entry.cancelled:
+            self._orders.stop_unwanted()
+
+    def add_ends(self, ends, *, vm):
+        """Note ends; return those that change nothing.
+
+        :param ends: :class:`radishlanding.workflow.TaskEnd` objects.
+        :param vm: VM that reported them, or an empty string.
+        """
+        settled = []
+        for end in ends:
+            key = (end.task_id, end.attempt)
+            if key in self._ends or key in self._committing:
+                continue
+            if self._board.matches(end):
+                self._ends[key] = (end, vm)
+                self.wake()
+            else:
+                settled.append(end)
+        return settled
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -66,13 +66,7 @@
         self._counters = Counters()
         self._interference = Interference()
         self._is_stopping = False
-        self._store = KvStore(
-            address=cfg.store,
-            budget=CallBudget(
-                rate=cfg.store_calls_per_s, burst=cfg.store_calls_per_s
-            ),
-            counters=self._counters,
-        )
+        self._store = self._make_store()
         self._member = Member(
             kind="dispatcher",
             process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
@@ -113,6 +107,14 @@
             )
         )
 
+    def _make_store(self):
+        rate = self._cfg.store_calls_per_s
+        return KvStore(
+            address=self._cfg.store,
+            budget=CallBudget(rate=rate, burst=rate),
+            counters=self._counters,
+        )
+
     def _make_leader(self, *, log, board):
         return Leader(
             log=log,
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -9,13 +9,11 @@
 from radishlanding.vm import boot_clock_s
 from radishlanding.vm import VmLease
 from radishlanding.vmagent.seat_clock import SeatClock
+from radishlanding.vmagent.seat_desk import SeatDesk
 from radishlanding.vmagent.seat_pace import SeatPace
-from radishlanding.vmagent.seat_starter import SeatStarter
 from radishlanding.vmagent.seat_table import SeatTable
-from radishlanding.vmagent.seat_task import SeatTask
 from radishlanding.worker import WorkerGone
 from radishlanding.worker import WorkerUnavailable
-from radishlanding.workflow import EndKind
 
 # How long the worker goes on without its agent: the agent's restart takes
 # about 2 s. It also bounds how long the work of a silent worker is missed.
@@ -25,8 +23,6 @@
 # Pause of looks while ends wait to be on record, as they answer at once.
 SETTLE_PAUSE_S = 0.05
 RETRY_PAUSE_S = 0.1
-# An order that took longer to arrive may rest on what is no longer true.
-MAX_ORDER_AGE_MS = 3000
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -35,8 +31,8 @@
     """Start, watch and stop the tasks of one boot of a worker."""
 
     __slots__ = (
+        "_desk",
         "_make_worker",
-        "_starter",
         "clock",
         "fence",
         "is_answering",
@@ -72,7 +68,7 @@
         self.table = SeatTable()
         self.worker = make_worker(report)
         self.pace = SeatPace(seat=self)
-        self._starter = SeatStarter(seat=self, nursery=nursery)
+        self._desk = SeatDesk(seat=self, nursery=nursery)
 
     @property
     def vm(self):
@@ -256,64 +252,12 @@
                 await self.table.wait_changed()
 
     def start(self, message, *, clock_ms):
-        """Take start orders.
-
-        :param message: A :class:`radishlanding.message.StartOrders`.
-        :param clock_ms: Clock of the agent, in milliseconds.
-        :returns: :class:`TaskEndReport` objects of what is refused.
-        """
-        age_ms = clock_ms - message.clock_echo_ms
-        refused = []
-        for order in message.orders:
-            if self.table.get(order.task_id, order.attempt) is not None:
-                continue
-            task = SeatTask(
-                task_id=order.task_id,
-                attempt=order.attempt,
-                order=order,
-                taken_s=boot_clock_s(),
-                checkpoint=order.checkpoint,
-            )
-            self.table.add(task)
-            problem = self._problem(message, age_ms)
-            if problem:
-                self.table.end(task, EndKind.NOT_RUN, reason=problem)
-                refused.append(task.end_report())
-            else:
-                _log.info(
-                    "order_taken",
-                    task=order.task_id,
-                    attempt=order.attempt,
-                    vm=self.vm,
-                    age_ms=age_ms,
-                    fence=self.fence,
-                )
-                self._starter.start(task)
-        return refused
-
-    def _problem(self, message, age_ms):
-        if message.boot != self.report.boot:
-            return "meant for another boot of the worker"
-        if self.report.is_draining or self.is_leaving or self.has_left:
-            return "the worker is draining"
-        if not self.is_answering:
-            return "the worker does not answer"
-        if age_ms > MAX_ORDER_AGE_MS:
-            return f"the order rests on a clock {age_ms} ms old"
-        return ""
+        """Take start orders; see :meth:`SeatDesk.start`."""
+        return self._desk.start(message, clock_ms=clock_ms)
 
     def stop(self, keys):
-        """Stop attempts.
-
-        :param keys: Pairs of task and attempt.
-        """
-        for task_id, attempt in keys:
-            task = self.table.get(task_id, attempt)
-            if task is None:
-                continue
-            if task.end is None and not task.is_stopping:
-                task.is_stopping = True
-                self._starter.stop(task)
+        """Stop attempts; see :meth:`SeatDesk.stop`."""
+        self._desk.stop(keys)
 
     def ends(self):
         """Return reports of ends that are not known to be on record."""
