Mend the split of the fleet, and test a leader in one process

Change: it is back; a feature now plays a leader against the store's stand-in and a VM of its own, moves included.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -193,6 +193,23 @@
             ends += [self.interrupted(task) for task in tasks]
         return ends
 
+    def running_tasks(self, loads):
+        """Return what runs on VMs, for who looks for tasks to move.
+
+        :param loads: :class:`radishlanding.policy.VmLoad` objects.
+        :returns: Tuples of workflow record, task record, step and load.
+        """
+        found = []
+        for load in loads:
+            running = self.sessions[load.vm].running
+            for task in self._board.tasks_on(load.vm):
+                if task.task_id in running:
+                    record, _ = self._board.find(task.task_id)
+                    place = TaskPlace.parse(task.task_id)
+                    step = record.workflow.steps[place.step]
+                    found.append((record, task, step, load))
+        return found
+
     def weights(self, session):
         """Return what is known of the images that fill a VM."""
         return self._images.weights(session)
--- /dev/null
+++ b/tests/dispatch/leader.feature
@@ -0,0 +1,54 @@
+Feature: A leader puts on record what happens, and tells nothing before
+
+  Background:
+    Given a leader of a platform store, with a VM that follows it
+
+  Scenario: a workflow is started once it is on record, and completed once its ends are
+    When a workflow of 2 tasks is submitted
+    Then the caller is told that it is found
+    And within 2 s the VM is ordered to start 2 tasks
+    When the VM reports both as done
+    Then within 2 s the workflow is shown as completed
+    And the VM may forget both ends
+
+  Scenario: nothing starts and nothing is accepted while the store is away
+    When the store goes away and a workflow is submitted
+    Then the caller is told that it is refused or uncertain
+    And the VM is ordered to start nothing
+
+  Scenario: a retry of a submission is one workflow
+    When the same workflow is submitted three times at once
+    Then each caller is told that it is found
+    And within 2 s the VM is ordered to start 2 tasks
+
+  Scenario: a cancelled workflow is stopped
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports them as running
+    And the workflow is cancelled
+    Then within 2 s the VM is ordered to stop 2 tasks
+
+  Scenario: an unknown workflow is absent only on proof
+    When an unknown workflow is asked for
+    Then the caller is told that it is absent
+    When the store goes away for longer than a proof lasts
+    And an unknown workflow is asked for
+    Then the caller is told that it is uncertain
+
+  Scenario: what a full report does not list is started again under a new number
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports that it has none of them
+    Then within 2 s the VM is ordered to start them again, as attempt 2
+
+  Scenario: a VM whose lease has run out is lost
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM is not heard for longer than its lease
+    And another VM follows
+    Then within 2 s the other VM is ordered to start them, as attempt 2
+
+  Scenario: a filling task that disturbs is moved when another VM has room
+    Given another VM follows, without serving tasks
+    When a filling task that disturbs runs beside a serving one
+    Then within 4 s the VM is ordered to stop 1 task
--- /dev/null
+++ b/tests/dispatch/leader_steps.py
@@ -0,0 +1,360 @@
+"""Steps about a leader in this process."""
+
+import functools
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.config import Site
+from radishlanding.dispatch import EntryLog
+from radishlanding.dispatch import keys
+from radishlanding.dispatch import Leader
+from radishlanding.message import EndsRecorded
+from radishlanding.message import RunningTask
+from radishlanding.message import StartOrders
+from radishlanding.message import StartOrdersAnswer
+from radishlanding.message import StopOrders
+from radishlanding.message import TaskEndReport
+from radishlanding.message import VmHello
+from radishlanding.message import VmReport
+from radishlanding.message import VmState
+from radishlanding.observe import Counters
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import Interference
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.store import Write
+from radishlanding.vm import Capacity
+from radishlanding.vm import clock_ms
+from radishlanding.vm import Timing
+from radishlanding.workflow import EndKind
+from radishlanding.workflow import Step
+from tests.dispatch.entry_log_steps import make_store
+from tests.standin.open_platform import open_platform_store
+from tests.workflow.workflow_steps import make_workflow
+from tests.workflow.workflow_steps import NAME
+from tests.workflow.workflow_steps import NEEDS
+
+TIMING = Timing(vm_lease_s=1.0, owner_grace_s=1.0, drift_s=0.2)
+IMAGE = "cruncher"
+
+
+class FakeAgent:
+    """A connection to an agent that takes every order."""
+
+    __slots__ = ("forgotten", "is_aborted", "started", "stopped")
+
+    def __init__(self):
+        """Start without orders."""
+        self.forgotten = []
+        self.is_aborted = False
+        self.started = []
+        self.stopped = []
+
+    async def call(self, message, *, timeout_s):
+        """Take start or stop orders."""
+        if isinstance(message, StartOrders):
+            self.started += message.orders
+            return StartOrdersAnswer(clock_ms=clock_ms())
+        assert isinstance(message, StopOrders), message
+        self.stopped += message.keys
+        return None
+
+    async def notify(self, message):
+        """Note which ends may be forgotten."""
+        assert isinstance(message, EndsRecorded), message
+        self.forgotten += message.keys
+
+    def abort(self):
+        """Note that the connection is given up."""
+        self.is_aborted = True
+
+
+class _SiteWatch:
+    """A site that is always ready."""
+
+    __slots__ = ()
+
+    is_ready = True
+    site = Site(version=1)
+
+
+@given("a leader of a platform store, with a VM that follows it")
+def _a_leader(context):
+    context.agents = {}
+    context.interference = Interference()
+    context.bridge.call(_open_leader, context)
+    _follow(context, "vm1")
+
+
+async def _open_leader(context):
+    nursery = context.bridge.nursery
+    context.platform_store, address = await open_platform_store(nursery)
+    log = EntryLog(store=make_store(address))
+    board = await log.claim(
+        process_id="p",
+        leader_write=Write(key=keys.LEADER, value=b"p"),
+        leader_version=0,
+    )
+    context.leader = Leader(
+        log=log,
+        board=board,
+        site_watch=_SiteWatch(),
+        planner=WorkflowPlanner(
+            order=EarliestDeadline(), interference=context.interference
+        ),
+        interference=context.interference,
+        timing=TIMING,
+        counters=Counters(),
+    )
+    nursery.start_soon(context.leader.run)
+
+
+def _state(vm):
+    return VmState(
+        boot=f"{vm}/1",
+        zone="z0",
+        pool="order-desk",
+        labels=["a", "r1"],
+        capacity=Capacity(millicores=64_000, memory_mb=64_000),
+    )
+
+
+def _follow(context, vm):
+    agent = context.agents[vm] = FakeAgent()
+
+    async def follow():
+        hello = VmHello(vm=vm, epoch=0, clock_ms=clock_ms(), state=_state(vm))
+        assert context.leader.hello(hello, agent).accepted
+
+    context.bridge.call(follow)
+    _report(context, vm)
+
+
+def _report(context, vm, *, running=(), ended=()):
+    async def report():
+        await trio.sleep(0.01)
+        session = context.leader.fleet.find(vm, context.agents[vm])
+        return context.leader.report(
+            session,
+            VmReport(
+                vm=vm,
+                is_full=True,
+                clock_ms=clock_ms(),
+                state=_state(vm),
+                running=list(running),
+                ended=list(ended),
+            ),
+        )
+
+    return context.bridge.call(report)
+
+
+def _submit(context, *, count=2, name=NAME, **fields):
+    step = Step(count=count, needs=NEEDS, **fields)
+    return context.bridge.call(
+        functools.partial(
+            context.leader.submit,
+            make_workflow([step], name=name),
+            request_id="r",
+        )
+    )
+
+
+@when("a workflow of {count:d} tasks is submitted")
+def _is_submitted(context, count):
+    context.answers = [_submit(context, count=count)]
+
+
+@when("the same workflow is submitted three times at once")
+def _three_times(context):
+    workflow = make_workflow([Step(count=2, needs=NEEDS)])
+
+    async def submit():
+        context.answers.append(
+            await context.leader.submit(workflow, request_id="r")
+        )
+
+    async def all_at_once():
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(submit)
+
+    context.answers = []
+    context.bridge.call(all_at_once)
+
+
+@when("the store goes away and a workflow is submitted")
+def _store_away(context):
+    context.platform_store.mode = "silent"
+    context.answers = [_submit(context)]
+
+
+@when("the store goes away for longer than a proof lasts")
+def _away_long(context):
+    context.platform_store.mode = "busy"
+    context.bridge.call(trio.sleep, 1.3)
+
+
+@when("an unknown workflow is asked for")
+def _asked(context):
+    context.answers = [context.bridge.call(context.leader.find, "f" * 16)]
+
+
+@then("the caller is told that it is {outcomes}")
+@then("each caller is told that it is {outcomes}")
+def _told(context, outcomes):
+    allowed = outcomes.split(" or ")
+    found = [answer.outcome for answer in context.answers]
+    assert all(outcome in allowed for outcome in found), found
+
+
+async def _until(test, wait_s):
+    with trio.move_on_after(wait_s):
+        while not test():
+            await trio.sleep(0.01)
+    return test()
+
+
+def _wait(context, test, wait_s):
+    return context.bridge.call(_until, test, wait_s)
+
+
+@then("within {wait_s:d} s the VM is ordered to start {count:d} tasks")
+@when("within {wait_s:d} s the VM is ordered to start {count:d} tasks")
+def _ordered(context, wait_s, count):
+    agent = context.agents["vm1"]
+    _wait(context, lambda: len(agent.started) >= count, wait_s)
+    assert len(agent.started) == count, agent.started
+
+
+@then("the VM is ordered to start nothing")
+def _nothing_ordered(context):
+    context.bridge.call(trio.sleep, 0.5)
+    assert context.agents["vm1"].started == []
+
+
+@when("the VM reports both as done")
+def _both_done(context):
+    ended = [
+        TaskEndReport(
+            task_id=order.task_id, attempt=order.attempt, kind=EndKind.DONE
+        )
+        for order in context.agents["vm1"].started
+    ]
+    _report(context, "vm1", ended=ended)
+
+
+@then("within {wait_s:d} s the workflow is shown as {phase:w}")
+def _shown(context, wait_s, phase):
+    async def find():
+        with trio.move_on_after(wait_s):
+            while (await context.leader.find(NAME)).phase != phase:
+                await trio.sleep(0.01)
+        return (await context.leader.find(NAME)).phase
+
+    assert context.bridge.call(find) == phase
+
+
+@then("the VM may forget both ends")
+def _may_forget(context):
+    agent = context.agents["vm1"]
+    assert _wait(context, lambda: len(agent.forgotten) == 2, 2)
+
+
+def _running(context):
+    return [
+        RunningTask(task_id=order.task_id, attempt=order.attempt)
+        for order in context.agents["vm1"].started
+    ]
+
+
+@when("the VM reports them as running")
+def _reports_running(context):
+    _report(context, "vm1", running=_running(context))
+
+
+@when("the workflow is cancelled")
+def _cancelled(context):
+    answer = context.bridge.call(
+        functools.partial(context.leader.cancel, NAME, request_id="r")
+    )
+    assert answer.phase == "cancelled", answer
+
+
+@then("within {wait_s:d} s the VM is ordered to stop {count:d} tasks")
+@then("within {wait_s:d} s the VM is ordered to stop {count:d} task")
+def _stops(context, wait_s, count):
+    agent = context.agents["vm1"]
+    assert _wait(context, lambda: len(agent.stopped) == count, wait_s), (
+        agent.stopped
+    )
+
+
+@when("the VM reports that it has none of them")
+def _has_none(context):
+    context.agents["vm1"].started.clear()
+    _report(context, "vm1")
+
+
+@then(
+    "within {wait_s:d} s the VM is ordered to start them again, as attempt "
+    "{number:d}"
+)
+def _again(context, wait_s, number):
+    _started_as(context, "vm1", wait_s, number)
+
+
+@then(
+    "within {wait_s:d} s the other VM is ordered to start them, as attempt "
+    "{number:d}"
+)
+def _elsewhere(context, wait_s, number):
+    _started_as(context, "vm2", wait_s, number)
+
+
+def _started_as(context, vm, wait_s, number):
+    agent = context.agents[vm]
+    assert _wait(context, lambda: len(agent.started) == 2, wait_s)
+    assert {order.attempt for order in agent.started} == {number}
+
+
+@when("the VM is not heard for longer than its lease")
+def _not_heard(context):
+    context.bridge.call(trio.sleep, 1.6)
+
+
+@when("another VM follows")
+@given("another VM follows, without serving tasks")
+def _another(context):
+    _follow(context, "vm2")
+
+
+@when("a filling task that disturbs runs beside a serving one")
+def _beside(context):
+    for _ in range(4):
+        context.interference.observe([("t", 0.4)], {})
+    for _ in range(12):
+        context.interference.observe([("t", 1.4)], {IMAGE: 0.1})
+    context.leader.drop(context.agents["vm2"])
+    fills = {"fills": True, "image": IMAGE, "checkpointing": True}
+    _submit(context, count=1, name="f" * 16, **fills)
+    _wait(context, lambda: context.agents["vm1"].started, 2)
+    serving = {"standing": True, "latency_target_ms": 50, "image": "desk"}
+    _submit(context, count=1, name="e" * 16, **serving)
+    _wait(context, lambda: len(context.agents["vm1"].started) == 2, 2)
+    _report(context, "vm1", running=_running(context))
+    _follow(context, "vm2")
+
+    async def keep_reporting():
+        for _ in range(8):
+            session = context.leader.fleet.find("vm1", context.agents["vm1"])
+            if session is not None:
+                context.leader.fleet.grant(session)
+            other = context.leader.fleet.find("vm2", context.agents["vm2"])
+            if other is not None:
+                context.leader.fleet.grant(other)
+            await trio.sleep(0.4)
+
+    context.bridge.spawn(keep_reporting)
