--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -9,6 +9,7 @@
 from radishlanding.dispatch.leader_probe import LeaderProbe
 from radishlanding.journal import Fenced
 from radishlanding.membership import Member
+from radishlanding.message import LeaderNotice
 from radishlanding.observe import EventLog
 from radishlanding.store import CorruptRecord
 from radishlanding.store import LeaseGone
@@ -41,7 +42,9 @@
         "_registration",
         "_scope",
         "_site_keys",
+        "_step_down",
         "_store",
+        "_told",
         "leader",
     )
 
@@ -77,11 +80,18 @@
         self._registration = registration
         self._scope = None
         self._site_keys = site_keys
+        self._step_down = trio.Event()
         self._store = store
+        self._told = None
         self.leader = None
 
     def leader_member(self):
-        """Return the :class:`Member` that is said to lead, or None."""
+        """Return the :class:`Member` that is said to lead, or None.
+
+        While the store is away here, a newer leader's own word counts.
+        """
+        if self._told is not None and self._site_keys.is_lost:
+            return self._told
         item = self._site_keys.items.get(keys.LEADER)
         if item is None:
             return None
@@ -123,7 +133,11 @@
                 break
             if member is not None:
                 self._probe.follow(member)
-                if self._probe.is_gone(member) and self._may_quarrel():
+                if (
+                    self._probe.is_gone(member)
+                    and self._may_quarrel()
+                    and not self._site_keys.is_lost
+                ):
                     _log.info("leader_gone", leader=member.process_id)
                     break
             with trio.move_on_after(RETRY_PAUSE_S):
@@ -167,7 +181,9 @@
             with trio.CancelScope() as self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._on_change)
+                    nursery.start_soon(self._probe.tell, self.notice())
                     nursery.start_soon(self._keep_key, log)
+                    nursery.start_soon(self._end_when_replaced)
                     nursery.start_soon(leader.run)
         except* Fenced as group:
             _log.warning(
@@ -182,6 +198,11 @@
             await log.resign()
             await trio.sleep_forever()
 
+    async def _end_when_replaced(self):
+        self._step_down = trio.Event()
+        await self._step_down.wait()
+        raise Fenced("a newer leader has said so")
+
     def _someone_else_leads(self):
         """Return whether a claim was announced during the delay."""
         member = self.leader_member()
@@ -210,6 +231,37 @@
     def _is_own(self, item):
         return item is not None and item.value == pack(self._member)
 
+    def notice(self):
+        """Return the word that this process leads."""
+        return LeaderNotice(
+            epoch=self.leader.epoch,
+            process_id=self._member.process_id,
+            zone=self._member.zone,
+            address=self._member.address,
+        )
+
+    def follow(self, notice):
+        """Take the word of a newer leader, and stop leading.
+
+        :param notice: A :class:`radishlanding.message.LeaderNotice`.
+        """
+        self._told = Member(
+            kind=self._member.kind,
+            process_id=notice.process_id,
+            zone=notice.zone,
+            address=notice.address,
+        )
+        self._probe.forgive(self._told)
+        self._probe.follow(self._told)
+        if self.leader is not None and notice.epoch > self.leader.epoch:
+            _log.info(
+                "newer_leader_told",
+                leader=notice.process_id,
+                epoch=notice.epoch,
+                own_epoch=self.leader.epoch,
+            )
+            self._step_down.set()
+
     def resign(self):
         """Stop leading, for good, and let another process lead."""
         if self._scope is not None and self.leader is not None:
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -45,6 +45,7 @@
         "_since_snapshot",
         "_store",
         "confirmed_s",
+        "failing_since_s",
         "is_stuck",
     )
 
@@ -59,6 +60,7 @@
         self._since_snapshot = 0
         self._store = store
         self.confirmed_s = 0.0
+        self.failing_since_s = 0.0
         self.is_stuck = False
 
     @property
@@ -125,10 +127,12 @@
                     break
             except StoreUnavailable as exc:
                 self.is_stuck = True
+                self._note_failure()
                 _log.warning("append_unanswered", number=number, reason=exc)
             await trio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_RETRY_S, pause_s * 2)
         self.is_stuck = False
+        self.failing_since_s = 0.0
         self._last = number
         self._since_snapshot += 1
         self.confirmed_s = max(self.confirmed_s, sent_s)
@@ -158,11 +162,20 @@
         :raises StoreUnavailable: The store gave no answer.
         """
         sent_s = boot_clock_s()
-        kv = await self._store.get(keys.HEAD)
+        try:
+            kv = await self._store.get(keys.HEAD)
+        except StoreUnavailable:
+            self._note_failure()
+            raise
+        self.failing_since_s = 0.0
         if kv is None or kv.version != self._head_version:
             raise Fenced("the head was replaced")
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
+    def _note_failure(self):
+        if not self.failing_since_s:
+            self.failing_since_s = boot_clock_s()
+
     async def announce(self, write):
         """Write the leader's key again.
 
--- a/src/radishlanding/dispatch/intake.py
+++ b/src/radishlanding/dispatch/intake.py
@@ -4,6 +4,7 @@
 
 from radishlanding.dispatch.submission import Submission
 from radishlanding.message import WorkflowAnswer
+from radishlanding.peer import CallRefused
 from radishlanding.workflow import WorkflowOutcome
 
 # Callers wait 3 s for an answer; this leaves them time to ask again.
@@ -33,6 +34,7 @@
         """Record a workflow, or refuse it before anything is recorded.
 
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
+        :raises CallRefused: No entry names it; another leader may be asked.
         """
         name = workflow.workflow_id
         item = self._submits.get(name)
@@ -70,6 +72,8 @@
             )
         if items.get(name) is item:
             del items[name]
+        if item.is_released:
+            raise CallRefused("the store does not answer")
         return refused("the store does not answer")
 
     def collect(self):
@@ -98,6 +102,15 @@
                     item.is_recorded = key in self._board.workflows
                     item.settled.set()
 
+    def release(self):
+        """Let callers ask another leader for what no entry names yet."""
+        for items in (self._submits, self._cancels):
+            for name, item in list(items.items()):
+                if not item.is_collected:
+                    del items[name]
+                    item.is_released = True
+                    item.settled.set()
+
     def close(self):
         """Settle everything; what was collected stays uncertain."""
         for items in (self._submits, self._cancels):
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -12,6 +12,7 @@
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
 from radishlanding.observe import EventLog
+from radishlanding.peer import CallRefused
 from radishlanding.policy import Migration
 from radishlanding.policy import MIN_FILL_SHARE
 from radishlanding.store import StoreUnavailable
@@ -25,6 +26,9 @@
 # Half of the time after which a VM's lease is not extended any more would do;
 # this also keeps answers about unknown workflows cheap.
 CONFIRM_PAUSE_S = 0.7
+# A store that has not answered for this long may still answer others.
+AWAY_S = 0.25
+AWAY_PAUSE_S = 0.1
 # An answer that a workflow is unknown rests on a proof that is not older.
 MAX_PROOF_AGE_S = 1.0
 
@@ -42,6 +46,7 @@
         "_intake",
         "_log",
         "_migration",
+        "_on_away",
         "_orders",
         "_planner",
         "_recorder",
@@ -60,6 +65,7 @@
         interference,
         timing,
         counters,
+        on_away,
     ):
         """Prepare; :meth:`run` leads.
 
@@ -71,9 +77,12 @@
             :class:`radishlanding.policy.Interference` of the planner.
         :param timing: A :class:`radishlanding.vm.Timing`.
         :param counters: Counts of the process.
+        :param on_away: Coroutine function that asks other dispatchers to
+            lead.
         """
         self._board = board
         self._log = log
+        self._on_away = on_away
         self._migration = Migration(
             interference=interference, min_share=MIN_FILL_SHARE
         )
@@ -116,6 +125,7 @@
                 self._orders.open(nursery)
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._confirm)
+                nursery.start_soon(self._watch_store)
                 await self._recorder.run()
         finally:
             self._intake.close()
@@ -146,10 +156,31 @@
             )
             self._orders.stop(self.fleet.sessions[task.vm], [task])
 
+    @property
+    def is_away(self):
+        """Return whether the store has not answered for some time."""
+        since_s = self._log.failing_since_s
+        return bool(since_s) and boot_clock_s() - since_s > AWAY_S
+
+    async def _watch_store(self):
+        """Ask others to lead while the store does not answer here."""
+        while True:
+            await trio.sleep(AWAY_PAUSE_S)
+            if self.is_away:
+                _log.warning(
+                    "leader_away",
+                    epoch=self.epoch,
+                    proof_age_s=f"{self._proof_age_s():.2f}",
+                )
+                self._intake.release()
+                await self._on_away()
+                await trio.sleep(CONFIRM_PAUSE_S)
+
     async def _confirm(self):
         while True:
-            await trio.sleep(CONFIRM_PAUSE_S)
-            if self._proof_age_s() > CONFIRM_PAUSE_S:
+            is_failing = self._log.failing_since_s > 0
+            await trio.sleep(AWAY_PAUSE_S if is_failing else CONFIRM_PAUSE_S)
+            if is_failing or self._proof_age_s() > CONFIRM_PAUSE_S:
                 try:
                     await self._log.confirm()
                 except StoreUnavailable as exc:
@@ -189,12 +220,11 @@
 
     async def submit(self, workflow, *, request_id):
         """Record a workflow; see :meth:`Intake.submit`."""
-        if self._log.is_stuck and workflow.workflow_id not in (
+        if self.is_away and workflow.workflow_id not in (
             self._board.workflows
         ):
-            answer = intake.refused("the store does not answer")
-        else:
-            answer = await self._intake.submit(workflow)
+            raise CallRefused("the store does not answer")
+        answer = await self._intake.submit(workflow)
         _log.info(
             "submitted",
             workflow=workflow.workflow_id,
--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -2,7 +2,10 @@
 
 import trio
 
+from radishlanding.message import Accepted
 from radishlanding.message import GetStatus
+from radishlanding.message import LeaderAway
+from radishlanding.message import LeaderNotice
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
 from radishlanding.peer import Connection
@@ -20,9 +23,9 @@
 
     ``conn`` is that connection, None while there is none.
 
-    Only two things prove that a process is gone: nobody listens at its
-    address, or another process does. Silence proves nothing; the leader's
-    key in the store runs out by itself.
+    Three things prove that a process does not lead any more: nobody listens
+    at its address, another process does, or it says so itself. Silence
+    proves nothing; the leader's key in the store runs out by itself.
     """
 
     __slots__ = ("_changed", "_counters", "_gone", "_member", "conn")
@@ -48,6 +51,15 @@
             self._changed.set()
             self._changed = trio.Event()
 
+    async def tell(self, message):
+        """Send a notice to the process that is watched, if it is there."""
+        if self.conn is not None:
+            await self.conn.notify(message)
+
+    def forgive(self, member):
+        """Take a process for there again, as it leads anew."""
+        self._gone.discard(member.process_id)
+
     def is_gone(self, member):
         """Return whether it is proved that a process has ended."""
         return member.process_id in self._gone
@@ -109,8 +121,14 @@
             await self._changed.wait()
         conn.abort()
 
-    async def handle(self, message, _conn):
-        """Refuse; the leader sends nothing here."""
+    async def handle(self, message, conn):
+        """Take the leader's word that it has lost the store."""
+        if isinstance(message, LeaderAway):
+            if self._member and message.process_id == self._member.process_id:
+                self._note_gone(self._member, "it has lost the store")
+            return Accepted()
+        if isinstance(message, LeaderNotice):
+            return Accepted()
         raise CallRefused(f"unexpected {type(message).__name__}")
 
     def lost(self, conn):
--- a/src/radishlanding/dispatcher/handler.py
+++ b/src/radishlanding/dispatcher/handler.py
@@ -1,7 +1,9 @@
 """Handles the messages of agents and other dispatchers."""
 
 from radishlanding.dispatcher.queue_desk import ask_leader
+from radishlanding.message import Accepted
 from radishlanding.message import GetStatus
+from radishlanding.message import LeaderNotice
 from radishlanding.message import ProcessSummary
 from radishlanding.message import StatusAnswer
 from radishlanding.message import VmHello
@@ -38,6 +40,9 @@
         """Handle a message of an agent or a dispatcher."""
         if isinstance(message, GetStatus):
             return self._status()
+        if isinstance(message, LeaderNotice):
+            self._candidate.follow(message)
+            return Accepted()
         leader = self._candidate.leader
         if leader is None:
             raise CallRefused("not the leader")
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -16,7 +16,7 @@
 from radishlanding.http import HttpServer
 from radishlanding.http import serve_metrics
 from radishlanding.membership import Member
-from radishlanding.message import LeaderNotice
+from radishlanding.message import LeaderAway
 from radishlanding.observe import Counters
 from radishlanding.observe import EventLog
 from radishlanding.peer import PeerServer
@@ -130,13 +130,21 @@
                 drift_s=self._cfg.drift_s,
             ),
             counters=self._counters,
+            on_away=self._tell_away,
         )
 
     async def _announce(self):
         """Tell every peer that this process leads."""
-        notice = LeaderNotice(epoch=self._candidate.leader.epoch)
-        for conn in self._peers.connections:
-            await conn.notify(notice)
+        await self._tell_peers(self._candidate.notice())
+
+    async def _tell_away(self):
+        """Ask the other dispatchers to lead."""
+        await self._tell_peers(LeaderAway(process_id=self._member.process_id))
+
+    async def _tell_peers(self, notice):
+        async with trio.open_nursery() as nursery:
+            for conn in self._peers.connections:
+                nursery.start_soon(conn.notify, notice)
 
     def _is_ready(self):
         return self._site_watch.is_ready and not self._is_stopping
--- a/src/radishlanding/dispatcher/queue_desk.py
+++ b/src/radishlanding/dispatcher/queue_desk.py
@@ -79,12 +79,18 @@
 
     async def _ask(self, message, *, timeout_s):
         """Ask until there is an answer, or nobody who could give one."""
-        end_s = boot_clock_s() + max(0.05, timeout_s - ANSWER_SLACK_S)
+        began_s = boot_clock_s()
+        end_s = began_s + max(0.05, timeout_s - ANSWER_SLACK_S)
+        patience_s = min(end_s, began_s + LEADER_WAIT_S)
         was_sent = False
         reason = "no leader is known"
-        while await self._wait_leader(end_s):
+        while await self._wait_leader(end_s if was_sent else patience_s):
             try:
-                return await self._ask_once(message, end_s)
+                answer = await self._ask_once(message, end_s)
+                if not _is_uncertain(answer):
+                    return answer
+                was_sent = True
+                reason = answer.reason
             except ConnectionLost as exc:
                 was_sent = was_sent or exc.was_sent
                 reason = str(exc)
@@ -108,9 +114,11 @@
 
     async def _wait_leader(self, end_s):
         """Return whether somebody can be asked within the time."""
-        patience_s = min(end_s, boot_clock_s() + LEADER_WAIT_S)
-        while boot_clock_s() < patience_s:
-            if self._candidate.leader or self._candidate.leader_conn:
+        while boot_clock_s() < end_s:
+            leader = self._candidate.leader
+            if leader is not None and not leader.is_away:
+                return True
+            if leader is None and self._candidate.leader_conn is not None:
                 return True
             await trio.sleep(POLL_PAUSE_S)
         return False
@@ -125,6 +133,13 @@
         )
 
 
+def _is_uncertain(answer):
+    return (
+        isinstance(answer, WorkflowAnswer)
+        and answer.outcome == WorkflowOutcome.UNCERTAIN
+    )
+
+
 async def ask_leader(leader, message):
     """Return the answer of a leader in this process.
 
--- a/src/radishlanding/message/__init__.py
+++ b/src/radishlanding/message/__init__.py
@@ -22,6 +22,7 @@
 from radishlanding.message.image_weight import ImageWeight
 from radishlanding.message.job_answer import JobAnswer
 from radishlanding.message.job_summary import JobSummary
+from radishlanding.message.leader_away import LeaderAway
 from radishlanding.message.leader_notice import LeaderNotice
 from radishlanding.message.list_jobs import ListJobs
 from radishlanding.message.load_report import LoadReport
@@ -81,6 +82,7 @@
     "ImageWeight",
     "JobAnswer",
     "JobSummary",
+    "LeaderAway",
     "LeaderNotice",
     "ListJobs",
     "LoadReport",
--- a/src/radishlanding/vmagent/leader_line.py
+++ b/src/radishlanding/vmagent/leader_line.py
@@ -6,6 +6,7 @@
 
 from radishlanding.message import Accepted
 from radishlanding.message import EndsRecorded
+from radishlanding.message import LeaderAway
 from radishlanding.message import LeaderNotice
 from radishlanding.message import StartOrders
 from radishlanding.message import StartOrdersAnswer
@@ -176,6 +177,8 @@
             if message.epoch >= self.epoch:
                 self._nursery.start_soon(self._introduce, conn)
             return Accepted()
+        if isinstance(message, LeaderAway):
+            return Accepted()
         if conn is not self.conn:
             raise CallRefused("not the leader")
         seat = self._seats.get(message.vm)
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -50,11 +50,12 @@
     getBacklog @43 :GetBacklog;
     backlogAnswer @44 :BacklogAnswer;
     leaderNotice @45 :LeaderNotice;
-    imageWeight @46 :ImageWeight;
-    taskOrder @47 :TaskOrder;
-    taskEndReport @48 :TaskEndReport;
-    runningTask @49 :RunningTask;
-    vmState @50 :VmState;
+    leaderAway @46 :LeaderAway;
+    imageWeight @47 :ImageWeight;
+    taskOrder @48 :TaskOrder;
+    taskEndReport @49 :TaskEndReport;
+    runningTask @50 :RunningTask;
+    vmState @51 :VmState;
   }
 }
 
@@ -395,6 +396,13 @@
 
 struct LeaderNotice {
   epoch @0 :Int64;
+  processId @1 :Text;
+  zone @2 :Text;
+  address @3 :Text;
+}
+
+struct LeaderAway {
+  processId @0 :Text;
 }
 
 struct ImageWeight {
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -12,8 +12,8 @@
     And the VM may forget both ends
 
   Scenario: nothing starts and nothing is accepted while the store is away
-    When the store goes away and a workflow is submitted
-    Then the caller is told that it is refused or uncertain
+    When the store goes away and two workflows are submitted
+    Then the callers are told that one is uncertain, and to ask another leader
     And the VM is ordered to start nothing
 
   Scenario: a retry of a submission is one workflow
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -21,6 +21,7 @@
 from radishlanding.message import VmReport
 from radishlanding.message import VmState
 from radishlanding.observe import Counters
+from radishlanding.peer import CallRefused
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import WorkflowPlanner
@@ -107,6 +108,7 @@
         interference=context.interference,
         timing=TIMING,
         counters=Counters(),
+        on_away=trio.lowlevel.checkpoint,
     )
     nursery.start_soon(context.leader.run)
 
@@ -185,10 +187,33 @@
     context.bridge.call(all_at_once)
 
 
-@when("the store goes away and a workflow is submitted")
+@when("the store goes away and two workflows are submitted")
 def _store_away(context):
     context.platform_store.mode = "silent"
-    context.answers = [_submit(context)]
+    context.outcomes = []
+
+    async def submit(name):
+        workflow = make_workflow([Step(count=2, needs=NEEDS)], name=name)
+        try:
+            answer = await context.leader.submit(workflow, request_id="r")
+            context.outcomes.append(answer.outcome)
+        except CallRefused:
+            context.outcomes.append("elsewhere")
+
+    async def both():
+        async with trio.open_nursery() as nursery:
+            for name in ("a" * 16, "b" * 16):
+                nursery.start_soon(submit, name)
+                await trio.sleep(0.05)
+
+    context.bridge.call(both)
+
+
+@then("the callers are told that one is uncertain, and to ask another leader")
+def _uncertain_and_elsewhere(context):
+    assert sorted(context.outcomes) == ["elsewhere", "uncertain"], (
+        context.outcomes
+    )
 
 
 @when("the store goes away for longer than a proof lasts")
