--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -106,6 +106,11 @@
         """Return a connection to the leader, None while there is none."""
         return self._probe.conn
 
+    def _leader_version(self):
+        """Return the version of the leader's key, 0 for an absent one."""
+        item = self._site_keys.items.get(keys.LEADER)
+        return item.version if item else 0
+
     async def run(self):
         """Compete and lead, again and again."""
         async with trio.open_nursery() as nursery:
@@ -132,9 +137,10 @@
                 _log.info("leader_ended_here", leader=member.process_id)
                 break
             if member is not None:
-                self._probe.follow(member)
+                version = self._leader_version()
+                self._probe.follow(member, version=version)
                 if (
-                    self._probe.is_gone(member)
+                    self._probe.is_gone(member, version=version)
                     and self._may_quarrel()
                     and not self._site_keys.is_lost
                 ):
@@ -162,13 +168,12 @@
     async def _lead(self):
         if self._someone_else_leads():
             return
-        item = self._site_keys.items.get(keys.LEADER)
         log = EntryLog(store=self._store)
         began_s = boot_clock_s()
         board = await log.claim(
             process_id=self._member.process_id,
             leader_write=self._leader_write(),
-            leader_version=item.version if item else 0,
+            leader_version=self._leader_version(),
         )
         _log.info(
             "leading",
@@ -209,7 +214,7 @@
         return (
             member is not None
             and member.address != self._member.address
-            and not self._probe.is_gone(member)
+            and not self._probe.is_gone(member, version=self._leader_version())
         )
 
     async def _keep_key(self, log):
@@ -251,8 +256,7 @@
             zone=notice.zone,
             address=notice.address,
         )
-        self._probe.forgive(self._told)
-        self._probe.follow(self._told)
+        self._probe.follow(self._told, version=-notice.epoch)
         if self.leader is not None and notice.epoch > self.leader.epoch:
             _log.info(
                 "newer_leader_told",
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -46,6 +46,7 @@
         "_store",
         "confirmed_s",
         "failing_since_s",
+        "failures",
         "is_stuck",
     )
 
@@ -60,6 +61,7 @@
         self._since_snapshot = 0
         self._store = store
         self.confirmed_s = 0.0
+        self.failures = 0
         self.failing_since_s = 0.0
         self.is_stuck = False
 
@@ -132,7 +134,7 @@
             await trio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_RETRY_S, pause_s * 2)
         self.is_stuck = False
-        self.failing_since_s = 0.0
+        self._note_answer()
         self._last = number
         self._since_snapshot += 1
         self.confirmed_s = max(self.confirmed_s, sent_s)
@@ -167,15 +169,20 @@
         except StoreUnavailable:
             self._note_failure()
             raise
-        self.failing_since_s = 0.0
+        self._note_answer()
         if kv is None or kv.version != self._head_version:
             raise Fenced("the head was replaced")
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
     def _note_failure(self):
+        self.failures += 1
         if not self.failing_since_s:
             self.failing_since_s = boot_clock_s()
 
+    def _note_answer(self):
+        self.failures = 0
+        self.failing_since_s = 0.0
+
     async def announce(self, write):
         """Write the leader's key again.
 
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -29,6 +29,8 @@
 # A store that has not answered for this long may still answer others.
 AWAY_S = 0.25
 AWAY_PAUSE_S = 0.1
+# A single answer may be lost.
+AWAY_FAILURES = 2
 # An answer that a workflow is unknown rests on a proof that is not older.
 MAX_PROOF_AGE_S = 1.0
 
@@ -159,8 +161,8 @@
     @property
     def is_away(self):
         """Return whether the store has not answered for some time."""
-        since_s = self._log.failing_since_s
-        return bool(since_s) and boot_clock_s() - since_s > AWAY_S
+        failing_s = boot_clock_s() - self._log.failing_since_s
+        return self._log.failures >= AWAY_FAILURES and failing_s > AWAY_S
 
     async def _watch_store(self):
         """Ask others to lead while the store does not answer here."""
--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -28,7 +28,14 @@
     proves nothing; the leader's key in the store runs out by itself.
     """
 
-    __slots__ = ("_changed", "_counters", "_gone", "_member", "conn")
+    __slots__ = (
+        "_changed",
+        "_counters",
+        "_gone",
+        "_member",
+        "_version",
+        "conn",
+    )
 
     def __init__(self, *, counters):
         """Start without a leader.
@@ -39,15 +46,19 @@
         self._counters = counters
         self._gone = set()
         self._member = None
+        self._version = 0
         self.conn = None
 
-    def follow(self, member):
+    def follow(self, member, *, version):
         """Watch a process.
 
         :param member: A :class:`radishlanding.membership.Member`.
+        :param version: Version of the leader's key that names it; a process
+            that leads anew counts as there again.
         """
-        if member != self._member:
+        if (member, version) != (self._member, self._version):
             self._member = member
+            self._version = version
             self._changed.set()
             self._changed = trio.Event()
 
@@ -56,18 +67,14 @@
         if self.conn is not None:
             await self.conn.notify(message)
 
-    def forgive(self, member):
-        """Take a process for there again, as it leads anew."""
-        self._gone.discard(member.process_id)
-
-    def is_gone(self, member):
-        """Return whether it is proved that a process has ended."""
-        return member.process_id in self._gone
+    def is_gone(self, member, *, version):
+        """Return whether it is proved that a process leads no more."""
+        return (member.process_id, version) in self._gone
 
     async def run(self):
         """Watch until cancelled."""
         while True:
-            if self._member is None or self.is_gone(self._member):
+            if self._member is None or self._is_watched_gone():
                 await self._changed.wait()
             member = self._member
             try:
@@ -79,8 +86,11 @@
                 _log.info("probe_refused", reason=exc)
             await trio.sleep(PAUSE_S)
 
+    def _is_watched_gone(self):
+        return self.is_gone(self._member, version=self._version)
+
     def _note_gone(self, member, reason):
-        self._gone.add(member.process_id)
+        self._gone.add((member.process_id, self._version))
         _log.info("process_gone", process=member.process_id, reason=reason)
 
     async def _watch(self, member):
