Count a worker that has started again as held for as long as it may be

A worker started again under its name; a call that was on its way carried a deadline on the clock of the boot before, 6 s ahead, so the new boot held its tasks longer than the agent believed when it then fell silent. Change: after a new boot the agent waits for the platform's longest hold before it takes tasks for lapsed, and answers of an earlier boot do not set the clock.

--- a/src/radishlanding/settings/vm_agent.py
+++ b/src/radishlanding/settings/vm_agent.py
@@ -18,6 +18,8 @@
     :param store_calls_per_s: Bound on calls to the store.
     :param vm_lease_s: How long tasks run without an acknowledgement, in
         seconds; the same in every process of a site.
+    :param hold_max_ms: Longest time that the worker is held by a deadline,
+        in milliseconds; the platform says it.
     :param log_level: Lowest level that is logged.
     """
 
@@ -30,4 +32,5 @@
     metrics_listen: str = ""
     store_calls_per_s: float = 5.0
     vm_lease_s: float = 8.0
+    hold_max_ms: int = 10_000
     log_level: str = "info"
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -131,6 +131,7 @@
             report=report,
             make_worker=_make_runner,
             vm_lease_s=self._cfg.vm_lease_s,
+            hold_max_s=self._cfg.hold_max_ms / 1000,
             nursery=self._nursery,
         )
         self._seats[seat.vm] = seat
--- a/src/radishlanding/vmagent/seat_clock.py
+++ b/src/radishlanding/vmagent/seat_clock.py
@@ -11,10 +11,15 @@
 class SeatClock:
     """Give deadlines on a worker's clock, and tell when they have passed."""
 
-    __slots__ = ("_at_s", "_clock_ms", "held_until_s")
+    __slots__ = ("_at_s", "_clock_ms", "_hold_max_s", "held_until_s")
 
-    def __init__(self):
-        """Start without a reading."""
+    def __init__(self, *, hold_max_s):
+        """Start without a reading.
+
+        :param hold_max_s: Longest time that a worker is held by a deadline,
+            in seconds.
+        """
+        self._hold_max_s = hold_max_s
         self._at_s = 0.0
         self._clock_ms = None
         self.held_until_s = 0.0
@@ -30,8 +35,13 @@
         self._at_s = boot_clock_s()
 
     def forget(self):
-        """Drop the reading, for a worker that has started again."""
+        """Drop the reading, for a worker that has started again.
+
+        It may have taken a deadline on the clock of its last boot, which
+        was ahead; only the platform's bound limits for how long.
+        """
         self._clock_ms = None
+        self.held_until_s = boot_clock_s() + self._hold_max_s
 
     def deadline_ms(self, remaining_s):
         """Return a deadline on the worker's clock, and remember it.
--- a/src/radishlanding/vmagent/seat_starter.py
+++ b/src/radishlanding/vmagent/seat_starter.py
@@ -90,6 +90,7 @@
         ):
             return None
         sent_s = boot_clock_s()
+        boot = seat.report.boot
         try:
             result, clock_ms = await seat.worker.start(
                 task.order,
@@ -115,7 +116,8 @@
             fence=seat.fence,
             took_ms=int((boot_clock_s() - sent_s) * 1000),
         )
-        if clock_ms:
+        if clock_ms and boot == seat.report.boot:
+            # The clock of an earlier boot would give deadlines too late.
             seat.clock.read(clock_ms)
         return result
 
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -18,6 +18,8 @@
 # How long the worker goes on without its agent: the agent's restart takes
 # about 2 s. It also bounds how long the work of a silent worker is missed.
 HOLD_S = 4.5
+# Part of the platform's longest hold that is used at most.
+HOLD_SHARE = 0.75
 # Longest wait of a look; it also is the pace at which holds are extended.
 LOOK_WAIT_S = 0.5
 # Pause of looks while ends wait to be on record, as they answer at once.
@@ -32,6 +34,7 @@
 
     __slots__ = (
         "_desk",
+        "_hold_s",
         "_make_worker",
         "clock",
         "fence",
@@ -46,7 +49,9 @@
         "worker",
     )
 
-    def __init__(self, *, report, make_worker, vm_lease_s, nursery):
+    def __init__(
+        self, *, report, make_worker, vm_lease_s, hold_max_s, nursery
+    ):
         """Prepare; :meth:`run` works.
 
         :param report: The :class:`radishlanding.worker.WorkerReport` that
@@ -54,10 +59,13 @@
         :param make_worker: Callable that takes a report and returns a
             :class:`radishlanding.worker.LeasedWorker`.
         :param vm_lease_s: How long tasks run without an acknowledgement.
+        :param hold_max_s: Longest time that the worker is held by a
+            deadline, in seconds.
         :param nursery: Nursery for starts and stops.
         """
         self._make_worker = make_worker
-        self.clock = SeatClock()
+        self._hold_s = min(HOLD_S, HOLD_SHARE * hold_max_s)
+        self.clock = SeatClock(hold_max_s=hold_max_s)
         self.fence = 0
         self.is_answering = True
         self.has_left = False
@@ -141,7 +149,6 @@
         self.table.end_each(surely_gone, reason="the worker has started again")
         self.table.reset_numbers()
         self.clock.forget()
-        self.clock.held_until_s = 0.0
         self.is_answering = True
         self.is_leaving = False
         self.has_left = False
@@ -158,7 +165,7 @@
 
     def remaining_s(self):
         """Return for how long the worker may go on, in seconds."""
-        return min(self.lease.remaining_s(), HOLD_S)
+        return min(self.lease.remaining_s(), self._hold_s)
 
     async def run(self):
         """Hold and watch the worker until cancelled."""
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,139 @@
+"""Plays random faults over a platform site of real processes.
+
+``python -m tests.soak [FIRST_SEED] [SEEDS] [SECONDS]`` runs one site a seed.
+Faults overlap: each begins before the last one has ended. What callers and
+runners saw is judged while the site runs and at its end. Exits with 1 where
+a seed has findings; ``REGRESSIONS`` keeps each seed that ever failed.
+"""
+
+import pathlib
+import random
+import sys
+
+import trio
+
+from tests.dispatcher.faults import FAULTS
+from tests.dispatcher.site_steps import CAPACITY
+from tests.dispatcher.site_steps import JobSource
+from tests.dispatcher.site_steps import MILLICORES
+from tests.standin import platform_checks as checks
+from tests.standin.platform_site import PlatformSite
+
+SECONDS = 20.0
+MAX_GAP_S = 4.0
+CHECK_PAUSE_S = 0.5
+SETTLE_S = 40.0
+# Faults that wait for a leader or start processes must not meet themselves.
+ALONE = {"nothing"}
+# Seeds that have failed, with the cause.
+REGRESSIONS = {}
+
+
+def findings_of(site):
+    """Return what is wrong with what callers and runners saw."""
+    found = checks.double_runs(site.record)
+    found += checks.out_of_order(site.record)
+    found += checks.too_full(
+        site.record, millicores=MILLICORES, capacity=CAPACITY
+    )
+    return found + checks.refused_runs(site.record, site.answers)
+
+
+class Soak:
+    """One site under one seed's faults."""
+
+    __slots__ = ("_busy", "_rng", "_site", "findings", "log")
+
+    def __init__(self, *, site, seed):
+        """Prepare.
+
+        :param site: A :class:`PlatformSite`.
+        :param seed: Seed of the faults.
+        """
+        self._busy = trio.Lock()
+        self._rng = random.Random(seed)
+        self._site = site
+        self.findings = []
+        self.log = []
+
+    async def run(self, *, seconds):
+        """Play faults, then wait for everything that was accepted."""
+        source = JobSource(self._site)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.run)
+            nursery.start_soon(self._check)
+            with trio.move_on_after(seconds):
+                await self._play(nursery)
+            source.stop()
+            async with self._busy:
+                await self._wait_done(source)
+            nursery.cancel_scope.cancel()
+        self.findings += findings_of(self._site)
+
+    async def _check(self):
+        while not self.findings:
+            await trio.sleep(CHECK_PAUSE_S)
+            self.findings += findings_of(self._site)
+
+    async def _play(self, nursery):
+        names = sorted(set(FAULTS) - ALONE)
+        while True:
+            name = self._rng.choice(names)
+            self.log.append(name)
+            nursery.start_soon(self._cause, name)
+            await trio.sleep(self._rng.uniform(0.3, MAX_GAP_S))
+
+    async def _cause(self, name):
+        """Cause a fault; those that start processes take turns."""
+        if "killed" in name or "stopped" in name or "frozen" in name:
+            async with self._busy:
+                await self._cause_now(name)
+        else:
+            await self._cause_now(name)
+
+    async def _cause_now(self, name):
+        while self._site.leader() is None:
+            await trio.sleep(0.05)
+        await FAULTS[name](self._site)
+
+    async def _wait_done(self, source):
+        with trio.move_on_after(SETTLE_S) as scope:
+            for name in list(source.names):
+                while await self._site.state(name) != "completed":
+                    await trio.sleep(0.1)
+        if scope.cancelled_caught:
+            self.findings.append(f"{name} is not completed")
+
+
+async def play(seed, seconds):
+    """Return the findings of one seed."""
+    async with PlatformSite.open(seed=seed) as site:
+        soak = Soak(site=site, seed=seed)
+        await soak.run(seconds=seconds)
+        print(
+            f"seed {seed}: {len(site.record)} runs, "
+            f"faults: {', '.join(soak.log)}; {len(soak.findings)} findings",
+            flush=True,
+        )
+        if soak.findings:
+            pathlib.Path(f"soak-{seed}.log").write_text(site.log())
+        return soak.findings
+
+
+def main():
+    """Play the seeds, after those that once failed."""
+    numbers = [float(text) for text in sys.argv[1:]]
+    first, count, seconds = [*numbers, *(1, 1, SECONDS)[len(numbers) :]]
+    failed = 0
+    fresh = range(int(first), int(first) + int(count))
+    for seed in [*REGRESSIONS, *fresh]:
+        findings = trio.run(play, seed, seconds)
+        for finding in findings[:5]:
+            print(f"  {finding}")
+        failed += bool(findings)
+    print(f"{len(fresh) + len(REGRESSIONS) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -28,6 +28,7 @@
         "loses_looks",
         "running",
         "settled_number",
+        "start_gate",
         "starts",
     )
 
@@ -48,6 +49,7 @@
         self.loses_looks = False
         self.running = {}
         self.settled_number = 0
+        self.start_gate = None
         self.starts = []
 
     def _check(self):
@@ -59,15 +61,20 @@
         if self.loses_looks:
             raise WorkerUnavailable("no answer")
 
-    def _clock_ms(self):
-        return int(time.monotonic() * 1000)
+    def clock_ms(self):
+        """Return the time since a boot, which began long before the next."""
+        return int(time.monotonic() * 1000) - self.born_ms * 1000
 
     async def start(self, order, *, fence, deadline_ms):
         """Start an attempt once."""
         self._check()
+        clock_ms = self.clock_ms()
+        if self.start_gate is not None:
+            await self.start_gate.wait()
+            return StartResult.STARTED, clock_ms
         key = (order.task_id, order.attempt)
         if key in self.forbidden:
-            return StartResult.OLD, self._clock_ms()
+            return StartResult.OLD, self.clock_ms()
         if self._has_room and key not in self.running:
             self.running[key] = order.checkpoint
             self.starts.append(key)
@@ -75,8 +82,8 @@
             self._lost_starts -= 1
             raise WorkerUnavailable("no answer")
         if not self._has_room:
-            return StartResult.NO_ROOM, self._clock_ms()
-        return StartResult.STARTED, self._clock_ms()
+            return StartResult.NO_ROOM, self.clock_ms()
+        return StartResult.STARTED, self.clock_ms()
 
     async def stop(self, task_id, attempt, *, fence):
         """Stop an attempt, or forbid it."""
@@ -123,7 +130,7 @@
                 await self._changed.wait()
         self._check_look()
         return Look(
-            clock_ms=self._clock_ms(),
+            clock_ms=self.clock_ms(),
             born_ms=self.born_ms,
             running=[
                 RunningRow(
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -85,3 +85,14 @@
     And it is to be stopped
     Then within 3 s its end is interrupted
     And the worker refuses a late copy of its start
+
+  Scenario: an answer of an earlier boot does not move the later one's clock
+    Given a seat whose worker answers starts only later
+    When an attempt is ordered
+    And a new boot of the worker reports before the answer comes
+    Then deadlines are given on the clock of the new boot
+
+  Scenario: a worker that has just started again may be held by the old clock
+    Given a seat whose worker runs nothing
+    When a new boot of the worker reports, and it falls silent
+    Then its end is not reported for 8 s, and is within 13 s
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -43,6 +43,7 @@
         report=REPORT,
         make_worker=lambda _report: context.worker,
         vm_lease_s=30.0,
+        hold_max_s=10.0,
         nursery=nursery,
     )
     context.seat.lease.extend(sent_s=boot_clock_s())
@@ -300,3 +301,60 @@
 def _not_before(context):
     context.bridge.call(trio.sleep, 3.0)
     assert context.seat.ends() == []
+
+
+@given("a seat whose worker answers starts only later")
+def _answers_later(context):
+    worker = FakeLeasedWorker()
+    _open(context, worker)
+    worker.start_gate = trio.Event()
+
+
+@when("a new boot of the worker reports before the answer comes")
+def _boot_before_answer(context):
+    async def boot_and_answer():
+        await trio.sleep(0.2)
+        context.worker.boot(born_ms=2000)
+        context.seat.update(dataclasses.replace(REPORT, born_ms=2000))
+        with trio.fail_after(2):
+            while not context.seat.clock.is_known:
+                await trio.sleep(0.01)
+        context.worker.start_gate.set()
+        context.ahead_ms = []
+        for _ in range(100):
+            await trio.sleep(0)
+            given_ms = context.seat.clock.deadline_ms(1.0)
+            context.ahead_ms.append(given_ms - context.worker.clock_ms())
+
+    context.bridge.call(boot_and_answer)
+
+
+@then("deadlines are given on the clock of the new boot")
+def _on_new_clock(context):
+    assert max(context.ahead_ms) <= 1001, max(context.ahead_ms)
+    assert min(context.ahead_ms) > 0, min(context.ahead_ms)
+
+
+@when("a new boot of the worker reports, and it falls silent")
+def _boot_and_silence(context):
+    async def boot():
+        context.worker.boot(born_ms=2000)
+        context.seat.update(dataclasses.replace(REPORT, born_ms=2000))
+        with trio.fail_after(2):
+            while not context.seat.is_listed:
+                await trio.sleep(0.01)
+        _start_attempt(context, 1)
+        await _wait(context, lambda task: task.is_confirmed, 2)
+        context.worker.is_silent = True
+
+    context.bridge.call(boot)
+
+
+@then("its end is not reported for {wait_s:d} s, and is within {late_s:d} s")
+def _not_for(context, wait_s, late_s):
+    context.bridge.call(trio.sleep, wait_s)
+    assert context.seat.ends() == [], context.seat.ends()
+    task = context.bridge.call(
+        _wait, context, lambda task: task.end is not None, late_s - wait_s
+    )
+    assert task.end == "interrupted", task.end
