Pass what is left of VMs' leases on when a leader resigns

Change: a leader that resigns writes the seconds left of the leases of busy VMs into the head; its successor counts from there and needs no grace. A leader that is killed or cut still costs the whole wait.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -200,7 +200,7 @@
             self._led_s = boot_clock_s()
             self.leader = None
         if self._scope.cancelled_caught:
-            await log.resign()
+            await leader.resign()
             await trio.sleep_forever()
 
     async def _end_when_replaced(self):
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -1,5 +1,6 @@
 """The log of workflows in the store."""
 
+import dataclasses
 import random
 import uuid
 
@@ -47,6 +48,7 @@
         "confirmed_s",
         "failing_since_s",
         "failures",
+        "inherited_s",
         "is_stuck",
     )
 
@@ -62,6 +64,7 @@
         self._store = store
         self.confirmed_s = 0.0
         self.failures = 0
+        self.inherited_s = None
         self.failing_since_s = 0.0
         self.is_stuck = False
 
@@ -106,6 +109,7 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
         self._head, self._head_version = head, version
+        self.inherited_s = old.leases_s if old.has_resigned else None
         self.confirmed_s = sent_s
         board, self._last = await read_board(self._store, head)
         self._since_snapshot = self._last - head.number
@@ -196,15 +200,21 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
 
-    async def resign(self):
+    async def resign(self, leases_s):
         """Remove the leader's key, so that others claim the log at once.
 
+        :param leases_s: What is left of the leases of VMs, in seconds; this
+            process extends none of them any more.
         :raises Fenced: Another process leads now.
         :raises StoreUnavailable: The store gave no answer.
         """
+        head = dataclasses.replace(
+            self._head, has_resigned=True, leases_s=leases_s
+        )
         try:
             await self._store.transact(
                 expected={keys.HEAD: self._head_version},
+                writes=[Write(key=keys.HEAD, value=pack(head))],
                 removes=[keys.LEADER],
             )
         except Conflict as exc:
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -36,7 +36,9 @@
         "unsent",
     )
 
-    def __init__(self, *, board, epoch, timing, interference):
+    def __init__(
+        self, *, board, epoch, timing, interference, inherited_s=None
+    ):
         """Start without VMs.
 
         :param board: The :class:`radishlanding.workflow.Board`.
@@ -44,6 +46,7 @@
         :param timing: A :class:`radishlanding.vm.Timing`.
         :param interference: The
             :class:`radishlanding.policy.Interference` to teach.
+        :param inherited_s: See :class:`LeaseBook`.
         """
         self._board = board
         self._checkpoints = {}
@@ -51,7 +54,7 @@
         self._fences = 0
         self._images = ImageWatch(board=board, interference=interference)
         self._interference = interference
-        self._leases = LeaseBook(timing=timing)
+        self._leases = LeaseBook(timing=timing, inherited_s=inherited_s)
         self._quarantines = {}
         self.sessions = {}
         # Names of tasks whose assignment is not on record yet; no VM can
@@ -181,6 +184,13 @@
                 unwanted.append(item)
         return unwanted
 
+    def leases_s(self):
+        """Return the seconds left of the leases of busy VMs."""
+        return {
+            vm: max(0.0, self._leases.remaining_s(vm))
+            for vm in self._board.busy_vms()
+        }
+
     def lost_ends(self):
         """Return the ends of all tasks on VMs whose lease has run out."""
         ends = []
--- a/src/radishlanding/dispatch/head.py
+++ b/src/radishlanding/dispatch/head.py
@@ -16,6 +16,9 @@
     :param number: Last entry that the snapshot covers.
     :param snapshot_epoch: Epoch in which the snapshot was made.
     :param chunks: Number of the snapshot's keys.
+    :param has_resigned: Whether that leader has stopped in order.
+    :param leases_s: Where it has, the seconds that were left then of the
+        leases of VMs on which something may run.
     """
 
     epoch: int = 0
@@ -24,3 +27,5 @@
     number: int = 0
     snapshot_epoch: int = 0
     chunks: int = 0
+    has_resigned: bool = False
+    leases_s: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -96,6 +96,7 @@
             epoch=log.epoch,
             timing=timing,
             interference=interference,
+            inherited_s=log.inherited_s,
         )
         self._orders = Orders(
             board=board, fleet=self.fleet, epoch=log.epoch, counters=counters
@@ -216,6 +217,14 @@
             granted=granted, weights=self.fleet.weights(session)
         )
 
+    async def resign(self):
+        """Let another process lead; this one must not run any more.
+
+        :raises Fenced: Another process leads already.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        await self._log.resign(self.fleet.leases_s())
+
     def drop(self, conn):
         """Forget the VMs of a connection."""
         self.fleet.drop(conn)
--- a/src/radishlanding/dispatch/lease_book.py
+++ b/src/radishlanding/dispatch/lease_book.py
@@ -6,13 +6,17 @@
 class LeaseBook:
     """Keep when the lease of each VM was last granted."""
 
-    __slots__ = ("_granted_s", "_opened_s", "_timing")
+    __slots__ = ("_granted_s", "_inherited_s", "_opened_s", "_timing")
 
-    def __init__(self, *, timing):
+    def __init__(self, *, timing, inherited_s=None):
         """Start without grants.
 
         :param timing: A :class:`radishlanding.vm.Timing`.
+        :param inherited_s: Seconds left of the leases of VMs, where the last
+            leader has resigned and said so; None where it may still extend
+            leases.
         """
+        self._inherited_s = inherited_s
         self._granted_s = {}
         self._opened_s = boot_clock_s()
         self._timing = timing
@@ -22,13 +26,21 @@
         self._granted_s[vm] = boot_clock_s()
 
     def has_lapsed(self, vm):
-        """Return whether nothing of a VM's lease can be left.
+        """Return whether nothing of a VM's lease can be left."""
+        return self.remaining_s(vm) < 0
+
+    def remaining_s(self, vm):
+        """Return the seconds after which nothing of a VM's lease is left.
 
         A VM that was never heard here may have a lease from an earlier
-        leader, which may have extended it for its whole grace.
+        leader, which may have extended it for its whole grace unless it has
+        resigned.
         """
-        granted_s = self._granted_s.get(vm)
-        if granted_s is None:
-            granted_s = self._opened_s + self._timing.owner_grace_s
         lease_s = self._timing.vm_lease_s + self._timing.drift_s
-        return boot_clock_s() > granted_s + lease_s
+        if vm in self._granted_s:
+            end_s = self._granted_s[vm] + lease_s
+        elif self._inherited_s is not None:
+            end_s = self._opened_s + self._inherited_s.get(vm, lease_s)
+        else:
+            end_s = self._opened_s + self._timing.owner_grace_s + lease_s
+        return end_s - boot_clock_s()
--- a/tests/dispatch/entry_log.feature
+++ b/tests/dispatch/entry_log.feature
@@ -40,3 +40,5 @@
     Given a log that A leads with 0 workflows
     When A resigns as the leader
     Then the leader's key is absent
+    And B inherits the leases of A when it claims the log
+    And C inherits no leases when it claims the log after that
--- a/tests/dispatch/entry_log_steps.py
+++ b/tests/dispatch/entry_log_steps.py
@@ -166,7 +166,7 @@
 
 @when("{name:w} resigns as the leader")
 def _resigns(context, name):
-    context.bridge.call(_claimant(context, name).log.resign)
+    context.bridge.call(_claimant(context, name).log.resign, {"vm1": 3.5})
 
 
 @then("{name:w} has {count:d} workflows and epoch {epoch:d}")
@@ -239,3 +239,17 @@
 @then("the leader's key is absent")
 def _key_absent(context):
     assert context.platform_store.get(keys.LEADER) is None
+
+
+@then("{name:w} inherits the leases of {other:w} when it claims the log")
+def _inherits(context, name, other):
+    claimant = _claimant(context, name)
+    context.bridge.call(claimant.claim)
+    assert claimant.log.inherited_s == {"vm1": 3.5}, claimant.log.inherited_s
+
+
+@then("{name:w} inherits no leases when it claims the log after that")
+def _inherits_none(context, name):
+    claimant = _claimant(context, name)
+    context.bridge.call(claimant.claim)
+    assert claimant.log.inherited_s is None, claimant.log.inherited_s
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -52,3 +52,13 @@
     Given another VM follows, without serving tasks
     When a filling task that disturbs runs beside a serving one
     Then within 4 s the VM is ordered to stop 1 task
+
+  Scenario Outline: how long a VM that was never heard may still run tasks
+    Given a leader of 0.5 s grace and 1.2 s leases whose predecessor <ended>
+    Then a VM that was never heard is lost after <wait_s> s, not before
+
+    Examples:
+      | ended                          | wait_s |
+      | was replaced                   | 1.7    |
+      | resigned with 0.4 s left of it | 0.4    |
+      | resigned without a word of it  | 1.2    |
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -11,6 +11,7 @@
 from radishlanding.dispatch import EntryLog
 from radishlanding.dispatch import keys
 from radishlanding.dispatch import Leader
+from radishlanding.dispatch.lease_book import LeaseBook
 from radishlanding.message import EndsRecorded
 from radishlanding.message import RunningTask
 from radishlanding.message import StartOrders
@@ -383,3 +384,21 @@
             await trio.sleep(0.4)
 
     context.bridge.spawn(keep_reporting)
+
+
+@given("a leader of 0.5 s grace and 1.2 s leases whose predecessor {ended}")
+def _predecessor(context, ended):
+    inherited_s = {
+        "was replaced": None,
+        "resigned with 0.4 s left of it": {"vm9": 0.4},
+        "resigned without a word of it": {},
+    }[ended]
+    timing = Timing(vm_lease_s=1.0, owner_grace_s=0.5, drift_s=0.2)
+    context.leases = LeaseBook(timing=timing, inherited_s=inherited_s)
+
+
+@then("a VM that was never heard is lost after {wait_s:g} s, not before")
+def _lost_after(context, wait_s):
+    remaining_s = context.leases.remaining_s("vm9")
+    assert wait_s - 0.1 < remaining_s <= wait_s, remaining_s
+    assert not context.leases.has_lapsed("vm9")
