Report a task that ended before its stop by its own end

The task had reached its last moment as it was frozen; the worker listed it as done before the stop came, answered the stop with 200, and the agent reported 'evicted' with the checkpoint. Its sibling stream-1/0 met the same moment 1 ms earlier and was refused. Ruled out: the bridge's silence (the end was reported before it began).

Change: after a stop the agent looks at the worker's list and reports the task's own end where it had one. Two rows of the task keeper fail before (both 'checkpointed') and pass now.

--- a/src/radishlanding/agent/task_keeper.py
+++ b/src/radishlanding/agent/task_keeper.py
@@ -7,7 +7,7 @@
 from radishlanding.agent.task_stopper import FULL_SHARE
 from radishlanding.agent.task_stopper import TaskStopper
 from radishlanding.agent.task_table import TaskTable
-from radishlanding.agent.worker_watch import PHASES
+from radishlanding.agent.worker_phases import WORKER_PHASES
 from radishlanding.agent.worker_watch import WorkerWatch
 from radishlanding.observe import EventLog
 from radishlanding.task import TaskPhase
@@ -85,7 +85,7 @@
                 self._ledger.adopt(holder=item.task_id, needs=item.needs)
                 await self._worker.throttle(*task.key, share=FULL_SHARE)
             else:
-                task.end(PHASES[item.state], reason=item.reason)
+                task.end(WORKER_PHASES[item.state], reason=item.reason)
             self._table.add(task)
         _log.info("tasks_adopted", tasks=len(self._table.all()))
 
--- a/src/radishlanding/agent/task_stopper.py
+++ b/src/radishlanding/agent/task_stopper.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from radishlanding.agent.worker_phases import WORKER_PHASES
 from radishlanding.observe import EventLog
 from radishlanding.task import TaskPhase
 from radishlanding.worker import WorkerRefused
@@ -10,6 +11,8 @@
 RETRY_PAUSE_S = 0.3
 FROZEN_SHARE = 0.0
 FULL_SHARE = 1.0
+# States that a task reaches without being stopped.
+OWN_ENDS = ("done", "failed")
 
 _log = EventLog("radishlanding.agent")
 
@@ -61,27 +64,37 @@
         """Freeze the task, so that nothing runs after its checkpoint."""
         await self._worker.throttle(*task.key, share=FROZEN_SHARE)
         task.status.checkpoint = await self._worker.checkpoint(*task.key)
-        await self._stop_surely(task)
-        self._table.end(task, TaskPhase.CHECKPOINTED, reason=reason)
+        await self._stop_surely(task, TaskPhase.CHECKPOINTED, reason)
 
     async def _stop(self, task, reason):
-        await self._stop_surely(task)
-        self._table.end(task, TaskPhase.STOPPED, reason=reason)
+        await self._stop_surely(task, TaskPhase.STOPPED, reason)
 
-    async def _stop_surely(self, task):
-        """Ask until the worker says that the task has stopped.
+    async def _stop_surely(self, task, phase, reason):
+        """Ask until the worker says how the task has ended.
 
-        Meanwhile its lease is not renewed, so that it ends anyway.
+        Meanwhile its lease is not renewed, so that it ends anyway. It may
+        have finished or failed before the stop came.
         """
         task.status.phase = TaskPhase.STOPPING
         while True:
             try:
                 await self._worker.stop(*task.key)
+                item = await self._find(task)
+                if item is not None and item.state in OWN_ENDS:
+                    phase, reason = WORKER_PHASES[item.state], item.reason
+                self._table.end(task, phase, reason=reason)
                 return
             except WorkerUnavailable as exc:
                 _log.warning("stop_unanswered", task=task.key[0], reason=exc)
             await trio.sleep(RETRY_PAUSE_S)
 
+    async def _find(self, task):
+        """Return the task as the worker lists it, or None."""
+        for item in await self._worker.list():
+            if (item.task_id, item.epoch) == task.key:
+                return item
+        return None
+
     async def _unfreeze(self, task):
         task.status.phase = TaskPhase.RUNNING
         try:
--- a/src/radishlanding/agent/worker_watch.py
+++ b/src/radishlanding/agent/worker_watch.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from radishlanding.agent.worker_phases import WORKER_PHASES
 from radishlanding.observe import EventLog
 from radishlanding.task import TaskPhase
 from radishlanding.worker import WorkerRefused
@@ -12,11 +13,6 @@
 POLL_PAUSE_S = 0.5
 FORGET_AFTER_S = 30.0
 
-PHASES = {
-    "done": TaskPhase.DONE,
-    "failed": TaskPhase.FAILED,
-    "stopped": TaskPhase.STOPPED,
-}
 _log = EventLog("radishlanding.agent")
 
 
@@ -80,7 +76,9 @@
         task.is_unsure = False
         if item.state != "running":
             task.status.checkpoint = item.checkpoint or task.status.checkpoint
-            self._table.end(task, PHASES[item.state], reason=item.reason)
+            self._table.end(
+                task, WORKER_PHASES[item.state], reason=item.reason
+            )
         elif (
             task.checkpoint_every_s
             and time.monotonic() > task.checkpoint_due_s
--- a/tests/agent/task_keeper.feature
+++ b/tests/agent/task_keeper.feature
@@ -35,3 +35,15 @@
     And the agent is killed and another one adopts its tasks
     Then after 2 s the task is stopped and was run once
     And it is reported with the checkpoint of its last moment
+
+  Scenario: a task that is done between its checkpoint and its stop
+    Given a task keeper whose worker finishes a task after its checkpoint
+    When a task is started
+    And it is evicted
+    Then after 2 s the task is done and was run once
+
+  Scenario: a task that fails between its checkpoint and its stop
+    Given a task keeper whose worker fails a task after its checkpoint
+    When a task is started
+    And it is evicted
+    Then after 2 s the task is failed and was run once
--- a/tests/agent/task_keeper_steps.py
+++ b/tests/agent/task_keeper_steps.py
@@ -18,6 +18,10 @@
 
 LEASE_S = 8.0
 NEEDS = Capacity(millicores=1000, memory_mb=100)
+ENDS_AFTER_CHECKPOINT = {
+    "finishes a task after its checkpoint": "done",
+    "fails a task after its checkpoint": "failed",
+}
 
 
 class FakeWorker:
@@ -77,12 +81,15 @@
         """Note the call."""
         self.calls.append("checkpoint")
         self.checkpoints[task_id, epoch] = "c1"
+        if self._habit in ENDS_AFTER_CHECKPOINT:
+            self.tasks[task_id, epoch] = ENDS_AFTER_CHECKPOINT[self._habit]
         return "c1"
 
     async def stop(self, task_id, epoch):
         """Stop the task."""
         self.calls.append("stop")
-        self.tasks[task_id, epoch] = "stopped"
+        if self.tasks[task_id, epoch] == "running":
+            self.tasks[task_id, epoch] = "stopped"
 
 
 class OpenGuard:
