--- a/src/radishlanding/config/__init__.py
+++ b/src/radishlanding/config/__init__.py
@@ -1,18 +1,6 @@
 """The operators' configuration: templates, organisations, zones, queues."""
 
-from radishlanding.config.advice import Advice
-from radishlanding.config.check import check_document
-from radishlanding.config.diff import diff_documents
-from radishlanding.config.document import Document
-from radishlanding.config.kind import Kind
-from radishlanding.config.organisation import Organisation
-from radishlanding.config.queue import Queue
-from radishlanding.config.reader import make_document
-from radishlanding.config.site import Site
-from radishlanding.config.template import Template
-from radishlanding.config.urgency import Urgency
-from radishlanding.config.watch import ConfigWatch
-from radishlanding.config.zone import Zone
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "Advice",
@@ -29,3 +17,22 @@
     "diff_documents",
     "make_document",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Advice": "advice",
+        "ConfigWatch": "watch",
+        "Document": "document",
+        "Kind": "kind",
+        "Organisation": "organisation",
+        "Queue": "queue",
+        "Site": "site",
+        "Template": "template",
+        "Urgency": "urgency",
+        "Zone": "zone",
+        "check_document": "check",
+        "diff_documents": "diff",
+        "make_document": "reader",
+    },
+)
--- a/src/radishlanding/journal/__init__.py
+++ b/src/radishlanding/journal/__init__.py
@@ -1,11 +1,6 @@
 """The journal of a shard: commits, fence, snapshots."""
 
-from radishlanding.journal.fenced import Fenced
-from radishlanding.journal.gap import JournalGap
-from radishlanding.journal.journal import Journal
-from radishlanding.journal.keys import Keys
-from radishlanding.journal.segment import Segment
-from radishlanding.journal.went_back import JournalWentBack
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "Fenced",
@@ -15,3 +10,15 @@
     "Keys",
     "Segment",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Fenced": "fenced",
+        "Journal": "journal",
+        "JournalGap": "gap",
+        "JournalWentBack": "went_back",
+        "Keys": "keys",
+        "Segment": "segment",
+    },
+)
--- a/src/radishlanding/membership/__init__.py
+++ b/src/radishlanding/membership/__init__.py
@@ -1,8 +1,15 @@
 """Which processes of the site are alive and where."""
 
-from radishlanding.membership.member import Member
-from radishlanding.membership.members import Members
-from radishlanding.membership.presence import Presence
-from radishlanding.membership.registration import Registration
+from radishlanding.lazy import lazy_exports
 
 __all__ = ["Member", "Members", "Presence", "Registration"]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Member": "member",
+        "Members": "members",
+        "Presence": "presence",
+        "Registration": "registration",
+    },
+)
--- a/src/radishlanding/message/__init__.py
+++ b/src/radishlanding/message/__init__.py
@@ -1,63 +1,6 @@
 """Messages between the processes, one type a file."""
 
-from radishlanding.message.accepted import Accepted
-from radishlanding.message.agent_hello import AgentHello
-from radishlanding.message.ask_request import AskRequest
-from radishlanding.message.backlog_answer import BacklogAnswer
-from radishlanding.message.cancel_job import CancelJob
-from radishlanding.message.cancel_workflow import CancelWorkflow
-from radishlanding.message.claim_answer import ClaimAnswer
-from radishlanding.message.claim_request import ClaimRequest
-from radishlanding.message.decide_task import DecideTask
-from radishlanding.message.directory import Directory
-from radishlanding.message.ends_recorded import EndsRecorded
-from radishlanding.message.entry_hello import EntryHello
-from radishlanding.message.evict_task import EvictTask
-from radishlanding.message.get_backlog import GetBacklog
-from radishlanding.message.get_status import GetStatus
-from radishlanding.message.get_workflow import GetWorkflow
-from radishlanding.message.heartbeat import Heartbeat
-from radishlanding.message.heartbeat_ack import HeartbeatAck
-from radishlanding.message.hello_answer import HelloAnswer
-from radishlanding.message.image_weight import ImageWeight
-from radishlanding.message.job_answer import JobAnswer
-from radishlanding.message.job_summary import JobSummary
-from radishlanding.message.leader_away import LeaderAway
-from radishlanding.message.leader_notice import LeaderNotice
-from radishlanding.message.list_jobs import ListJobs
-from radishlanding.message.load_report import LoadReport
-from radishlanding.message.owned_shard import OwnedShard
-from radishlanding.message.owner_report import OwnerReport
-from radishlanding.message.ping import Ping
-from radishlanding.message.pong import Pong
-from radishlanding.message.process_summary import ProcessSummary
-from radishlanding.message.refused import Refused
-from radishlanding.message.relay_ask import RelayAsk
-from radishlanding.message.run_answer import RunAnswer
-from radishlanding.message.run_request import RunRequest
-from radishlanding.message.running_task import RunningTask
-from radishlanding.message.start_answer import StartAnswer
-from radishlanding.message.start_orders import StartOrders
-from radishlanding.message.start_orders_answer import StartOrdersAnswer
-from radishlanding.message.start_task import StartTask
-from radishlanding.message.state_count import StateCount
-from radishlanding.message.status_answer import StatusAnswer
-from radishlanding.message.stop_orders import StopOrders
-from radishlanding.message.stop_task import StopTask
-from radishlanding.message.submit_job import SubmitJob
-from radishlanding.message.submit_workflow import SubmitWorkflow
-from radishlanding.message.target_load import TargetLoad
-from radishlanding.message.task_end_report import TaskEndReport
-from radishlanding.message.task_key import TaskKey
-from radishlanding.message.task_order import TaskOrder
-from radishlanding.message.task_status import TaskStatus
-from radishlanding.message.task_summary import TaskSummary
-from radishlanding.message.vm_hello import VmHello
-from radishlanding.message.vm_report import VmReport
-from radishlanding.message.vm_report_ack import VmReportAck
-from radishlanding.message.vm_state import VmState
-from radishlanding.message.vm_welcome import VmWelcome
-from radishlanding.message.workflow_answer import WorkflowAnswer
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "Accepted",
@@ -119,3 +62,67 @@
     "VmWelcome",
     "WorkflowAnswer",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Accepted": "accepted",
+        "AgentHello": "agent_hello",
+        "AskRequest": "ask_request",
+        "BacklogAnswer": "backlog_answer",
+        "CancelJob": "cancel_job",
+        "CancelWorkflow": "cancel_workflow",
+        "ClaimAnswer": "claim_answer",
+        "ClaimRequest": "claim_request",
+        "DecideTask": "decide_task",
+        "Directory": "directory",
+        "EndsRecorded": "ends_recorded",
+        "EntryHello": "entry_hello",
+        "EvictTask": "evict_task",
+        "GetBacklog": "get_backlog",
+        "GetStatus": "get_status",
+        "GetWorkflow": "get_workflow",
+        "Heartbeat": "heartbeat",
+        "HeartbeatAck": "heartbeat_ack",
+        "HelloAnswer": "hello_answer",
+        "ImageWeight": "image_weight",
+        "JobAnswer": "job_answer",
+        "JobSummary": "job_summary",
+        "LeaderAway": "leader_away",
+        "LeaderNotice": "leader_notice",
+        "ListJobs": "list_jobs",
+        "LoadReport": "load_report",
+        "OwnedShard": "owned_shard",
+        "OwnerReport": "owner_report",
+        "Ping": "ping",
+        "Pong": "pong",
+        "ProcessSummary": "process_summary",
+        "Refused": "refused",
+        "RelayAsk": "relay_ask",
+        "RunAnswer": "run_answer",
+        "RunRequest": "run_request",
+        "RunningTask": "running_task",
+        "StartAnswer": "start_answer",
+        "StartOrders": "start_orders",
+        "StartOrdersAnswer": "start_orders_answer",
+        "StartTask": "start_task",
+        "StateCount": "state_count",
+        "StatusAnswer": "status_answer",
+        "StopOrders": "stop_orders",
+        "StopTask": "stop_task",
+        "SubmitJob": "submit_job",
+        "SubmitWorkflow": "submit_workflow",
+        "TargetLoad": "target_load",
+        "TaskEndReport": "task_end_report",
+        "TaskKey": "task_key",
+        "TaskOrder": "task_order",
+        "TaskStatus": "task_status",
+        "TaskSummary": "task_summary",
+        "VmHello": "vm_hello",
+        "VmReport": "vm_report",
+        "VmReportAck": "vm_report_ack",
+        "VmState": "vm_state",
+        "VmWelcome": "vm_welcome",
+        "WorkflowAnswer": "workflow_answer",
+    },
+)
--- a/src/radishlanding/wire/codec.py
+++ b/src/radishlanding/wire/codec.py
@@ -1,5 +1,6 @@
 """Encodes and decodes envelopes."""
 
+import functools
 import pathlib
 
 import capnp
@@ -13,13 +14,13 @@
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
-_codec_by_type = {}
-_codec_by_key = {}
-for _name in messages.__all__:
-    _key = _name[0].lower() + _name[1:]
-    _cls = getattr(messages, _name)
-    _codec_by_type[_cls] = (_key, StructCodec(_cls))
-    _codec_by_key[_key] = _codec_by_type[_cls][1]
+_name_by_key = {name[0].lower() + name[1:]: name for name in messages.__all__}
+
+
+@functools.cache
+def _codec(cls):
+    """Return the codec of a message type, planned on first use."""
+    return StructCodec(cls)
 
 
 def encode(envelope):
@@ -28,11 +29,12 @@
     :param envelope: An :class:`Envelope`.
     :returns: One Cap'n Proto message, without a length.
     """
-    key, codec = _codec_by_type[type(envelope.message)]
+    cls = type(envelope.message)
+    key = cls.__name__[0].lower() + cls.__name__[1:]
     return _schema.Envelope.new_message(
         id=envelope.call_id,
         isReply=envelope.is_reply,
-        body={key: codec.to_mapping(envelope.message)},
+        body={key: _codec(cls).to_mapping(envelope.message)},
     ).to_bytes()
 
 
@@ -47,7 +49,7 @@
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as reader:
             key = reader.body.which()
-            codec = _codec_by_key[str(key)]
+            codec = _codec(getattr(messages, _name_by_key[str(key)]))
             return Envelope(
                 call_id=reader.id,
                 is_reply=reader.isReply,
