Keep what was learnt of images in the store, for the next leader

Cause: weights of images lived in one process.

Change: a leader writes the notes under its fence when an image has come or has changed its class, and reads them when it claims the log. A row of the leader's feature fails without it (nothing is read) and passes now.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -181,7 +181,9 @@
             workflows=len(board.workflows),
             took_s=f"{boot_clock_s() - began_s:.3f}",
         )
-        leader = self.leader = self._make_leader(log=log, board=board)
+        leader = self._make_leader(log=log, board=board)
+        await leader.prepare(self._store)
+        self.leader = leader
         try:
             with trio.CancelScope() as self._scope:
                 async with trio.open_nursery() as nursery:
@@ -228,7 +230,7 @@
             try:
                 if item is not None:
                     await log.confirm()
-                await log.announce(self._leader_write())
+                await log.put(self._leader_write())
                 _log.info("leader_announced", epoch=log.epoch)
             except (StoreUnavailable, LeaseGone) as exc:
                 _log.warning("announce_failed", reason=exc)
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -187,8 +187,8 @@
         self.failures = 0
         self.failing_since_s = 0.0
 
-    async def announce(self, write):
-        """Write the leader's key again.
+    async def put(self, write):
+        """Write a key that only the leader writes.
 
         :raises Fenced: Another process leads now.
         :raises StoreUnavailable: The store gave no answer.
--- /dev/null
+++ b/src/radishlanding/dispatch/image_notes.py
@@ -0,0 +1,68 @@
+"""Keeps what was learnt of images in the store, for the next leader."""
+
+from radishlanding.dispatch import keys
+from radishlanding.observe import EventLog
+from radishlanding.policy import ImageNote
+from radishlanding.store import CorruptRecord
+from radishlanding.store import pack
+from radishlanding.store import StoreUnavailable
+from radishlanding.store import unpack
+from radishlanding.store import Write
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class ImageNotes:
+    """Write the notes of an interference model, and read them back.
+
+    They only save the time to learn them anew: a call that fails is logged,
+    and the next change is written again.
+    """
+
+    __slots__ = ("_interference", "_saved")
+
+    def __init__(self, *, interference):
+        """Prepare.
+
+        :param interference: A :class:`radishlanding.policy.Interference`.
+        """
+        self._interference = interference
+        self._saved = set()
+
+    async def load(self, store):
+        """Restore images that this process has not seen.
+
+        :param store: A :class:`radishlanding.store.TransactionalStore`.
+        """
+        try:
+            item = await store.get(keys.IMAGES)
+            notes = unpack(list[ImageNote], item.value) if item else []
+        except (StoreUnavailable, CorruptRecord) as exc:
+            _log.warning("images_unread", reason=exc)
+            return
+        self._interference.restore(notes)
+        self._saved = self._classes()
+        _log.info("images_restored", images=len(notes))
+
+    def _classes(self):
+        return {
+            (note.image, note.is_light) for note in self._interference.notes()
+        }
+
+    async def save(self, log):
+        """Write the notes if an image has come or changed its class.
+
+        :param log: A claimed :class:`EntryLog`.
+        :raises Fenced: Another process leads now.
+        """
+        classes = self._classes()
+        if classes == self._saved:
+            return
+        try:
+            await log.put(
+                Write(key=keys.IMAGES, value=pack(self._interference.notes()))
+            )
+        except StoreUnavailable as exc:
+            _log.warning("images_unsaved", reason=exc)
+            return
+        self._saved = classes
--- a/src/radishlanding/dispatch/keys.py
+++ b/src/radishlanding/dispatch/keys.py
@@ -5,6 +5,7 @@
 HEAD = "workflows/head"
 LOG = "workflows/log/"
 SNAPSHOTS = "workflows/snapshot/"
+IMAGES = "workflows/images"
 SITE = "workflows/site/"
 LEADER = SITE + "leader"
 MEMBERS = SITE + "member/"
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -4,6 +4,7 @@
 
 from radishlanding.dispatch import intake
 from radishlanding.dispatch.fleet import Fleet
+from radishlanding.dispatch.image_notes import ImageNotes
 from radishlanding.dispatch.intake import Intake
 from radishlanding.dispatch.orders import Orders
 from radishlanding.dispatch.recorder import Recorder
@@ -21,6 +22,8 @@
 
 # Looks at due times, leases and quarantines when nothing else happens.
 TICK_S = 0.25
+# New images are rare; what one second teaches may be lost.
+IMAGES_PAUSE_S = 1.0
 # A second for the figures to show what the last moves were worth.
 TICKS_PER_MIGRATION = 4
 # Half of the time after which a VM's lease is not extended any more would do;
@@ -45,6 +48,7 @@
 
     __slots__ = (
         "_board",
+        "_image_notes",
         "_intake",
         "_log",
         "_migration",
@@ -88,6 +92,7 @@
         self._migration = Migration(
             interference=interference, min_share=MIN_FILL_SHARE
         )
+        self._image_notes = ImageNotes(interference=interference)
         self._planner = planner
         self._site_watch = site_watch
         self._timing = timing
@@ -118,6 +123,13 @@
         """Return the number of the leadership."""
         return self._log.epoch
 
+    async def prepare(self, store):
+        """Read what an earlier leader has learnt, before :meth:`run`.
+
+        :param store: A :class:`radishlanding.store.TransactionalStore`.
+        """
+        await self._image_notes.load(store)
+
     async def run(self):
         """Lead until another process does.
 
@@ -129,6 +141,7 @@
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._confirm)
                 nursery.start_soon(self._watch_store)
+                nursery.start_soon(self._keep_images)
                 await self._recorder.run()
         finally:
             self._intake.close()
@@ -189,6 +202,11 @@
                 except StoreUnavailable as exc:
                     _log.warning("confirm_unanswered", reason=exc)
 
+    async def _keep_images(self):
+        while True:
+            await trio.sleep(IMAGES_PAUSE_S)
+            await self._image_notes.save(self._log)
+
     def _proof_age_s(self):
         return boot_clock_s() - self._log.confirmed_s
 
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -3,6 +3,7 @@
 from radishlanding.policy.comeback import Comeback
 from radishlanding.policy.earliest_deadline import EarliestDeadline
 from radishlanding.policy.fair_queue import FairQueue
+from radishlanding.policy.image_note import ImageNote
 from radishlanding.policy.interference import Interference
 from radishlanding.policy.least_outstanding import LeastOutstanding
 from radishlanding.policy.migration import Migration
@@ -29,6 +30,7 @@
     "MIN_FILL_SHARE",
     "EarliestDeadline",
     "FairQueue",
+    "ImageNote",
     "Interference",
     "LeastOutstanding",
     "Migration",
--- a/src/radishlanding/policy/interference.py
+++ b/src/radishlanding/policy/interference.py
@@ -1,5 +1,7 @@
 """Learns how much filling tasks disturb tasks that must answer in time."""
 
+from radishlanding.policy.image_note import ImageNote
+
 # An image that was seldom seen counts as one that disturbs.
 UNKNOWN_WEIGHT = 4.0
 # Observations after which an image is known.
@@ -110,6 +112,32 @@
         else:
             self._light.discard(image)
 
+    def notes(self):
+        """Return an :class:`ImageNote` for each image that is known."""
+        return [
+            ImageNote(
+                image=image,
+                weight=weight,
+                observations=self._counts[image],
+                is_light=image in self._light,
+            )
+            for image, weight in sorted(self._weights.items())
+            if self.is_known(image)
+        ]
+
+    def restore(self, notes):
+        """Take what another process has learnt of images not seen here.
+
+        :param notes: :class:`ImageNote` objects.
+        """
+        for note in notes:
+            if note.image in self._weights:
+                continue
+            self._weights[note.image] = note.weight
+            self._counts[note.image] = note.observations
+            if note.is_light:
+                self._light.add(note.image)
+
     def forget_bases(self, tasks):
         """Drop what is known of serving tasks that have ended.
 
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -12,6 +12,7 @@
 from radishlanding.dispatch import EntryLog
 from radishlanding.dispatch import keys
 from radishlanding.dispatch import Leader
+from radishlanding.dispatch.image_notes import ImageNotes
 from radishlanding.dispatch.lease_book import LeaseBook
 from radishlanding.message import EndsRecorded
 from radishlanding.message import RunningTask
@@ -94,6 +95,7 @@
 async def _open_leader(context):
     nursery = context.bridge.nursery
     context.platform_store, address = await open_platform_store(nursery)
+    context.store_address = address
     log = EntryLog(store=make_store(address))
     board = await log.claim(
         process_id="p",
@@ -410,3 +412,27 @@
     remaining_s = context.leases.remaining_s("vm9")
     assert wait_s - 0.1 < remaining_s <= wait_s, remaining_s
     assert not context.leases.has_lapsed("vm9")
+
+
+@when("an image is learnt to disturb and another one not")
+def _learnt(context):
+    for image, growth in (("heavy", 1.0), ("light", 0.0)):
+        for _ in range(40):
+            context.interference.observe([("s", 0.4)], {})
+            context.interference.observe([("s", 0.4 + growth)], {image: 0.1})
+
+
+@then("within 3 s a leader in a new process knows both as they are")
+def _known_anew(context):
+    other = Interference()
+
+    async def wait_known():
+        with trio.fail_after(3):
+            while not (other.is_known("heavy") and other.is_known("light")):
+                await trio.sleep(0.1)
+                store = make_store(context.store_address)
+                await ImageNotes(interference=other).load(store)
+
+    context.bridge.call(wait_known)
+    assert other.is_light("light") and not other.is_light("heavy")
+    assert other.weight("heavy") == context.interference.weight("heavy")
