Let heavy filling tasks of a VM share a budget, first come first

Change: the control gives out a budget of paces; the tasks nearest to their end get full speed, the rest wait. After a fall it comes back to half of what was too much.

Tests: a play of 120 s of one VM against never slowing down and stopping at once (4 rows). The row 'rises slowly' judges the sum of the paces now, which is what disturbs.

--- a/src/radishlanding/policy/pace_control.py
+++ b/src/radishlanding/policy/pace_control.py
@@ -1,15 +1,18 @@
 """How fast filling tasks may work beside tasks that must answer in time."""
 
 # Tail latency as a share of its bound.
+STOP_SHARE = 0.95
 HIGH_SHARE = 0.75
 LOW_SHARE = 0.55
-STOP_SHARE = 0.95
-RAISE_PERCENT = 5
+IDLE_SHARE = 0.4
 FULL_PERCENT = 100
-# Pace of tasks that are known to disturb, when the first of them comes.
-FIRST_PERCENT = 20
 # Slower than this a filling task makes next to no progress.
 LEAST_PERCENT = 10
+# Budgets are sums of paces: one task at full speed takes 100 of them.
+FIRST_BUDGET = 60
+RAISE = 20
+IDLE_RAISE = 50
+LIGHT_RAISE_PERCENT = 20
 # Rounds above the bound after which light tasks stop, too.
 PATIENT_ROUNDS = 2
 
@@ -17,47 +20,79 @@
 class PaceControl:
     """Set the paces of the filling tasks of a VM.
 
-    Heavy tasks, which are known to disturb, are slowed down first; light
-    ones only when a bound stays exceeded. A pace falls by half and rises by
-    steps, as the figures lag by half a second and change within seconds.
+    Heavy tasks, which are known to disturb, share a budget: a few of them
+    work at full speed and the others wait, so that some are done soon. The
+    budget falls at once and rises by steps, as the figures lag by half a
+    second and change within seconds; after a fall it comes back to half of
+    what was too much. Light tasks are slowed down only when a bound stays
+    exceeded.
     """
 
-    __slots__ = ("_rounds_over", "heavy_percent", "light_percent")
+    __slots__ = (
+        "_ceiling",
+        "_is_alone",
+        "_rounds_over",
+        "heavy_budget",
+        "light_percent",
+    )
 
     def __init__(self):
         """Start before any filling task."""
+        self._ceiling = FIRST_BUDGET
+        self._is_alone = True
         self._rounds_over = 0
-        self.heavy_percent = FIRST_PERCENT
+        self.heavy_budget = FIRST_BUDGET
         self.light_percent = FULL_PERCENT
 
-    def update(self, share, *, has_heavy):
+    def update(self, share, *, heavy_count):
         """Take the worst tail latency.
 
         :param share: Tail latency of the slowest serving task as a share of
             its bound, 0 where none serves.
-        :param has_heavy: Whether a heavy task is on the VM.
+        :param heavy_count: Heavy tasks on the VM.
         """
-        if not share:
+        self._is_alone = not share
+        if self._is_alone:
             self._rounds_over = 0
-            self.heavy_percent = self.light_percent = FULL_PERCENT
+            self._ceiling = self.heavy_budget = FIRST_BUDGET
+            self.light_percent = FULL_PERCENT
             return
         self._rounds_over = self._rounds_over + 1 if share > 1 else 0
-        if share > STOP_SHARE:
-            self.heavy_percent = 0
-        elif share > HIGH_SHARE:
-            half = self.heavy_percent // 2
-            self.heavy_percent = half if half >= LEAST_PERCENT else 0
-        elif not has_heavy:
-            self.heavy_percent = FIRST_PERCENT
+        if share > HIGH_SHARE:
+            self._lower(share)
+        elif not heavy_count:
+            self._ceiling = self.heavy_budget = FIRST_BUDGET
         elif share < LOW_SHARE:
-            self.heavy_percent = min(
-                FULL_PERCENT, self.heavy_percent + RAISE_PERCENT
-            )
+            self._raise(share, FULL_PERCENT * heavy_count)
         if self._rounds_over >= PATIENT_ROUNDS or (
-            self._rounds_over and not has_heavy
+            self._rounds_over and not heavy_count
         ):
             self.light_percent = 0
         elif share < HIGH_SHARE:
             self.light_percent = min(
-                FULL_PERCENT, self.light_percent + 4 * RAISE_PERCENT
+                FULL_PERCENT, self.light_percent + LIGHT_RAISE_PERCENT
             )
+
+    def _lower(self, share):
+        half = self.heavy_budget // 2
+        if half >= LEAST_PERCENT:
+            self._ceiling = half
+        self.heavy_budget = (
+            half if share <= STOP_SHARE and half >= LEAST_PERCENT else 0
+        )
+
+    def _raise(self, share, most):
+        step = IDLE_RAISE if share < IDLE_SHARE else RAISE
+        wanted = max(self._ceiling, self.heavy_budget + step)
+        self.heavy_budget = min(most, wanted)
+
+    def heavy_percents(self, count):
+        """Return the paces of heavy tasks, those that go first in front."""
+        if self._is_alone:
+            return [FULL_PERCENT] * count
+        percents, left = [], self.heavy_budget
+        for _ in range(count):
+            percent = min(FULL_PERCENT, left)
+            percents.append(percent if percent >= LEAST_PERCENT else 0)
+            left -= percents[-1]
+        return percents
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -43,14 +43,26 @@
     def _is_light(self, task):
         return self._lightness.get(task.order.image, False)
 
-    def _percent(self, task):
-        """Return the pace of a task; an unknown one is tried at some pace."""
-        if self._is_light(task):
-            return self._control.light_percent
-        percent = self._control.heavy_percent
-        if percent and task.order.image not in self._lightness:
-            return max(percent, TRIAL_PERCENT)
-        return percent
+    def _percents(self, fillers):
+        """Return the pace of each filling task, by task and attempt.
+
+        Among heavy tasks those go first that are nearest to their end. An
+        image that is not known yet is tried at some pace at least.
+        """
+        control = self._control
+        heavy = sorted(
+            (task for task in fillers if not self._is_light(task)),
+            key=lambda task: (-task.progress, task.taken_s, task.key),
+        )
+        percents = {task.key: control.light_percent for task in fillers}
+        for task, percent in zip(
+            heavy, control.heavy_percents(len(heavy)), strict=True
+        ):
+            is_trial = task.order.image not in self._lightness
+            if is_trial and control.heavy_budget:
+                percent = max(percent, TRIAL_PERCENT)
+            percents[task.key] = percent
+        return percents
 
     def _worst_share(self):
         shares = [
@@ -81,34 +93,39 @@
             is_due = boot_clock_s() > self._repeat_s
             if is_due:
                 self._repeat_s = boot_clock_s() + REPEAT_S
+            percents = self._percents(fillers)
             for task in fillers:
-                percent = self._percent(task)
+                percent = percents[task.key]
                 if task.pace_percent != percent or (
                     is_due and percent != FULL_PERCENT
                 ):
-                    await self.apply(task)
+                    await self._tell(task, percent)
 
     def _decide(self, fillers):
         control = self._control
         share = self._worst_share()
-        before = (control.heavy_percent, control.light_percent)
-        control.update(share, has_heavy=not all(map(self._is_light, fillers)))
-        after = (control.heavy_percent, control.light_percent)
+        before = (control.heavy_budget, control.light_percent)
+        heavy_count = sum(not self._is_light(task) for task in fillers)
+        control.update(share, heavy_count=heavy_count)
+        after = (control.heavy_budget, control.light_percent)
         if fillers and after != before:
             _log.info(
                 "pace_changed",
                 vm=self._seat.vm,
-                heavy_percent=control.heavy_percent,
+                heavy_budget=control.heavy_budget,
                 light_percent=control.light_percent,
                 share=f"{share:.2f}",
                 tasks=len(fillers),
+                heavy=heavy_count,
             )
 
     async def apply(self, task):
-        """Tell the worker the present pace of a filling task."""
-        percent = self._percent(task)
-        if percent == FULL_PERCENT and task.pace_percent == FULL_PERCENT:
-            return
+        """Tell the worker the present pace of a new filling task."""
+        percent = self._percents(self._fillers()).get(task.key)
+        if percent is not None and percent != task.pace_percent:
+            await self._tell(task, percent)
+
+    async def _tell(self, task, percent):
         try:
             if await self._seat.worker.pace(
                 task.task_id,
--- /dev/null
+++ b/tests/policy/pace_play.feature
@@ -0,0 +1,19 @@
+Feature: Filling tasks make progress beside serving ones, without harm
+
+  A VM is played for 120 s: the tail latency of its serving tasks swings by
+  itself, grows with the filling tasks that work, and is seen half a second
+  late. Filling tasks come all the time and need 5.4 s of full speed each.
+
+  Scenario Outline: against never slowing down and stopping at once
+    Given a VM whose filling tasks <kind>
+    When the three ways of pacing are played
+    Then the bound is never exceeded for 4 s on end by pace control
+    And it is exceeded for less than <harm_s> s in all
+    And at least <tasks> tasks are done, where stopping at once ends none
+
+    Examples: what a task adds to the tail, as a share of its bound
+      | kind               | harm_s | tasks |
+      | add 0.02 each      | 1      | 60    |
+      | add 0.1 each       | 6      | 40    |
+      | add 0.3 each       | 12     | 8     |
+      | change all the time | 12    | 12    |
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -116,6 +116,7 @@
     Then light tasks stand still, too
     When it is 0.3 for 3 rounds
     Then heavy tasks work at less than half their speed
+    And the first works at full speed and the last not at all
 
   Scenario: without serving tasks nothing is slowed down
     Given a VM with heavy and light filling tasks at full pace
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -21,6 +21,8 @@
 
 NOW_MS = 1_000_000
 IMAGE = "cruncher"
+# Filling tasks that disturb, on the VM whose pace is set.
+HEAVY_TASKS = 4
 
 
 def _step(count=1, cores=1, memory_mb=100, **fields):
@@ -266,36 +268,36 @@
 @given("a VM with heavy and light filling tasks at full pace")
 def _pace(context):
     context.control = PaceControl()
-    context.control.update(0.0, has_heavy=True)
+    context.control.update(0.0, heavy_count=HEAVY_TASKS)
 
 
 @when("the worst tail latency is {share:g} of its bound")
 def _tail(context, share):
-    context.control.update(share, has_heavy=True)
+    context.control.update(share, heavy_count=HEAVY_TASKS)
 
 
 @when("it is {share:g} again, twice")
 def _tail_twice(context, share):
-    context.control.update(share, has_heavy=True)
-    context.control.update(share, has_heavy=True)
+    context.control.update(share, heavy_count=HEAVY_TASKS)
+    context.control.update(share, heavy_count=HEAVY_TASKS)
 
 
 @when("it is {share:g} for {rounds:d} rounds")
 def _tail_rounds(context, share, rounds):
     for _ in range(rounds):
-        context.control.update(share, has_heavy=True)
+        context.control.update(share, heavy_count=HEAVY_TASKS)
 
 
 @when("nothing serves on it")
 def _no_serving(context):
-    context.control.update(1.5, has_heavy=True)
-    context.control.update(0.0, has_heavy=True)
+    context.control.update(1.5, heavy_count=HEAVY_TASKS)
+    context.control.update(0.0, heavy_count=HEAVY_TASKS)
 
 
 @then("heavy tasks stand still and light ones work on")
 def _heavy_stand(context):
-    paces = (context.control.heavy_percent, context.control.light_percent)
-    assert paces == (0, 100), paces
+    assert context.control.heavy_percents(HEAVY_TASKS) == [0] * HEAVY_TASKS
+    assert context.control.light_percent == 100
 
 
 @then("light tasks stand still, too")
@@ -305,13 +307,21 @@
 
 @then("heavy tasks work at less than half their speed")
 def _slowly(context):
-    assert 0 < context.control.heavy_percent < 50
+    paces = context.control.heavy_percents(HEAVY_TASKS)
+    assert 0 < sum(paces) < 50 * HEAVY_TASKS, paces
 
 
 @then("all work at full speed")
 def _full(context):
-    paces = (context.control.heavy_percent, context.control.light_percent)
-    assert paces == (100, 100), paces
+    paces = context.control.heavy_percents(HEAVY_TASKS)
+    assert paces == [100] * HEAVY_TASKS, paces
+    assert context.control.light_percent == 100
+
+
+@then("the first works at full speed and the last not at all")
+def _first_goes(context):
+    paces = context.control.heavy_percents(HEAVY_TASKS)
+    assert paces[0] == 100 and paces[-1] == 0, paces
 
 
 @when("tasks of it run on {vm:w}, with checkpoints and without")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,7 +26,10 @@
 # Faults that wait for a leader or start processes must not meet themselves.
 ALONE = {"nothing"}
 # Seeds that have failed, with the cause.
-REGRESSIONS = {}
+REGRESSIONS = {
+    3: "a new boot of a worker was held by a deadline on the old clock, and "
+    "its tasks ran on after they were given to others",
+}
 
 
 def findings_of(site):
@@ -129,7 +132,7 @@
     for seed in [*REGRESSIONS, *fresh]:
         findings = trio.run(play, seed, seconds)
         for finding in findings[:5]:
-            print(f"  {finding}")
+            print(f"  {finding}", flush=True)
         failed += bool(findings)
     print(f"{len(fresh) + len(REGRESSIONS) - failed} passed, {failed} failed")
     return 1 if failed else 0
