Rank a repeated workflow by the occurrence that is due

Cause: its objective counted from its acceptance, so that from the fourth occurrence on it was taken for lost and went last. Change: it counts from when the first occurrence was due that is not done. A row fails before (the repeated one went behind work that is due later) and passes now.

--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -60,8 +60,28 @@
     def all_done(self):
         """Return whether every task of every occurrence is done."""
         return all(
-            self.step_done(occurrence, number)
+            self._occurrence_done(occurrence)
             for occurrence in range(self.workflow.occurrences)
+        )
+
+    def begun_ms(self, now_ms):
+        """Return the Unix time from which its objective counts.
+
+        For repeated workflows that is when the first occurrence was due that
+        is not done.
+        """
+        workflow = self.workflow
+        if not workflow.repeats:
+            return workflow.accepted_ms
+        for occurrence in range(workflow.occurrences):
+            due_ms = workflow.due_ms(occurrence)
+            if due_ms > now_ms or not self._occurrence_done(occurrence):
+                return due_ms
+        return workflow.accepted_ms
+
+    def _occurrence_done(self, occurrence):
+        return all(
+            self.step_done(occurrence, number)
             for number in range(len(self.workflow.steps))
         )
 
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -108,6 +108,12 @@
     When an image is seen 4 times to let tails grow by 0.9 and 12 times by 0.0, by turns
     Then it counts as heavy
 
+  Scenario: a repeated workflow is ranked by the occurrence that is due
+    Given a workflow of 10 s that repeats each 30 s, 95 s after its start
+    Then it counts from 90 s when the first three are done
+    And it counts from 0 s when none is done
+    And another workflow that is due in 12 s goes after it then
+
   Scenario: the pace falls at once and rises slowly
     Given a VM with heavy and light filling tasks at full pace
     When the worst tail latency is 1.2 of its bound
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -339,3 +339,46 @@
 @then("only the one with checkpoints moves")
 def _moves(context):
     assert [task.task_id for task in context.moves] == ["saves"]
+
+
+@given("a workflow of 10 s that repeats each 30 s, 95 s after its start")
+def _repeated(context):
+    workflow = make_workflow(
+        [_step(estimated_ms=10_000)],
+        stretch=2.0,
+        repeats=8,
+        first_due_ms=NOW_MS,
+        interval_ms=30_000,
+        accepted_ms=NOW_MS - 60_000,
+    )
+    context.now_ms = NOW_MS + 95_000
+    context.record = WorkflowRecord(workflow=workflow)
+
+
+@then("it counts from 90 s when the first three are done")
+def _from_third(context):
+    context.record.done = {f"{number}.0": 1 for number in range(3)}
+    begun_ms = context.record.begun_ms(context.now_ms)
+    assert begun_ms == NOW_MS + 90_000, begun_ms
+
+
+@then("it counts from 0 s when none is done")
+def _from_start(context):
+    record = WorkflowRecord(workflow=context.record.workflow)
+    assert record.begun_ms(context.now_ms) == NOW_MS
+
+
+@then("another workflow that is due in 12 s goes after it then")
+def _goes_after(context):
+    other = make_workflow(
+        [_step(estimated_ms=10_000)],
+        name="f" * 16,
+        stretch=2.0,
+        accepted_ms=context.now_ms - 4_000,
+    )
+    order = EarliestDeadline()
+    keys = [
+        order.key(record, now_ms=context.now_ms)
+        for record in (context.record, WorkflowRecord(workflow=other))
+    ]
+    assert keys == sorted(keys), keys
