Ask the advisor of a site, and start advised tasks with its tickets

Cause: queues that want advice were refused, as nothing asked the advisor.

Change: the leader asks about all open steps of such queues ahead of need, one call at a time, the most urgent first, as the advisor answers in turn; tickets are held by step and boot of a worker, asked for anew before they end, for new boots, and where a worker has refused one. Placing takes only permitted VMs; orders carry the ticket. Without an advisor in the settings such a queue is still refused at once. Ways weighed: asking at the moment of placing (each step would wait for its call); asking from the agents (the platform queues calls by VM, but agents do not know the queue of steps).

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.dispatch import intake
+from radishlanding.dispatch.advice_desk import AdviceDesk
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.image_notes import ImageNotes
 from radishlanding.dispatch.intake import Intake
@@ -47,6 +48,7 @@
     """
 
     __slots__ = (
+        "_advice_desk",
         "_board",
         "_image_notes",
         "_intake",
@@ -72,6 +74,8 @@
         timing,
         counters,
         on_away,
+        permits=None,
+        advisor=None,
     ):
         """Prepare; :meth:`run` leads.
 
@@ -85,6 +89,9 @@
         :param counters: Counts of the process.
         :param on_away: Coroutine function that asks other dispatchers to
             lead.
+        :param permits: The :class:`radishlanding.policy.Permits` of the
+            planner, None where no queue wants advice.
+        :param advisor: A :class:`radishlanding.worker.Advisor`, or None.
         """
         self._board = board
         self._log = log
@@ -104,7 +111,11 @@
             inherited_s=log.inherited_s,
         )
         self._orders = Orders(
-            board=board, fleet=self.fleet, epoch=log.epoch, counters=counters
+            board=board,
+            fleet=self.fleet,
+            epoch=log.epoch,
+            counters=counters,
+            permits=permits,
         )
         self._recorder = Recorder(
             log=log,
@@ -117,6 +128,17 @@
         )
         self._intake = Intake(board=board, wake=self._recorder.wake)
         self._recorder.connect(self._intake)
+        self._advice_desk = None
+        if advisor is not None:
+            self._advice_desk = AdviceDesk(
+                advisor=advisor,
+                board=board,
+                fleet=self.fleet,
+                permits=permits,
+                planner=planner,
+                site_watch=site_watch,
+                wake=self._recorder.wake,
+            )
 
     @property
     def epoch(self):
@@ -142,6 +164,8 @@
                 nursery.start_soon(self._confirm)
                 nursery.start_soon(self._watch_store)
                 nursery.start_soon(self._keep_images)
+                if self._advice_desk is not None:
+                    nursery.start_soon(self._advice_desk.run)
                 await self._recorder.run()
         finally:
             self._intake.close()
--- a/src/radishlanding/dispatch/orders.py
+++ b/src/radishlanding/dispatch/orders.py
@@ -31,17 +31,20 @@
         "_epoch",
         "_fleet",
         "_nursery",
+        "_permits",
         "_stopped_s",
     )
 
-    def __init__(self, *, board, fleet, epoch, counters):
+    def __init__(self, *, board, fleet, epoch, counters, permits=None):
         """Prepare; :meth:`open` gives it a nursery.
 
         :param board: The :class:`radishlanding.workflow.Board`.
         :param fleet: The :class:`Fleet`.
         :param epoch: Number of the leadership.
         :param counters: Counts of the process.
+        :param permits: Tickets of steps that want advice, None for none.
         """
+        self._permits = permits
         self._board = board
         self._counters = counters
         self._epoch = epoch
@@ -91,12 +94,20 @@
             spec=record.workflow.spec,
             reserved=step.reserved,
             checkpoint=task.checkpoint,
+            ticket=self._ticket(record, place, assignment),
             image=step.image,
             fills=step.fills,
             latency_target_ms=step.latency_target_ms,
             estimated_ms=0 if step.standing else step.estimated_ms,
         )
 
+    def _ticket(self, record, place, assignment):
+        if not record.workflow.is_advised or self._permits is None:
+            return ""
+        return self._permits.ticket(
+            place[:3], assignment.boot, now_s=boot_clock_s()
+        )
+
     async def _start(self, session, orders):
         message = StartOrders(
             vm=session.vm,
@@ -124,6 +135,14 @@
                 reason=item.reason,
             )
 
+    def refused(self, end, vm):
+        """Ask for a new ticket where a worker has not run an attempt."""
+        record, _ = self._board.find(end.task_id)
+        session = self._fleet.sessions.get(vm)
+        if record is not None and record.workflow.is_advised and session:
+            place = TaskPlace.parse(end.task_id)
+            self._permits.drop(place[:3], session.state.boot)
+
     def stop(self, session, items):
         """Order the stop of attempts that are not wanted on a VM.
 
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -7,6 +7,7 @@
 from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.observe import EventLog
 from radishlanding.store import StoreUnavailable
+from radishlanding.workflow import EndKind
 from radishlanding.workflow import Entry
 
 _log = EventLog("radishlanding.dispatch")
@@ -118,6 +119,8 @@
         for end, vm in self._ends.values():
             if vm:
                 self._fleet.judge(end, vm)
+            if vm and end.kind == EndKind.NOT_RUN:
+                self._orders.refused(end, vm)
 
     def _plan(self, now_ms):
         if not self._site_watch.is_ready:
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -22,14 +22,17 @@
 from radishlanding.peer import PeerServer
 from radishlanding.platform import ClientApi
 from radishlanding.platform import KvStore
+from radishlanding.platform import PlatformAdvisor
 from radishlanding.platform import read_site
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
+from radishlanding.policy import Permits
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.store import CallBudget
 from radishlanding.store import PrefixWatch
+from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Timing
 
 # Agents and dispatchers of a site of the design size, with some spare.
@@ -101,7 +104,9 @@
         self._front = HttpServer(
             handler=ClientApi(
                 desk=QueueDesk(
-                    candidate=self._candidate, counters=self._counters
+                    candidate=self._candidate,
+                    counters=self._counters,
+                    has_advisor=bool(cfg.advisor),
                 ),
                 site=lambda: self._site_watch.site,
             )
@@ -116,12 +121,19 @@
         )
 
     def _make_leader(self, *, log, board):
+        advisor = None
+        if self._cfg.advisor:
+            advisor = PlatformAdvisor(address=self._cfg.advisor)
+        permits = Permits()
         return Leader(
             log=log,
             board=board,
             site_watch=self._site_watch,
             planner=WorkflowPlanner(
-                order=EarliestDeadline(), interference=self._interference
+                order=EarliestDeadline(),
+                interference=self._interference,
+                permits=permits,
+                clock_s=boot_clock_s,
             ),
             interference=self._interference,
             timing=Timing(
@@ -131,6 +143,8 @@
             ),
             counters=self._counters,
             on_away=self._tell_away,
+            permits=permits,
+            advisor=advisor,
         )
 
     async def _announce(self):
--- a/src/radishlanding/dispatcher/queue_desk.py
+++ b/src/radishlanding/dispatcher/queue_desk.py
@@ -39,14 +39,16 @@
     identity makes it one.
     """
 
-    __slots__ = ("_candidate", "_comeback", "_counters")
+    __slots__ = ("_candidate", "_comeback", "_counters", "_has_advisor")
 
-    def __init__(self, *, candidate, counters):
+    def __init__(self, *, candidate, counters, has_advisor=False):
         """Prepare.
 
         :param candidate: A :class:`radishlanding.dispatch.Candidate`.
         :param counters: Counts of the process.
+        :param has_advisor: Whether the site has an advisor.
         """
+        self._has_advisor = has_advisor
         self._candidate = candidate
         self._comeback = Comeback()
         self._counters = counters
@@ -60,11 +62,11 @@
         :param timeout_s: How long the caller waits, in seconds.
         """
         began_s = boot_clock_s()
-        if queue.advice is None:
+        if queue.advice is None or self._has_advisor:
             message = SubmitWorkflow(workflow=workflow, request_id=request_id)
             answer = await self._ask(message, timeout_s=timeout_s)
         else:
-            # Its tasks need tickets of an advisor, which is not asked yet.
+            # Without an advisor none of its tasks could ever start.
             answer = WorkflowAnswer(
                 outcome=WorkflowOutcome.REFUSED,
                 reason="the queue wants advice",
--- a/src/radishlanding/platform/__init__.py
+++ b/src/radishlanding/platform/__init__.py
@@ -4,6 +4,7 @@
 platform's names.
 """
 
+from radishlanding.platform.advisor import PlatformAdvisor
 from radishlanding.platform.client_api import ClientApi
 from radishlanding.platform.kv_store import KvStore
 from radishlanding.platform.operator_documents import read_site
@@ -16,6 +17,7 @@
     "SITE_PREFIX",
     "ClientApi",
     "KvStore",
+    "PlatformAdvisor",
     "ReadyApi",
     "RegistrationApi",
     "Runner",
--- /dev/null
+++ b/src/radishlanding/platform/advisor.py
@@ -0,0 +1,47 @@
+"""The platform's advisor.
+
+Source: the platform's page "What radishlanding speaks", section on running
+tasks.
+"""
+
+import json
+
+from radishlanding.http import ExchangeFailed
+from radishlanding.http import HttpClient
+from radishlanding.worker import AdvisorUnavailable
+
+# A call on 100 workers may take seconds, after those that wait before it.
+CALL_TIMEOUT_S = 10.0
+HEADERS = (("content-type", "application/json"),)
+
+
+class PlatformAdvisor:
+    """A :class:`radishlanding.worker.Advisor` at an address."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, *, address):
+        """Prepare without connecting.
+
+        :param address: ``ip:port`` of the advisor.
+        """
+        self._client = HttpClient(address=address)
+
+    async def advise(self, step, worker_ids):
+        """Return the tickets of the workers that may run a step."""
+        body = json.dumps({"step": step, "workers": worker_ids}).encode()
+        try:
+            response = await self._client.send(
+                "POST",
+                "/-/advise",
+                body=body,
+                headers=HEADERS,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+            answer = response.json()
+        except (ExchangeFailed, ValueError) as exc:
+            raise AdvisorUnavailable(f"{step}: {exc}") from exc
+        if response.status != 200:
+            raise AdvisorUnavailable(f"{step}: status {response.status}")
+        # Rows of a runner's id and its ticket.
+        return {row[0]: row[1] for row in answer["good"]}
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -8,6 +8,7 @@
 from radishlanding.policy.least_outstanding import LeastOutstanding
 from radishlanding.policy.migration import Migration
 from radishlanding.policy.pace_control import PaceControl
+from radishlanding.policy.permits import Permits
 from radishlanding.policy.placement import Placement
 from radishlanding.policy.power_of_two import PowerOfTwo
 from radishlanding.policy.preemption import Preemption
@@ -35,6 +36,7 @@
     "LeastOutstanding",
     "Migration",
     "PaceControl",
+    "Permits",
     "Placement",
     "PowerOfTwo",
     "Preemption",
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -19,15 +19,28 @@
 class WorkflowPlanner:
     """Place the tasks of workflows, first come by an order of choice."""
 
-    __slots__ = ("_idle_since_ms", "_interference", "_order", "_rng")
+    __slots__ = (
+        "_clock_s",
+        "_idle_since_ms",
+        "_interference",
+        "_order",
+        "_permits",
+        "_rng",
+    )
 
-    def __init__(self, *, order, interference, rng=None):
+    def __init__(
+        self, *, order, interference, permits=None, clock_s=None, rng=None
+    ):
         """Prepare a planner.
 
         :param order: A :class:`WorkflowOrder`.
         :param interference: An :class:`Interference`.
+        :param permits: :class:`Permits` of steps that want advice.
+        :param clock_s: Callable that returns the clock of their ends.
         :param rng: Source of random numbers, for equal VMs.
         """
+        self._clock_s = clock_s
+        self._permits = permits
         self._idle_since_ms = {}
         self._interference = interference
         self._order = order
@@ -88,10 +101,25 @@
             if not tasks:
                 continue
             key = (record.workflow.workflow_id, occurrence, number)
+            if record.workflow.is_advised:
+                allowed = self._permitted(key, vms)
+            else:
+                allowed = vms
             place = self._place_gang if step.gang else self._place_tasks
-            assignments += place(key, step, tasks, vms, is_starved=is_starved)
+            assignments += place(
+                key, step, tasks, allowed, is_starved=is_starved
+            )
         return assignments
 
+    def _permitted(self, key, vms):
+        """Return the VMs that an advisor permits for a step."""
+        if self._permits is None:
+            return []
+        now_s = self._clock_s()
+        return [
+            vm for vm in vms if self._permits.ticket(key, vm.boot, now_s=now_s)
+        ]
+
     def _place_tasks(self, key, step, tasks, vms, *, is_starved):
         assignments = []
         for task in tasks:
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -13,6 +13,7 @@
     :param http_listen: ``ip:port`` for callers.
     :param ready_listen: ``ip:port`` for readiness checks.
     :param peer_listen: ``ip:port`` for agents and other dispatchers.
+    :param advisor: ``ip:port`` of the site's advisor, empty for none.
     :param peer_advertise: ``ip:port`` that peers dial, empty for the same.
     :param metrics_listen: ``ip:port`` for metrics, empty for none.
     :param store_calls_per_s: Bound on calls to the store.
@@ -31,6 +32,7 @@
     http_listen: str
     ready_listen: str
     peer_listen: str
+    advisor: str = ""
     peer_advertise: str = ""
     metrics_listen: str = ""
     store_calls_per_s: float = 150.0
--- a/src/radishlanding/worker/__init__.py
+++ b/src/radishlanding/worker/__init__.py
@@ -1,5 +1,7 @@
 """The platform's worker, which runs tasks on a VM."""
 
+from radishlanding.worker.advisor import Advisor
+from radishlanding.worker.advisor_unavailable import AdvisorUnavailable
 from radishlanding.worker.ended_row import EndedRow
 from radishlanding.worker.gone import WorkerGone
 from radishlanding.worker.http_worker import HttpWorker
@@ -14,6 +16,8 @@
 from radishlanding.worker.worker_task import WorkerTask
 
 __all__ = [
+    "Advisor",
+    "AdvisorUnavailable",
     "EndedRow",
     "HttpWorker",
     "LeasedWorker",
--- a/src/radishlanding/workflow/workflow.py
+++ b/src/radishlanding/workflow/workflow.py
@@ -24,6 +24,7 @@
     :param stretch: Objective as a multiple of its longest chain of steps.
     :param latency_ms: What the objective allows beyond that, in
         milliseconds.
+    :param is_advised: Whether an advisor says which VMs may run it.
     """
 
     workflow_id: str
@@ -39,6 +40,7 @@
     max_attempts: int = 0
     stretch: float = 1.0
     latency_ms: int = 0
+    is_advised: bool = False
 
     @property
     def occurrences(self):
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -67,3 +67,18 @@
   Scenario: what was learnt of images outlives its leader
     When an image is learnt to disturb and another one not
     Then within 3 s a leader in a new process knows both as they are
+
+  Scenario: tasks of a queue that wants advice go only where it is given
+    Given another VM follows, without serving tasks
+    And an advisor that permits only vm2, and answers the second time
+    When an advised workflow of 2 tasks is submitted
+    Then within 3 s vm2 is ordered to start 2 tasks, with its ticket
+    And vm1 is ordered to start nothing
+    And the advisor was asked 2 times about the step
+
+  Scenario: a ticket that a worker refuses is asked for again
+    Given an advisor that permits only vm1
+    When an advised workflow of 2 tasks is submitted
+    Then within 3 s vm1 is ordered to start 2 tasks, with its ticket
+    When the VM reports that neither has run
+    Then within 4 s vm1 is ordered to start 2 tasks, with a new ticket
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -8,6 +8,8 @@
 from behave import then
 from behave import when
 
+from radishlanding.config import Advice
+from radishlanding.config import Queue
 from radishlanding.config import Site
 from radishlanding.dispatch import EntryLog
 from radishlanding.dispatch import keys
@@ -27,14 +29,17 @@
 from radishlanding.peer import CallRefused
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
+from radishlanding.policy import Permits
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.store import Write
+from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Capacity
 from radishlanding.vm import clock_ms
 from radishlanding.vm import Timing
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import Step
 from tests.dispatch.entry_log_steps import make_store
+from tests.dispatch.fake_advisor import FakeAdvisor
 from tests.standin.open_platform import open_platform_store
 from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NAME
@@ -81,7 +86,18 @@
     __slots__ = ()
 
     is_ready = True
-    site = Site(version=1)
+    site = Site(
+        version=1,
+        queues={
+            "q": Queue(
+                name="q",
+                host="h",
+                prefix="/",
+                pool="order-desk",
+                advice=Advice(decide_ms=10, valid_ms=20_000),
+            )
+        },
+    )
 
 
 @given("a leader of a platform store, with a VM that follows it")
@@ -92,7 +108,8 @@
     _follow(context, "vm1")
 
 
-async def _open_leader(context):
+async def _open_leader(context, *, advisor=None):
+    permits = Permits()
     nursery = context.bridge.nursery
     context.platform_store, address = await open_platform_store(nursery)
     context.store_address = address
@@ -107,12 +124,17 @@
         board=board,
         site_watch=_SiteWatch(),
         planner=WorkflowPlanner(
-            order=EarliestDeadline(), interference=context.interference
+            order=EarliestDeadline(),
+            interference=context.interference,
+            permits=permits,
+            clock_s=boot_clock_s,
         ),
         interference=context.interference,
         timing=TIMING,
         counters=Counters(),
         on_away=trio.lowlevel.checkpoint,
+        permits=permits,
+        advisor=advisor,
     )
     nursery.start_soon(context.leader.run)
 
@@ -436,3 +458,83 @@
     context.bridge.call(wait_known)
     assert other.is_light("light") and not other.is_light("heavy")
     assert other.weight("heavy") == context.interference.weight("heavy")
+
+
+def _lead_with_advisor(context, vm, *, unanswered=0):
+    context.advisor = FakeAdvisor(permitted=[vm], unanswered=unanswered)
+    vms = list(context.agents)
+    context.agents = {}
+    context.bridge.call(
+        functools.partial(_open_leader, context, advisor=context.advisor)
+    )
+    for name in vms:
+        _follow(context, name)
+
+
+@given("an advisor that permits only {vm:w}, and answers the second time")
+def _advisor_late(context, vm):
+    _lead_with_advisor(context, vm, unanswered=1)
+
+
+@given("an advisor that permits only {vm:w}")
+def _advisor(context, vm):
+    _lead_with_advisor(context, vm)
+
+
+@when("an advised workflow of {count:d} tasks is submitted")
+def _advised_submitted(context, count):
+    workflow = make_workflow([Step(count=count, needs=NEEDS)], is_advised=True)
+    submit = functools.partial(context.leader.submit, workflow, request_id="r")
+    context.answers = [context.bridge.call(submit)]
+
+
+def _tickets(context, vm, count, wait_s):
+    started = context.agents[vm].started
+    assert _wait(context, lambda: len(started) >= count, wait_s), started
+    return [order.ticket for order in started[-count:]]
+
+
+@then(
+    "within {wait_s:d} s {vm:w} is ordered to start {count:d} tasks, "
+    "with its ticket"
+)
+def _with_ticket(context, wait_s, vm, count):
+    context.tickets = _tickets(context, vm, count, wait_s)
+    wanted = f"{NAME}.0.0/{vm}/{len(context.advisor.steps)}"
+    assert context.tickets == [wanted] * count, context.tickets
+
+
+@then("{vm:w} is ordered to start nothing")
+def _vm_starts_nothing(context, vm):
+    context.bridge.call(trio.sleep, 0.3)
+    assert context.agents[vm].started == []
+
+
+@then("the advisor was asked {count:d} times about the step")
+def _asked_times(context, count):
+    assert context.advisor.steps == [f"{NAME}.0.0"] * count
+
+
+@when("the VM reports that neither has run")
+def _neither_ran(context):
+    ended = [
+        TaskEndReport(
+            task_id=order.task_id,
+            attempt=order.attempt,
+            kind=EndKind.NOT_RUN,
+            reason="no_ticket",
+        )
+        for order in context.agents["vm1"].started
+    ]
+    _report(context, "vm1", ended=ended)
+
+
+@then(
+    "within {wait_s:d} s {vm:w} is ordered to start {count:d} tasks, "
+    "with a new ticket"
+)
+def _new_ticket(context, wait_s, vm, count):
+    agent = context.agents[vm]
+    assert _wait(context, lambda: len(agent.started) >= 2 * count, wait_s)
+    fresh = [order.ticket for order in agent.started[count:]]
+    assert not set(fresh) & set(context.tickets), fresh
--- a/tests/dispatcher/queue_desk.feature
+++ b/tests/dispatcher/queue_desk.feature
@@ -36,7 +36,7 @@
     When a workflow is handed to it
     Then it is refused within 1.0 s, to come back after 1 or 2 s
 
-  Scenario: a queue that wants advice is refused at once
+  Scenario: without an advisor a queue that wants advice is refused at once
     Given a dispatcher whose leader answers
     When a workflow of a queue with an advisor is handed to it
     Then it is refused within 1 s, and the leader was not asked
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -126,3 +126,13 @@
     Then the first has started and the second is fenced
     And a look lists the first
     And a call for another runner says that it is gone
+
+  Scenario: the advisor's rows become tickets
+    Given an advisor of the platform that permits i-1 and i-3
+    When it is asked about i-1, i-2 and i-3
+    Then i-1 and i-3 have tickets
+
+  Scenario: an advisor that is full says nothing about a step
+    Given an advisor of the platform that permits i-1 and i-3
+    When 40 calls come while it decides
+    Then some of them have no answer, and the others have tickets
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -2,6 +2,7 @@
 
 import json
 
+import trio
 from behave import given
 from behave import then
 from behave import when
@@ -13,6 +14,7 @@
 from radishlanding.message import TaskOrder
 from radishlanding.message import WorkflowAnswer
 from radishlanding.platform import ClientApi
+from radishlanding.platform import PlatformAdvisor
 from radishlanding.platform import read_site
 from radishlanding.platform import RegistrationApi
 from radishlanding.platform import Runner
@@ -23,12 +25,14 @@
 from radishlanding.store import StoreUnavailable
 from radishlanding.store import Write
 from radishlanding.vm import Capacity
+from radishlanding.worker import AdvisorUnavailable
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerGone
 from radishlanding.workflow import WorkflowOutcome
 from tests.dispatch.entry_log_steps import make_store
 from tests.standin.open_platform import open_platform_store
 from tests.standin.open_platform import serve
+from tests.standin.platform_advisor import PlatformAdvisor as Advisor
 from tests.standin.platform_runner import PlatformRunner
 
 JOB = "0123456789abcdef"
@@ -562,3 +566,52 @@
     except WorkerGone:
         return
     raise AssertionError("it answered")
+
+
+@given("an advisor of the platform that permits i-1 and i-3")
+def _an_advisor(context):
+    async def start():
+        context.standin = Advisor(permitted=["i-1", "i-3"], decide_s=0.01)
+        address = await serve(context.bridge.nursery, context.standin)
+        context.advisors = [
+            PlatformAdvisor(address=address) for _ in range(40)
+        ]
+
+    context.bridge.call(start)
+
+
+@when("it is asked about i-1, i-2 and i-3")
+def _is_asked(context):
+    context.tickets = context.bridge.call(
+        context.advisors[0].advise, f"{JOB}.0.0", ["i-1", "i-2", "i-3"]
+    )
+
+
+@then("i-1 and i-3 have tickets")
+def _have_tickets(context):
+    wanted = {"i-1": "ticket-i-1", "i-3": "ticket-i-3"}
+    assert context.tickets == wanted, context.tickets
+
+
+@when("40 calls come while it decides")
+def _many_calls(context):
+    context.tickets, context.unanswered = [], 0
+
+    async def ask(advisor):
+        try:
+            context.tickets.append(await advisor.advise(JOB, ["i-1"]))
+        except AdvisorUnavailable:
+            context.unanswered += 1
+
+    async def ask_all():
+        async with trio.open_nursery() as nursery:
+            for advisor in context.advisors:
+                nursery.start_soon(ask, advisor)
+
+    context.bridge.call(ask_all)
+
+
+@then("some of them have no answer, and the others have tickets")
+def _some_unanswered(context):
+    assert 0 < context.unanswered < 40, context.unanswered
+    assert all(found == {"i-1": "ticket-i-1"} for found in context.tickets)
--- /dev/null
+++ b/tests/standin/platform_advisor.py
@@ -0,0 +1,52 @@
+"""Stands in for the platform's advisor."""
+
+import trio
+
+from radishlanding.http import HttpResponse
+
+MAX_WORKERS = 100
+MAX_WAITING = 32
+
+
+class PlatformAdvisor:
+    """Permit some runners for a step; handle one call at a time."""
+
+    __slots__ = ("_decide_s", "_lock", "_permitted", "_waiting", "is_mute")
+
+    def __init__(self, *, permitted, decide_s=0.0):
+        """Prepare.
+
+        :param permitted: Identities of the runners that it permits.
+        :param decide_s: Time of a call, in seconds.
+        """
+        self._decide_s = decide_s
+        self._lock = trio.Lock()
+        self._permitted = permitted
+        self._waiting = 0
+        self.is_mute = False
+
+    async def respond(self, req):
+        """Answer one call."""
+        if req.path != ["-", "advise"] or req.method != "POST":
+            return HttpResponse(status=404)
+        if self._waiting >= MAX_WAITING:
+            return HttpResponse(status=429)
+        self._waiting += 1
+        try:
+            async with self._lock:
+                return await self._decide(req.json())
+        finally:
+            self._waiting -= 1
+
+    async def _decide(self, fields):
+        if self.is_mute:
+            await trio.sleep_forever()
+        if len(fields["workers"]) > MAX_WORKERS:
+            return HttpResponse(status=400)
+        await trio.sleep(self._decide_s)
+        good = [
+            [name, f"ticket-{name}"]
+            for name in fields["workers"]
+            if name in self._permitted
+        ]
+        return HttpResponse.of_json({"good": good})
