Find workers that stand still, are slow or fail everything

Cause: nothing looked at progress, so that tasks on a hanging or slow worker waited until it recovered; a retry could go back to the VM on which it had just failed and use up its attempts there; and the pause of a VM that failed three workflows never ended beside a standing task, as that counted as its one probe.

Change: agents judge each attempt over 1.5 s by its estimate and its pace and report those that are stuck; the leader stops them once, where they gain by starting elsewhere, and places nothing where the tasks of two workflows stand still. Retries avoid the VM of the last failure. Two failed workflows in a row begin a pause of 3 s, doubled while probes fail; standing tasks do not count as probes.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -16,6 +16,13 @@
 FENCES_PER_EPOCH = 1 << 20
 # Pause after a worker refused a start: one heartbeat with news of its room.
 SHUN_S = 0.7
+# Of a worker that fails all, two tasks in a row are enough to see; those that
+# fail by their own fault are a few in a hundred. Impairments last seconds.
+QUARANTINE_AFTER = 2
+QUARANTINE_S = 3.0
+# Distinct workflows that stand still on a VM show that it is the VM.
+STUCK_WORKFLOWS = 2
+STUCK_SHUN_S = 3.0
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -114,11 +121,34 @@
             if task.checkpoint:
                 self._checkpoints[task.task_id] = task.checkpoint
         self._images.observe(session)
+        self._shun_stuck(session)
         ends = [self._end(session, item) for item in report.ended]
         if report.is_full:
             ends += self._missing(session, {end.task_id for end in ends})
         return ends
 
+    def _shun_stuck(self, session):
+        """Place nothing on a VM where the tasks of several stand still."""
+        names = {
+            task.task_id.partition(".")[0]
+            for task in session.running.values()
+            if task.is_stuck
+        }
+        if len(names) >= STUCK_WORKFLOWS:
+            until_s = boot_clock_s() + STUCK_SHUN_S
+            if session.shunned_until_s < boot_clock_s():
+                _log.warning("vm_stuck", vm=session.vm, workflows=len(names))
+            session.shunned_until_s = max(session.shunned_until_s, until_s)
+
+    def stuck(self):
+        """Return the progress of each stuck task by its name, in percent."""
+        return {
+            task.task_id: task.progress
+            for session in self.sessions.values()
+            for task in session.running.values()
+            if task.is_stuck
+        }
+
     def _end(self, session, item):
         _log.info(
             "task_ended",
@@ -214,12 +244,15 @@
             running = self.sessions[load.vm].running
             for task in self._board.tasks_on(load.vm):
                 if task.task_id in running:
-                    record, _ = self._board.find(task.task_id)
-                    place = TaskPlace.parse(task.task_id)
-                    step = record.workflow.steps[place.step]
+                    record, step = self._step_of(task)
                     found.append((record, task, step, load))
         return found
 
+    def _step_of(self, task):
+        place = TaskPlace.parse(task.task_id)
+        record = self._board.workflows[place.workflow_id]
+        return record, record.workflow.steps[place.step]
+
     def weights(self, session):
         """Return what is known of the images that fill a VM."""
         return self._images.weights(session)
@@ -227,7 +260,12 @@
     def judge(self, end, vm):
         """Note what an end says of its VM."""
         if end.kind == EndKind.FAILED:
-            quarantine = self._quarantines.setdefault(vm, Quarantine())
+            quarantine = self._quarantines.setdefault(
+                vm,
+                Quarantine(
+                    min_distinct=QUARANTINE_AFTER, min_pause_s=QUARANTINE_S
+                ),
+            )
             place = TaskPlace.parse(end.task_id)
             quarantine.failed(place.workflow_id, now_s=boot_clock_s())
             if quarantine.room_for_tasks(running=0, now_s=boot_clock_s()) == 0:
@@ -242,18 +280,19 @@
 
         :param site: The :class:`radishlanding.config.Site` in force.
         """
-        loads = []
-        for session in self.sessions.values():
-            state = session.state
-            if (
-                session.is_listed
-                and state.boot
-                and not state.is_draining
-                and state.zone not in site.zones_out
-                and session.shunned_until_s < boot_clock_s()
-            ):
-                loads.append(self._load(session))
-        return loads
+        return [
+            self._load(session)
+            for session in self.sessions.values()
+            if session.is_listed
+            and session.state.boot
+            and not session.state.is_draining
+            and session.state.zone not in site.zones_out
+            and session.shunned_until_s < boot_clock_s()
+        ]
+
+    def all_loads(self):
+        """Return all VMs with what is on them."""
+        return [self._load(session) for session in self.sessions.values()]
 
     def _load(self, session):
         state = session.state
@@ -268,15 +307,15 @@
             free=state.capacity,
             idle_millicores=state.capacity.millicores,
         )
+        finite = 0
         for task in tasks:
-            place = TaskPlace.parse(task.task_id)
-            record = self._board.workflows[place.workflow_id]
-            step = record.workflow.steps[place.step]
-            load.add(place[:3], step)
+            _, step = self._step_of(task)
+            finite += not step.standing
+            load.add(TaskPlace.parse(task.task_id)[:3], step)
             load.press += self._interference.press(step, load.capacity)
         quarantine = self._quarantines.get(session.vm)
         if quarantine is not None:
             load.room = quarantine.room_for_tasks(
-                running=len(tasks), now_s=boot_clock_s()
+                running=finite, now_s=boot_clock_s()
             )
         return load
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -17,6 +17,7 @@
 from radishlanding.peer import CallRefused
 from radishlanding.policy import Migration
 from radishlanding.policy import MIN_FILL_SHARE
+from radishlanding.policy import Rescue
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import WorkflowOutcome
@@ -58,6 +59,7 @@
         "_orders",
         "_planner",
         "_recorder",
+        "_rescue",
         "_site_watch",
         "_timing",
         "fleet",
@@ -101,6 +103,7 @@
         )
         self._image_notes = ImageNotes(interference=interference)
         self._planner = planner
+        self._rescue = Rescue()
         self._site_watch = site_watch
         self._timing = timing
         self.fleet = Fleet(
@@ -181,17 +184,29 @@
     def _migrate(self):
         """Stop tasks that are to go on at another VM."""
         loads = self.fleet.loads(self._site_watch.site)
+        stuck = self.fleet.stuck()
+        if stuck:
+            tasks = self._ranked(self.fleet.all_loads())
+            self._move(self._rescue.choose(tasks, loads, stuck), "stuck")
+        moves = self._migration.choose(self._ranked(loads), loads)
+        self._move(moves, "disturbs")
+
+    def _ranked(self, loads):
+        """Return what runs on VMs, the most urgent first."""
         tasks = sorted(
             self.fleet.running_tasks(loads),
             key=lambda item: self._planner.rank(item[0], now_ms=now_ms()),
         )
-        moves = self._migration.choose([item[1:] for item in tasks], loads)
-        for task in moves:
+        return [item[1:] for item in tasks]
+
+    def _move(self, tasks, reason):
+        for task in tasks:
             _log.info(
                 "task_moves",
                 task=task.task_id,
                 attempt=task.attempt,
                 vm=task.vm,
+                reason=reason,
                 epoch=self.epoch,
             )
             self._orders.stop(self.fleet.sessions[task.vm], [task])
--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -13,6 +13,7 @@
     :param gauge: Over the last half second, the tail latency of a serving
         task in milliseconds, or the millicores that another task used.
     :param progress: Share of its work that is done, in percent.
+    :param is_stuck: Whether it proceeds far more slowly than estimated.
     """
 
     task_id: str
@@ -20,3 +21,4 @@
     checkpoint: str = ""
     progress: int = 0
     gauge: float = 0.0
+    is_stuck: bool = False
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -12,9 +12,11 @@
 from radishlanding.policy.placement import Placement
 from radishlanding.policy.power_of_two import PowerOfTwo
 from radishlanding.policy.preemption import Preemption
+from radishlanding.policy.progress_watch import ProgressWatch
 from radishlanding.policy.quarantine import Quarantine
 from radishlanding.policy.random_placement import RandomPlacement
 from radishlanding.policy.random_routing import RandomRouting
+from radishlanding.policy.rescue import Rescue
 from radishlanding.policy.retry_budget import RetryBudget
 from radishlanding.policy.round_robin import RoundRobin
 from radishlanding.policy.routing import Routing
@@ -40,9 +42,11 @@
     "Placement",
     "PowerOfTwo",
     "Preemption",
+    "ProgressWatch",
     "Quarantine",
     "RandomPlacement",
     "RandomRouting",
+    "Rescue",
     "RetryBudget",
     "RoundRobin",
     "Routing",
--- a/src/radishlanding/policy/quarantine.py
+++ b/src/radishlanding/policy/quarantine.py
@@ -8,10 +8,24 @@
 class Quarantine:
     """Judge one VM by the tasks that fail on it."""
 
-    __slots__ = ("_failed_tasks", "_pause_s", "_until_s")
-
-    def __init__(self):
-        """Start without failures."""
+    __slots__ = (
+        "_failed_tasks",
+        "_min_distinct",
+        "_min_pause_s",
+        "_pause_s",
+        "_until_s",
+    )
+
+    def __init__(
+        self, *, min_distinct=MIN_DISTINCT_TASKS, min_pause_s=MIN_PAUSE_S
+    ):
+        """Start without failures.
+
+        :param min_distinct: Distinct tasks whose failures begin a pause.
+        :param min_pause_s: First pause, in seconds.
+        """
+        self._min_distinct = min_distinct
+        self._min_pause_s = min_pause_s
         self._failed_tasks = set()
         self._pause_s = 0.0
         self._until_s = 0.0
@@ -23,9 +37,9 @@
         :param now_s: Present time, in seconds.
         """
         self._failed_tasks.add(task_id)
-        if len(self._failed_tasks) >= MIN_DISTINCT_TASKS or self._pause_s:
+        if len(self._failed_tasks) >= self._min_distinct or self._pause_s:
             self._pause_s = min(
-                MAX_PAUSE_S, max(MIN_PAUSE_S, self._pause_s * 2)
+                MAX_PAUSE_S, max(self._min_pause_s, self._pause_s * 2)
             )
             self._until_s = now_s + self._pause_s
             self._failed_tasks.clear()
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -123,7 +123,10 @@
     def _place_tasks(self, key, step, tasks, vms, *, is_starved):
         assignments = []
         for task in tasks:
-            vm = self._choose(key, step, vms, is_starved=is_starved)
+            elsewhere = [vm for vm in vms if vm.vm != task.failed_vm]
+            vm = self._choose(
+                key, step, elsewhere, is_starved=is_starved
+            ) or self._choose(key, step, vms, is_starved=is_starved)
             if vm is None:
                 break
             self._add(vm, key, step)
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -110,6 +110,9 @@
             listed.add(task.key)
             task.checkpoint = row.checkpoint or task.checkpoint
             task.progress = row.progress
+            task.watch.observe(
+                row.progress, pace_percent=task.pace_percent, now_s=now_s
+            )
             task.gauge = row.gauge
             task.is_listed = True
             if not task.is_confirmed:
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -5,6 +5,7 @@
 from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
 from radishlanding.message import TaskOrder
+from radishlanding.policy import ProgressWatch
 from radishlanding.workflow import EndKind
 
 
@@ -25,6 +26,7 @@
     :param is_stopping: Whether it is being stopped.
     :param checkpoint: Newest progress to resume from.
     :param progress: Share of its work that is done, in percent.
+    :param watch: Follows that.
     :param gauge: Figure of the last half second, see
         :class:`radishlanding.worker.RunningRow`.
     :param pace_percent: Pace that the worker was told.
@@ -45,6 +47,7 @@
     is_stopping: bool = False
     checkpoint: str = ""
     progress: int = 0
+    watch: ProgressWatch = dataclasses.field(default_factory=ProgressWatch)
     gauge: float = 0.0
     pace_percent: int = 100
     end: EndKind | None = None
@@ -64,6 +67,10 @@
             checkpoint=self.checkpoint,
             progress=self.progress,
             gauge=self.gauge,
+            is_stuck=(
+                self.order is not None
+                and self.watch.is_stuck(self.order.estimated_ms)
+            ),
         )
 
     def end_report(self):
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -438,6 +438,7 @@
   checkpoint @2 :Text;
   progress @3 :Int64;
   gauge @4 :Float64;
+  isStuck @5 :Bool;
 }
 
 struct VmState {
--- a/src/radishlanding/workflow/board.py
+++ b/src/radishlanding/workflow/board.py
@@ -124,6 +124,8 @@
             return None
         record, task = self.find(end.task_id)
         self._by_vm[task.vm].pop(task.task_id, None)
+        if end.kind == EndKind.FAILED:
+            task.failed_vm = task.vm
         task.vm = task.boot = ""
         if end.checkpoint:
             self._keep_checkpoint(record, task, end.checkpoint)
--- a/src/radishlanding/workflow/task_record.py
+++ b/src/radishlanding/workflow/task_record.py
@@ -14,6 +14,7 @@
     :param is_done: Whether an attempt ended with success.
     :param failures: Attempts that failed.
     :param checkpoint: Progress to resume from, or an empty string.
+    :param failed_vm: VM on which it failed last, or an empty string.
     """
 
     task_id: str
@@ -23,6 +24,7 @@
     is_done: bool = False
     failures: int = 0
     checkpoint: str = ""
+    failed_vm: str = ""
 
     @property
     def may_run(self):
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -82,3 +82,15 @@
     Then within 3 s vm1 is ordered to start 2 tasks, with its ticket
     When the VM reports that neither has run
     Then within 4 s vm1 is ordered to start 2 tasks, with a new ticket
+
+  Scenario: a worker that fails everything gets one task at a time, again
+    When a standing workflow of 1 task is submitted
+    And the tasks of 2 workflows fail on vm1
+    Then vm1 takes no task for 3 s, then one
+
+  Scenario: nothing is placed where the tasks of several workflows stand still
+    When 2 workflows run on vm1
+    And another VM follows
+    And vm1 reports that their tasks stand still
+    Then vm1 takes no task at all
+    And within 3 s the VM is ordered to stop 2 tasks
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -1,5 +1,6 @@
 """Steps about a leader in this process."""
 
+import dataclasses
 import functools
 import time
 
@@ -38,6 +39,7 @@
 from radishlanding.vm import Timing
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import Step
+from radishlanding.workflow import TaskEnd
 from tests.dispatch.entry_log_steps import make_store
 from tests.dispatch.fake_advisor import FakeAdvisor
 from tests.standin.open_platform import open_platform_store
@@ -538,3 +540,55 @@
     assert _wait(context, lambda: len(agent.started) >= 2 * count, wait_s)
     fresh = [order.ticket for order in agent.started[count:]]
     assert not set(fresh) & set(context.tickets), fresh
+
+
+@when("a standing workflow of 1 task is submitted")
+def _standing_submitted(context):
+    _submit(context, count=1, standing=True)
+    assert _wait(context, lambda: context.agents["vm1"].started, 2)
+
+
+@when("the tasks of {count:d} workflows fail on {vm:w}")
+def _fail_there(context, count, vm):
+    for number in range(count):
+        end = TaskEnd(
+            task_id=f"{number:016x}.0.0.0", attempt=1, kind=EndKind.FAILED
+        )
+        context.leader.fleet.judge(end, vm)
+
+
+def _rooms(context):
+    loads = context.leader.fleet.loads(_SiteWatch.site)
+    return {load.vm: load.room for load in loads}
+
+
+@then("{vm:w} takes no task for {pause_s:d} s, then one")
+def _then_one(context, vm, pause_s):
+    began_s = time.monotonic()
+    while not _rooms(context)[vm]:
+        _report(context, vm, running=_running(context))
+        context.bridge.call(trio.sleep, 0.1)
+    took_s = time.monotonic() - began_s
+    assert _rooms(context)[vm] == 1, _rooms(context)
+    assert pause_s - 0.5 < took_s < pause_s + 1.5, took_s
+
+
+@when("{count:d} workflows run on vm1")
+def _run_on_vm1(context, count):
+    for number in range(count):
+        _submit(context, count=1, name=f"{number:016x}")
+    agent = context.agents["vm1"]
+    assert _wait(context, lambda: len(agent.started) == count, 2)
+
+
+@when("vm1 reports that their tasks stand still")
+def _stand_still(context):
+    running = [
+        dataclasses.replace(task, is_stuck=True) for task in _running(context)
+    ]
+    _report(context, "vm1", running=running)
+
+
+@then("vm1 takes no task at all")
+def _takes_none(context):
+    assert "vm1" not in _rooms(context), _rooms(context)
