Keep few standby connections between agents and dispatchers

Change: with a leader an agent keeps its connection and three more, chosen by rendezvous hashing so that each dispatcher has its share; without one it dials all. A lost leader is noticed at once instead of at the next look, which was up to 5 s later. Sites of up to 4 dispatchers are connected as before. Ways weighed: only the dialling side pings (tried: the side that was dialled knows of a one-way silence after 3.5 s, the promise is 3 s).

--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -21,6 +21,7 @@
 from radishlanding.policy.round_robin import RoundRobin
 from radishlanding.policy.routing import Routing
 from radishlanding.policy.spread_placement import SpreadPlacement
+from radishlanding.policy.standby import choose_standby
 from radishlanding.policy.target_view import TargetView
 from radishlanding.policy.vm_load import VmLoad
 from radishlanding.policy.vm_view import VmView
@@ -56,4 +57,5 @@
     "VmView",
     "WorkflowOrder",
     "WorkflowPlanner",
+    "choose_standby",
 ]
--- a/src/radishlanding/vmagent/leader_line.py
+++ b/src/radishlanding/vmagent/leader_line.py
@@ -34,7 +34,15 @@
 class LeaderLine:
     """Follow the leader with the highest epoch, for each seat."""
 
-    __slots__ = ("_counters", "_links", "_nursery", "_seats", "conn", "epoch")
+    __slots__ = (
+        "_counters",
+        "_links",
+        "_lost",
+        "_nursery",
+        "_seats",
+        "conn",
+        "epoch",
+    )
 
     def __init__(self, *, seats, counters):
         """Prepare; :meth:`open` gives it a nursery.
@@ -44,6 +52,7 @@
         """
         self._counters = counters
         self._links = {}
+        self._lost = trio.Event()
         self._nursery = None
         self._seats = seats
         self.conn = None
@@ -78,6 +87,27 @@
             if link is not None and link.conn is None:
                 self._links.pop(address).close()
 
+    def keep(self, addresses):
+        """Close connections to dispatchers that are not needed now.
+
+        :param addresses: Those that are; the leader's stays in any case.
+        """
+        for address, link in list(self._links.items()):
+            if address not in addresses and link.conn is not self.conn:
+                self._links.pop(address).close()
+
+    @property
+    def leader_address(self):
+        """Return the address of the leader that is followed, or None."""
+        for address, link in self._links.items():
+            if self.conn is not None and link.conn is self.conn:
+                return address
+        return None
+
+    async def wait_lost(self):
+        """Wait until the leader's connection is lost."""
+        await self._lost.wait()
+
     @property
     def addresses(self):
         """Return the addresses that are dialled."""
@@ -92,6 +122,8 @@
         if conn is self.conn:
             self.conn = None
             _log.warning("leader_lost", peer=conn.peer, epoch=self.epoch)
+            self._lost.set()
+            self._lost = trio.Event()
 
     async def _introduce(self, conn):
         for seat in list(self._seats.values()):
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -14,6 +14,7 @@
 from radishlanding.platform import KvStore
 from radishlanding.platform import RegistrationApi
 from radishlanding.platform import Runner
+from radishlanding.policy import choose_standby
 from radishlanding.store import CallBudget
 from radishlanding.store import CorruptRecord
 from radishlanding.store import StoreUnavailable
@@ -85,14 +86,22 @@
     async def _seek(self):
         """Keep connections to the dispatchers of the site."""
         self._line.dial(self._seed_addresses())
+        known = self._seed_addresses()
         while True:
             try:
-                await self._read_members()
+                known = await self._read_members() or known
             except StoreUnavailable as exc:
                 _log.info("members_unread", reason=exc)
-            await trio.sleep(
-                CHECK_PAUSE_S if self._line.has_leader else SEEK_PAUSE_S
-            )
+            leader = self._line.leader_address
+            needed = choose_standby(self._cfg.id, known, leader=leader)
+            self._line.dial(needed)
+            if leader is not None:
+                self._line.keep(needed)
+                with trio.move_on_after(CHECK_PAUSE_S):
+                    await self._line.wait_lost()
+                if not self._line.has_leader:
+                    self._line.dial(known)
+            await trio.sleep(SEEK_PAUSE_S)
 
     def _seed_addresses(self):
         return {
@@ -101,6 +110,7 @@
         }
 
     async def _read_members(self):
+        """Return the addresses of all dispatchers; forget those gone."""
         listing = await self._store.list(MEMBERS, is_stale_ok=True)
         addresses = set()
         for item in listing.items:
@@ -108,9 +118,9 @@
                 addresses.add(unpack(Member, item.value).address)
             except CorruptRecord as exc:
                 _log.error("member_bad", key=item.key, reason=exc)
-        self._line.dial(addresses)
         if addresses:
             self._line.forget(self._line.addresses - addresses)
+        return addresses
 
     def reported(self, report):
         """Take a worker's report of itself.
