Count no failure of a hopeless workflow against its VMs

Change: a workflow that has failed on two VMs counts against neither; three workflows that fail on one VM alone begin a pause, which is 8 s at most.

Test: workflows that fail everywhere put no VM into quarantine (a leader's feature; fails with the rule before).

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -16,10 +16,12 @@
 FENCES_PER_EPOCH = 1 << 20
 # Pause after a worker refused a start: one heartbeat with news of its room.
 SHUN_S = 0.7
-# Of a worker that fails all, two tasks in a row are enough to see; those that
-# fail by their own fault are a few in a hundred. Impairments last seconds.
-QUARANTINE_AFTER = 2
+# Workflows that fail on one VM in a row, and nowhere else, show that it is
+# the VM. The pause is half of what impairments of workers last,
+# and none of them lasts much longer than the longest.
+QUARANTINE_AFTER = 3
 QUARANTINE_S = 3.0
+MAX_QUARANTINE_S = 8.0
 # Distinct workflows that stand still on a VM show that it is the VM.
 STUCK_WORKFLOWS = 2
 STUCK_SHUN_S = 3.0
@@ -34,6 +36,7 @@
         "_board",
         "_checkpoints",
         "_epoch",
+        "_failed_on",
         "_fences",
         "_images",
         "_leases",
@@ -58,6 +61,8 @@
         self._board = board
         self._checkpoints = {}
         self._epoch = epoch
+        # VMs on which a workflow has failed, by its name.
+        self._failed_on = {}
         self._fences = 0
         self._images = ImageWatch(board=board, interference=interference)
         self._leases = LeaseBook(timing=timing, inherited_s=inherited_s)
@@ -255,21 +260,31 @@
     def judge(self, end, vm):
         """Note what an end says of its VM."""
         if end.kind == EndKind.FAILED:
-            quarantine = self._quarantines.setdefault(
-                vm,
-                Quarantine(
-                    min_distinct=QUARANTINE_AFTER, min_pause_s=QUARANTINE_S
-                ),
-            )
-            place = TaskPlace.parse(end.task_id)
-            quarantine.failed(place.workflow_id, now_s=boot_clock_s())
-            if quarantine.room_for_tasks(running=0, now_s=boot_clock_s()) == 0:
-                _log.warning("vm_quarantined", vm=vm)
+            self._judge_failure(end, vm)
         elif end.kind == EndKind.DONE:
             self._quarantines.pop(vm, None)
         elif end.kind == EndKind.NOT_RUN and vm in self.sessions:
             self.sessions[vm].shunned_until_s = boot_clock_s() + SHUN_S
 
+    def _judge_failure(self, end, vm):
+        """Count a failure against its VM, unless the workflow is at fault."""
+        name = TaskPlace.parse(end.task_id).workflow_id
+        failed_on = self._failed_on.setdefault(name, set())
+        failed_on.add(vm)
+        if len(failed_on) > 1:
+            return
+        quarantine = self._quarantines.setdefault(
+            vm,
+            Quarantine(
+                min_distinct=QUARANTINE_AFTER,
+                min_pause_s=QUARANTINE_S,
+                max_pause_s=MAX_QUARANTINE_S,
+            ),
+        )
+        quarantine.failed(name, now_s=boot_clock_s())
+        if quarantine.room_for_tasks(running=0, now_s=boot_clock_s()) == 0:
+            _log.warning("vm_quarantined", vm=vm)
+
     def loads(self, site):
         """Return the VMs that may take tasks, with what is on them.
 
--- a/src/radishlanding/policy/quarantine.py
+++ b/src/radishlanding/policy/quarantine.py
@@ -10,6 +10,7 @@
 
     __slots__ = (
         "_failed_tasks",
+        "_max_pause_s",
         "_min_distinct",
         "_min_pause_s",
         "_pause_s",
@@ -17,13 +18,19 @@
     )
 
     def __init__(
-        self, *, min_distinct=MIN_DISTINCT_TASKS, min_pause_s=MIN_PAUSE_S
+        self,
+        *,
+        min_distinct=MIN_DISTINCT_TASKS,
+        min_pause_s=MIN_PAUSE_S,
+        max_pause_s=MAX_PAUSE_S,
     ):
         """Start without failures.
 
         :param min_distinct: Distinct tasks whose failures begin a pause.
         :param min_pause_s: First pause, in seconds.
+        :param max_pause_s: Longest pause, in seconds.
         """
+        self._max_pause_s = max_pause_s
         self._min_distinct = min_distinct
         self._min_pause_s = min_pause_s
         self._failed_tasks = set()
@@ -39,7 +46,7 @@
         self._failed_tasks.add(task_id)
         if len(self._failed_tasks) >= self._min_distinct or self._pause_s:
             self._pause_s = min(
-                MAX_PAUSE_S, max(self._min_pause_s, self._pause_s * 2)
+                self._max_pause_s, max(self._min_pause_s, self._pause_s * 2)
             )
             self._until_s = now_s + self._pause_s
             self._failed_tasks.clear()
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -592,3 +592,8 @@
 @then("vm1 takes no task at all")
 def _takes_none(context):
     assert "vm1" not in _rooms(context), _rooms(context)
+
+
+@then("{vm:w} takes any number of tasks")
+def _takes_any(context, vm):
+    assert _rooms(context)[vm] is None, _rooms(context)
