--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -3,28 +3,16 @@
 from radishlanding.dispatch.image_watch import ImageWatch
 from radishlanding.dispatch.lease_book import LeaseBook
 from radishlanding.dispatch.load_book import LoadBook
+from radishlanding.dispatch.vm_judge import VmJudge
 from radishlanding.dispatch.vm_session import VmSession
 from radishlanding.message import VmWelcome
 from radishlanding.observe import EventLog
-from radishlanding.policy import Quarantine
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import TaskEnd
-from radishlanding.workflow import TaskPlace
 
 # Fencing tokens that a leader can give out before they meet the next epoch's.
 FENCES_PER_EPOCH = 1 << 20
-# Pause after a worker refused a start: one heartbeat with news of its room.
-SHUN_S = 0.7
-# Workflows that fail on one VM in a row, and nowhere else, show that it is
-# the VM. The pause is half of what impairments of workers last,
-# and none of them lasts much longer than the longest.
-QUARANTINE_AFTER = 3
-QUARANTINE_S = 3.0
-MAX_QUARANTINE_S = 8.0
-# Distinct workflows that stand still on a VM show that it is the VM.
-STUCK_WORKFLOWS = 2
-STUCK_SHUN_S = 3.0
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -36,12 +24,11 @@
         "_board",
         "_checkpoints",
         "_epoch",
-        "_failed_on",
         "_fences",
         "_images",
+        "_judge",
         "_leases",
         "_loads",
-        "_quarantines",
         "sessions",
         "unsent",
     )
@@ -61,13 +48,11 @@
         self._board = board
         self._checkpoints = {}
         self._epoch = epoch
-        # VMs on which a workflow has failed, by its name.
-        self._failed_on = {}
         self._fences = 0
+        self._judge = VmJudge()
         self._images = ImageWatch(board=board, interference=interference)
         self._leases = LeaseBook(timing=timing, inherited_s=inherited_s)
         self._loads = LoadBook(board=board, interference=interference)
-        self._quarantines = {}
         self.sessions = {}
         # Names of tasks whose assignment is not on record yet; no VM can
         # know of them.
@@ -126,25 +111,12 @@
             if task.checkpoint:
                 self._checkpoints[task.task_id] = task.checkpoint
         self._images.observe(session)
-        self._shun_stuck(session)
+        self._judge.reported(session)
         ends = [self._end(session, item) for item in report.ended]
         if report.is_full:
             ends += self._missing(session, {end.task_id for end in ends})
         return ends
 
-    def _shun_stuck(self, session):
-        """Place nothing on a VM where the tasks of several stand still."""
-        names = {
-            task.task_id.partition(".")[0]
-            for task in session.running.values()
-            if task.is_stuck
-        }
-        if len(names) >= STUCK_WORKFLOWS:
-            until_s = boot_clock_s() + STUCK_SHUN_S
-            if session.shunned_until_s < boot_clock_s():
-                _log.warning("vm_stuck", vm=session.vm, workflows=len(names))
-            session.shunned_until_s = max(session.shunned_until_s, until_s)
-
     def stuck(self):
         """Return the progress of each stuck task by its name, in percent."""
         return {
@@ -259,31 +231,9 @@
 
     def judge(self, end, vm):
         """Note what an end says of its VM."""
-        if end.kind == EndKind.FAILED:
-            self._judge_failure(end, vm)
-        elif end.kind == EndKind.DONE:
-            self._quarantines.pop(vm, None)
-        elif end.kind == EndKind.NOT_RUN and vm in self.sessions:
-            self.sessions[vm].shunned_until_s = boot_clock_s() + SHUN_S
-
-    def _judge_failure(self, end, vm):
-        """Count a failure against its VM, unless the workflow is at fault."""
-        name = TaskPlace.parse(end.task_id).workflow_id
-        failed_on = self._failed_on.setdefault(name, set())
-        failed_on.add(vm)
-        if len(failed_on) > 1:
-            return
-        quarantine = self._quarantines.setdefault(
-            vm,
-            Quarantine(
-                min_distinct=QUARANTINE_AFTER,
-                min_pause_s=QUARANTINE_S,
-                max_pause_s=MAX_QUARANTINE_S,
-            ),
-        )
-        quarantine.failed(name, now_s=boot_clock_s())
-        if quarantine.room_for_tasks(running=0, now_s=boot_clock_s()) == 0:
-            _log.warning("vm_quarantined", vm=vm)
+        session = self.sessions.get(vm)
+        if session is not None:
+            self._judge.ended(end, session)
 
     def loads(self, site):
         """Return the VMs that may take tasks, with what is on them.
@@ -306,9 +256,5 @@
 
     def _load(self, session):
         load = self._loads.load(session)
-        quarantine = self._quarantines.get(session.vm)
-        if quarantine is not None:
-            load.room = quarantine.room_for_tasks(
-                running=load.finite, now_s=boot_clock_s()
-            )
+        load.room = self._judge.room(session.vm, running=load.finite)
         return load
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -7,19 +7,16 @@
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.image_notes import ImageNotes
 from radishlanding.dispatch.intake import Intake
+from radishlanding.dispatch.leadership_proof import LeadershipProof
 from radishlanding.dispatch.orders import Orders
 from radishlanding.dispatch.recorder import Recorder
-from radishlanding.dispatch.wall_clock import now_ms
+from radishlanding.dispatch.task_mover import TaskMover
 from radishlanding.journal import Fenced
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
-from radishlanding.policy import Migration
-from radishlanding.policy import MIN_FILL_SHARE
-from radishlanding.policy import Rescue
 from radishlanding.store import StoreUnavailable
-from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import WorkflowOutcome
 
 # Looks at due times, leases and quarantines when nothing else happens.
@@ -27,15 +24,7 @@
 # New images are rare; what one second teaches may be lost.
 IMAGES_PAUSE_S = 1.0
 # A second for the figures to show what the last moves were worth.
-TICKS_PER_MIGRATION = 4
-# Half of the time after which a VM's lease is not extended any more would do;
-# this also keeps answers about unknown workflows cheap.
-CONFIRM_PAUSE_S = 0.7
-# A store that has not answered for this long may still answer others.
-AWAY_S = 0.25
-AWAY_PAUSE_S = 0.1
-# A single answer may be lost.
-AWAY_FAILURES = 2
+TICKS_PER_MOVE = 4
 # An answer that a workflow is unknown rests on a proof that is not older.
 MAX_PROOF_AGE_S = 1.0
 
@@ -54,12 +43,11 @@
         "_image_notes",
         "_intake",
         "_log",
-        "_migration",
+        "_mover",
         "_on_away",
         "_orders",
-        "_planner",
+        "_proof",
         "_recorder",
-        "_rescue",
         "_site_watch",
         "_timing",
         "fleet",
@@ -98,12 +86,8 @@
         self._board = board
         self._log = log
         self._on_away = on_away
-        self._migration = Migration(
-            interference=interference, min_share=MIN_FILL_SHARE
-        )
         self._image_notes = ImageNotes(interference=interference)
-        self._planner = planner
-        self._rescue = Rescue()
+        self._proof = LeadershipProof(entry_log=log, on_away=self._hand_over)
         self._site_watch = site_watch
         self._timing = timing
         self.fleet = Fleet(
@@ -120,6 +104,13 @@
             counters=counters,
             permits=permits,
         )
+        self._mover = TaskMover(
+            fleet=self.fleet,
+            orders=self._orders,
+            planner=planner,
+            interference=interference,
+            site_watch=site_watch,
+        )
         self._recorder = Recorder(
             log=log,
             board=board,
@@ -164,8 +155,7 @@
             async with trio.open_nursery() as nursery:
                 self._orders.open(nursery)
                 nursery.start_soon(self._tick)
-                nursery.start_soon(self._confirm)
-                nursery.start_soon(self._watch_store)
+                nursery.start_soon(self._proof.run)
                 nursery.start_soon(self._keep_images)
                 if self._advice_desk is not None:
                     nursery.start_soon(self._advice_desk.run)
@@ -175,80 +165,27 @@
 
     async def _tick(self):
         while True:
-            for _ in range(TICKS_PER_MIGRATION):
+            for _ in range(TICKS_PER_MOVE):
                 await trio.sleep(TICK_S)
                 self._recorder.add_ends(self.fleet.lost_ends(), vm="")
                 self._recorder.wake()
-            self._migrate()
-
-    def _migrate(self):
-        """Stop tasks that are to go on at another VM."""
-        loads = self.fleet.loads(self._site_watch.site)
-        stuck = self.fleet.stuck()
-        if stuck:
-            tasks = self._ranked(self.fleet.all_loads())
-            self._move(self._rescue.choose(tasks, loads, stuck), "stuck")
-        moves = self._migration.choose(self._ranked(loads), loads)
-        self._move(moves, "disturbs")
-
-    def _ranked(self, loads):
-        """Return what runs on VMs, the most urgent first."""
-        tasks = sorted(
-            self.fleet.running_tasks(loads),
-            key=lambda item: self._planner.rank(item[0], now_ms=now_ms()),
-        )
-        return [item[1:] for item in tasks]
-
-    def _move(self, tasks, reason):
-        for task in tasks:
-            _log.info(
-                "task_moves",
-                task=task.task_id,
-                attempt=task.attempt,
-                vm=task.vm,
-                reason=reason,
-                epoch=self.epoch,
-            )
-            self._orders.stop(self.fleet.sessions[task.vm], [task])
+            self._mover.look()
 
     @property
     def is_away(self):
         """Return whether the store has not answered for some time."""
-        failing_s = boot_clock_s() - self._log.failing_since_s
-        return self._log.failures >= AWAY_FAILURES and failing_s > AWAY_S
-
-    async def _watch_store(self):
-        """Ask others to lead while the store does not answer here."""
-        while True:
-            await trio.sleep(AWAY_PAUSE_S)
-            if self.is_away:
-                _log.warning(
-                    "leader_away",
-                    epoch=self.epoch,
-                    proof_age_s=f"{self._proof_age_s():.2f}",
-                )
-                self._intake.release()
-                await self._on_away()
-                await trio.sleep(CONFIRM_PAUSE_S)
+        return self._proof.is_away
 
-    async def _confirm(self):
-        while True:
-            is_failing = self._log.failing_since_s > 0
-            await trio.sleep(AWAY_PAUSE_S if is_failing else CONFIRM_PAUSE_S)
-            if is_failing or self._proof_age_s() > CONFIRM_PAUSE_S:
-                try:
-                    await self._log.confirm()
-                except StoreUnavailable as exc:
-                    _log.warning("confirm_unanswered", reason=exc)
+    async def _hand_over(self):
+        """Let callers and other dispatchers know of a store that is away."""
+        self._intake.release()
+        await self._on_away()
 
     async def _keep_images(self):
         while True:
             await trio.sleep(IMAGES_PAUSE_S)
             await self._image_notes.save(self._log)
 
-    def _proof_age_s(self):
-        return boot_clock_s() - self._log.confirmed_s
-
     def hello(self, hello, conn):
         """Let a VM follow this leader."""
         return self.fleet.welcome(hello, conn)
@@ -267,7 +204,7 @@
         self._orders.stop(session, self.fleet.unwanted(session))
         if session.is_listed != was_listed:
             self._recorder.wake()
-        granted = self._proof_age_s() < self._timing.owner_grace_s
+        granted = self._proof.age_s < self._timing.owner_grace_s
         if granted:
             self.fleet.grant(session)
         return VmReportAck(
@@ -301,7 +238,7 @@
             outcome=answer.outcome,
             phase=answer.phase or "none",
             reason=answer.reason or "none",
-            proof_age_s=f"{self._proof_age_s():.3f}",
+            proof_age_s=f"{self._proof.age_s:.3f}",
             epoch=self.epoch,
         )
         return answer
@@ -328,7 +265,7 @@
         record = self._board.workflows.get(workflow_id)
         if record is not None and record.shown:
             return intake.found(record)
-        if record is None and self._proof_age_s() > MAX_PROOF_AGE_S:
+        if record is None and self._proof.age_s > MAX_PROOF_AGE_S:
             try:
                 await self._log.confirm()
             except StoreUnavailable as exc:
--- /dev/null
+++ b/src/radishlanding/dispatch/task_mover.py
@@ -0,0 +1,73 @@
+"""Stops tasks that are to go on at another VM."""
+
+from radishlanding.dispatch.wall_clock import now_ms
+from radishlanding.observe import EventLog
+from radishlanding.policy import Migration
+from radishlanding.policy import MIN_FILL_SHARE
+from radishlanding.policy import Rescue
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class TaskMover:
+    """Look for tasks that disturb, or stand still, where they are.
+
+    They are stopped; their next attempts are placed like any other.
+    """
+
+    __slots__ = (
+        "_fleet",
+        "_migration",
+        "_orders",
+        "_planner",
+        "_rescue",
+        "_site_watch",
+    )
+
+    def __init__(self, *, fleet, orders, planner, interference, site_watch):
+        """Prepare.
+
+        :param fleet: The :class:`Fleet`.
+        :param orders: The :class:`Orders`.
+        :param planner: Ranks workflows.
+        :param interference: Tells which tasks disturb.
+        :param site_watch: A :class:`SiteWatch`.
+        """
+        self._fleet = fleet
+        self._migration = Migration(
+            interference=interference, min_share=MIN_FILL_SHARE
+        )
+        self._orders = orders
+        self._planner = planner
+        self._rescue = Rescue()
+        self._site_watch = site_watch
+
+    def look(self):
+        """Move what gains by it; to be called once a second or so."""
+        loads = self._fleet.loads(self._site_watch.site)
+        stuck = self._fleet.stuck()
+        if stuck:
+            tasks = self._ranked(self._fleet.all_loads())
+            self._move(self._rescue.choose(tasks, loads, stuck), "stuck")
+        moves = self._migration.choose(self._ranked(loads), loads)
+        self._move(moves, "disturbs")
+
+    def _ranked(self, loads):
+        """Return what runs on VMs, the most urgent first."""
+        at_ms = now_ms()
+        tasks = sorted(
+            self._fleet.running_tasks(loads),
+            key=lambda item: self._planner.rank(item[0], now_ms=at_ms),
+        )
+        return [item[1:] for item in tasks]
+
+    def _move(self, tasks, reason):
+        for task in tasks:
+            _log.info(
+                "task_moves",
+                task=task.task_id,
+                attempt=task.attempt,
+                vm=task.vm,
+                reason=reason,
+            )
+            self._orders.stop(self._fleet.sessions[task.vm], [task])
