--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 chaos: $(READY)
 	$(BIN)/python -m tests.chaos $(SEED) $(SECONDS)
 
+SEEDS ?= 1
+
+.PHONY: soak
+
+soak: $(READY)
+	$(BIN)/python -m tests.soak $(SEED) $(SEEDS) $(SECONDS)
+
 .PHONY: slopes
 
 slopes: $(READY)
