Say that the configuration is not read yet, not that a template is unknown

Cause: an entry that has just started answered requests before it had read the configuration: 404 'abay-reef has no template', without an outcome. Change: 503, not_run without a key and unknown with one, since an earlier try may have run; jobs likewise. Before: the new scenario fails with 404; after: tests/entry 6 of 6 scenarios pass.

--- a/src/radishlanding/entry/caller_api.py
+++ b/src/radishlanding/entry/caller_api.py
@@ -17,6 +17,7 @@
 DEADLINE_HEADER = "x-deadline-ms"
 MAX_KEY_CHARS = 200
 SUBMIT_TIMEOUT_S = 8.0
+NO_CONFIG = "no configuration yet"
 
 STATUS_BY_OUTCOME = {
     Outcome.DONE: 200,
@@ -61,6 +62,11 @@
 
     async def run_request(self, http_req, organisation, name):
         """Answer ``POST /v1/requests/<organisation>/<template>``."""
+        if self._is_unread():
+            key = http_req.headers.get(KEY_HEADER, "")
+            # An earlier try under a key may have run.
+            outcome = Outcome.UNKNOWN if key else Outcome.NOT_RUN
+            return _answer(key, outcome, NO_CONFIG, status=503)
         req = self._make_request(http_req, organisation, name)
         try:
             with self._admission.admit(req):
@@ -84,6 +90,10 @@
             body=result.body,
         )
 
+    def _is_unread(self):
+        """Return whether this process has not read the configuration yet."""
+        return self._cfg_watch.document.revision == 0
+
     def _record(self, req, *, is_good):
         self._burn.record(req.organisation, req.template, is_good=is_good)
 
@@ -126,6 +136,10 @@
         """Answer ``POST /v1/jobs``."""
         fields = http_req.json()
         message = _job_message(fields)
+        if self._is_unread():
+            return _answer(
+                message.job_id, Outcome.UNKNOWN, NO_CONFIG, status=503
+            )
         self._template(message.organisation, message.template, Kind.BATCH)
         try:
             answer = await self._links.call_owner(
--- a/src/radishlanding/entry/front.py
+++ b/src/radishlanding/entry/front.py
@@ -1,5 +1,6 @@
 """Maps the paths of the HTTP front end to what answers them."""
 
+from radishlanding.entry.caller_api import NO_CONFIG
 from radishlanding.http import HttpResponse
 from radishlanding.http import Problem
 
@@ -64,5 +65,5 @@
         if self.is_stopping:
             raise Problem(status=503, reason="stopping")
         if self._cfg_watch.document.revision == 0:
-            raise Problem(status=503, reason="no configuration yet")
+            raise Problem(status=503, reason=NO_CONFIG)
         return HttpResponse.of_json({"ok": True})
--- a/tests/entry/entry.feature
+++ b/tests/entry/entry.feature
@@ -41,3 +41,12 @@
     Given a small site in which abay-reef may have 2 requests in flight
     When 8 slow stock checks are sent at once
     Then 2 are done and 6 are answered 429 not_run
+
+  Scenario: an entry that has not read the configuration says what it knows
+    Given a small site
+    When an entry is started anew while the store is away from it
+    Then a stock check through it is answered 503 not_run
+    And a booking under a key through it is answered 503 unknown
+    And a job through it is answered 503 unknown
+    When the store is back
+    Then a stock check through it is answered 200 done within 5 s
--- a/tests/entry/entry_steps.py
+++ b/tests/entry/entry_steps.py
@@ -150,3 +150,54 @@
         for answer in context.site.answers
     )
     assert found == {(200, "done"): 2, (429, "not_run"): 6}, found
+
+
+@when("an entry is started anew while the store is away from it")
+def _started_without_store(context):
+    front = context.site.fronts[0]
+    context.bridge.call(front.entry.kill)
+    context.bridge.call(front.entry_store.refuse)
+    context.bridge.call(context.site.start_entry, front)
+
+
+@when("the store is back")
+def _store_is_back(context):
+    context.site.fronts[0].entry_store.heal()
+
+
+def _shown(answer):
+    return f"{answer['http_status']} {answer['outcome']}"
+
+
+@then("a stock check through it is answered {shown} within 5 s")
+def _check_within(context, shown):
+    context.bridge.call(_until_shown, context.site, shown)
+
+
+async def _until_shown(site, shown):
+    with trio.fail_after(5.0):
+        while _shown(await site.request("stock-check", {"n": 2})) != shown:
+            await trio.sleep(0.1)
+
+
+@then("a stock check through it is answered 503 not_run")
+def _check_unread(context):
+    send = functools.partial(context.site.request, "stock-check", {"n": 1})
+    answer = context.bridge.call(send)
+    assert answer["http_status"] == 503, answer
+    assert answer["outcome"] == "not_run", answer
+
+
+@then("a booking under a key through it is answered 503 unknown")
+def _booking_unread(context):
+    answer = _book(context, {"n": 1}, "early")
+    assert answer["http_status"] == 503, answer
+    assert answer["outcome"] == "unknown", answer
+
+
+@then("a job through it is answered 503 unknown")
+def _job_unread(context):
+    submit = functools.partial(context.site.submit, "early", "shipment-plan")
+    status, answer = context.bridge.call(submit)
+    assert status == 503, answer
+    assert answer["outcome"] == "unknown", answer
