Leave tasks a whole lease, and renew adopted ones at once

Change: the last act of an agent that leaves is a renewal, and the first renewal comes with the VM lease instead of a second after it. A start that takes longer than the lease still ends the tasks, as the lease says.

--- a/src/radishlanding/agent/lease_keeper.py
+++ b/src/radishlanding/agent/lease_keeper.py
@@ -8,6 +8,8 @@
 from radishlanding.worker import WorkerUnavailable
 
 RENEW_PAUSE_S = 1.0
+# Adopted tasks run on what is left of the lease that the agent before gave.
+FIRST_PAUSE_S = 0.05
 GUARD_PAUSE_S = 0.3
 LAPSE_MARGIN_S = 2.5
 
@@ -50,20 +52,31 @@
             nursery.start_soon(self._renew)
             nursery.start_soon(self._guard)
 
+    async def renew(self):
+        """Give the running tasks as much of a lease as there is now.
+
+        :raises WorkerUnavailable: The worker gave no answer.
+        :raises WorkerRefused: The worker refused.
+        """
+        lease_s = self.task_lease_s()
+        keys = [
+            task.key
+            for task in self._table.running()
+            if task.status.phase == TaskPhase.RUNNING
+        ]
+        if keys and lease_s > 0:
+            await self._worker.renew(keys, lease_s=lease_s)
+
     async def _renew(self):
+        """Renew from the moment on from which there is a VM lease."""
+        while not self._vm_lease.was_held:
+            await trio.sleep(FIRST_PAUSE_S)
         while True:
+            try:
+                await self.renew()
+            except (WorkerUnavailable, WorkerRefused) as exc:
+                _log.warning("renew_failed", reason=exc)
             await trio.sleep(RENEW_PAUSE_S)
-            lease_s = self.task_lease_s()
-            keys = [
-                task.key
-                for task in self._table.running()
-                if task.status.phase == TaskPhase.RUNNING
-            ]
-            if keys and lease_s > 0:
-                try:
-                    await self._worker.renew(keys, lease_s=lease_s)
-                except (WorkerUnavailable, WorkerRefused) as exc:
-                    _log.warning("renew_failed", reason=exc)
 
     async def _guard(self):
         """Stop the tasks before the VM lease lapses."""
--- a/src/radishlanding/agent/program.py
+++ b/src/radishlanding/agent/program.py
@@ -177,3 +177,12 @@
             while self._pool.outstanding():
                 await trio.sleep(DRAIN_POLL_S)
             await trio.sleep(LAST_REPORT_S)
+            await self._leave_tasks()
+
+    async def _leave_tasks(self):
+        if self._keeper is None:
+            return
+        try:
+            await self._keeper.leave()
+        except (WorkerUnavailable, WorkerRefused) as exc:
+            _log.warning("renew_failed", reason=exc)
--- a/src/radishlanding/agent/task_keeper.py
+++ b/src/radishlanding/agent/task_keeper.py
@@ -95,6 +95,18 @@
             nursery.start_soon(self._leases.run)
             nursery.start_soon(self._watch.run)
 
+    async def leave(self):
+        """Start nothing more, and let the tasks outlast this agent.
+
+        They get their whole lease, so that the VM's next agent has the most
+        time to take them over.
+
+        :raises WorkerUnavailable: The worker gave no answer.
+        :raises WorkerRefused: The worker refused.
+        """
+        self.is_closed = True
+        await self._leases.renew()
+
     async def start(self, start, *, now_ms):
         """Start a task.
 
--- a/tests/agent/task_keeper_steps.py
+++ b/tests/agent/task_keeper_steps.py
@@ -27,7 +27,7 @@
 class FakeWorker:
     """A worker in memory, with one odd habit."""
 
-    __slots__ = ("_habit", "calls", "checkpoints", "runs", "tasks")
+    __slots__ = ("_habit", "calls", "checkpoints", "renewals", "runs", "tasks")
 
     def __init__(self, habit):
         """Start empty.
@@ -37,6 +37,7 @@
         self._habit = habit
         self.calls = []
         self.checkpoints = {}
+        self.renewals = []
         self.runs = []
         self.tasks = {}
 
@@ -71,7 +72,8 @@
             self.tasks.clear()
 
     async def renew(self, keys, *, lease_s):
-        """Do nothing."""
+        """Note the call."""
+        self.renewals.append((boot_clock_s(), lease_s))
 
     async def throttle(self, task_id, epoch, *, share):
         """Note the call."""
@@ -108,9 +110,30 @@
     context.bridge.call(_open_keeper, context)
 
 
+@given("an agent that adopts a task of the agent before it")
+def _adopts(context):
+    context.worker = FakeWorker("works well")
+    context.worker.tasks["j/0", 1] = "running"
+    context.bridge.call(_adopt, context)
+
+
+async def _adopt(context):
+    lease = VmLease(duration_s=LEASE_S)
+    _make_keeper(context, lease)
+    await context.keeper.adopt()
+    context.bridge.nursery.start_soon(context.keeper.run)
+    await trio.sleep(0.2)
+    lease.extend(sent_s=boot_clock_s())
+
+
 async def _open_keeper(context):
     lease = VmLease(duration_s=LEASE_S)
     lease.extend(sent_s=boot_clock_s())
+    _make_keeper(context, lease)
+    context.bridge.nursery.start_soon(context.keeper.run)
+
+
+def _make_keeper(context, lease):
     context.keeper = TaskKeeper(
         worker=context.worker,
         ledger=Ledger(capacity=Capacity(millicores=4000, memory_mb=4000)),
@@ -119,7 +142,6 @@
         worker_lease_s=4.0,
         nursery=context.bridge.nursery,
     )
-    context.bridge.nursery.start_soon(context.keeper.run)
 
 
 def _start(context):
@@ -160,6 +182,31 @@
     context.bridge.call(evict)
 
 
+@when("the agent leaves 0.8 s after the lease was renewed")
+def _agent_leaves(context):
+    async def leave():
+        with trio.fail_after(5.0):
+            while not context.worker.renewals:
+                await trio.sleep(0.01)
+        await trio.sleep(0.8)
+        await context.keeper.leave()
+
+    context.bridge.call(leave)
+
+
+@then("the worker's lease is 4 s long and {age_s:g} s old at most")
+def _lease_is(context, age_s):
+    sent_s, lease_s = context.worker.renewals[-1]
+    assert lease_s == 4.0, context.worker.renewals
+    assert boot_clock_s() - sent_s <= age_s, context.worker.renewals
+
+
+@then("0.3 s later the worker's lease is 4 s long and {age_s:g} s old at most")
+def _lease_soon(context, age_s):
+    context.bridge.call(trio.sleep, 0.3)
+    _lease_is(context, age_s)
+
+
 @when("the agent is killed and another one adopts its tasks")
 def _is_killed(context):
     async def wait_stopped():
