Recognise a dial that was refused

Cause: trio raises the failures of its attempts as an exception group below an OSError, and the search for ConnectionRefusedError followed causes only, so that 'nobody listens' was never seen: a killed leader was replaced only when its process was back under another name, or when its key ran out. Change: the search looks into groups.

--- a/src/radishlanding/peer/link.py
+++ b/src/radishlanding/peer/link.py
@@ -31,12 +31,15 @@
 
 
 def _is_refused(exc):
-    """Return whether the host answered that nobody listens there."""
-    while exc is not None:
-        if isinstance(exc, ConnectionRefusedError):
-            return True
-        exc = exc.__cause__
-    return False
+    """Return whether the host answered that nobody listens there.
+
+    trio puts the failures of the addresses that it tried into a group.
+    """
+    if isinstance(exc, BaseExceptionGroup):
+        return all(_is_refused(inner) for inner in exc.exceptions)
+    if isinstance(exc, ConnectionRefusedError):
+        return True
+    return exc.__cause__ is not None and _is_refused(exc.__cause__)
 
 
 class Link:
--- a/tests/peer/peer.feature
+++ b/tests/peer/peer.feature
@@ -44,3 +44,12 @@
     Given a peer behind a proxy
     Then a call that makes the handler fail is refused
     And the link still works
+
+  Scenario Outline: a peer that cannot be dialled
+    Given an address at which <state>
+    Then dialling it fails within 1.5 s, and tells that it was <told>
+
+    Examples:
+      | state                      | told        |
+      | nobody listens             | refused     |
+      | the queue of dials is full | not refused |
--- a/tests/peer/peer_steps.py
+++ b/tests/peer/peer_steps.py
@@ -1,6 +1,7 @@
 """Steps about connections between processes."""
 
 import functools
+import socket
 
 import trio
 from behave import given
@@ -12,6 +13,7 @@
 from radishlanding.observe import Counters
 from radishlanding.peer import CallRefused
 from radishlanding.peer import ConnectionLost
+from radishlanding.peer import dial
 from radishlanding.peer import Link
 from radishlanding.peer import PeerServer
 from tests.standin.proxy import Proxy
@@ -226,3 +228,43 @@
         assert exc.reason == "internal error"
     else:
         raise AssertionError("it was answered")
+
+
+def _bound_socket(context):
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    # The socket has to outlive the step.
+    context.sockets = [sock]
+    context.address = f"127.0.0.1:{sock.getsockname()[1]}"
+    return sock
+
+
+@given("an address at which nobody listens")
+def _nobody_listens(context):
+    _bound_socket(context)
+
+
+@given("an address at which the queue of dials is full")
+def _queue_is_full(context):
+    sock = _bound_socket(context)
+    sock.listen(0)
+    for _ in range(3):
+        dialler = socket.socket()
+        dialler.setblocking(False)
+        dialler.connect_ex(sock.getsockname())
+        context.sockets.append(dialler)
+
+
+@then("dialling it fails within 1.5 s, and tells that it was {told}")
+def _dialling_fails(context, told):
+    exc = context.bridge.call(_failure, context.address)
+    assert exc.was_refused == (told == "refused"), exc
+
+
+async def _failure(address):
+    with trio.fail_after(1.5):
+        try:
+            await dial(address=address)
+        except ConnectionLost as exc:
+            return exc
+    raise AssertionError("somebody answered")
