Count leases from the proved death of a leader

A leader that has died extends nothing. Change: the probe keeps since when leaders surely extend no more (proved death, and the grace of the one before), and the lease counts from then. Tests: leader_probe.feature, the new row of leader.feature.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -34,6 +34,7 @@
     """Claim the log when its leader is gone, and lead."""
 
     __slots__ = (
+        "_grace_s",
         "_led_s",
         "_make_leader",
         "_member",
@@ -58,6 +59,7 @@
         make_leader,
         on_change,
         counters,
+        grace_s,
     ):
         """Prepare; :meth:`run` competes.
 
@@ -66,12 +68,15 @@
         :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
             site's keys.
         :param registration: A :class:`SiteRegistration`.
-        :param make_leader: Callable that takes ``log`` and ``board`` and
-            returns a :class:`Leader`.
+        :param make_leader: Callable that takes ``log``, ``board`` and
+            ``closed_s`` and returns a :class:`Leader`.
         :param on_change: Coroutine function that is called when this process
             begins to lead.
         :param counters: Counts of the process.
+        :param grace_s: How long a leader extends leases after its last
+            proof that it leads, in seconds.
         """
+        self._grace_s = grace_s
         self._led_s = 0.0
         self._make_leader = make_leader
         self._member = member
@@ -181,7 +186,10 @@
             workflows=len(board.workflows),
             took_s=f"{boot_clock_s() - began_s:.3f}",
         )
-        leader = self._make_leader(log=log, board=board)
+        closed_s = self._probe.grants_closed_s(
+            log.predecessor, grace_s=self._grace_s
+        )
+        leader = self._make_leader(log=log, board=board, closed_s=closed_s)
         await leader.prepare(self._store)
         self.leader = leader
         try:
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -50,6 +50,7 @@
         "failures",
         "inherited_s",
         "is_stuck",
+        "predecessor",
     )
 
     def __init__(self, *, store):
@@ -67,6 +68,7 @@
         self.inherited_s = None
         self.failing_since_s = 0.0
         self.is_stuck = False
+        self.predecessor = ""
 
     @property
     def epoch(self):
@@ -109,6 +111,7 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
         self._head, self._head_version = head, version
+        self.predecessor = old.process_id
         self.inherited_s = old.leases_s if old.has_resigned else None
         self.confirmed_s = sent_s
         board, self._last = await read_board(self._store, head)
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -34,7 +34,14 @@
     )
 
     def __init__(
-        self, *, board, epoch, timing, interference, inherited_s=None
+        self,
+        *,
+        board,
+        epoch,
+        timing,
+        interference,
+        inherited_s=None,
+        closed_s=None,
     ):
         """Start without VMs.
 
@@ -44,6 +51,7 @@
         :param interference: The
             :class:`radishlanding.policy.Interference` to teach.
         :param inherited_s: See :class:`LeaseBook`.
+        :param closed_s: See :class:`LeaseBook`.
         """
         self._board = board
         self._checkpoints = {}
@@ -51,7 +59,9 @@
         self._fences = 0
         self._judge = VmJudge()
         self._images = ImageWatch(board=board, interference=interference)
-        self._leases = LeaseBook(timing=timing, inherited_s=inherited_s)
+        self._leases = LeaseBook(
+            timing=timing, inherited_s=inherited_s, closed_s=closed_s
+        )
         self._loads = LoadBook(board=board, interference=interference)
         self.sessions = {}
         # Names of tasks whose assignment is not on record yet; no VM can
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -66,6 +66,7 @@
         on_away,
         permits=None,
         advisor=None,
+        closed_s=None,
     ):
         """Prepare; :meth:`run` leads.
 
@@ -82,6 +83,7 @@
         :param permits: The :class:`radishlanding.policy.Permits` of the
             planner, None where no queue wants advice.
         :param advisor: A :class:`radishlanding.worker.Advisor`, or None.
+        :param closed_s: See :class:`LeaseBook`.
         """
         self._board = board
         self._log = log
@@ -96,6 +98,7 @@
             timing=timing,
             interference=interference,
             inherited_s=log.inherited_s,
+            closed_s=closed_s,
         )
         self._orders = Orders(
             board=board,
--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -11,6 +11,7 @@
 from radishlanding.peer import Connection
 from radishlanding.peer import ConnectionLost
 from radishlanding.peer import dial
+from radishlanding.vm import boot_clock_s
 
 CALL_TIMEOUT_S = 1.0
 PAUSE_S = 0.1
@@ -31,6 +32,8 @@
     __slots__ = (
         "_changed",
         "_counters",
+        "_deaths_s",
+        "_followed_s",
         "_gone",
         "_member",
         "_version",
@@ -44,6 +47,8 @@
         """
         self._changed = trio.Event()
         self._counters = counters
+        self._deaths_s = {}
+        self._followed_s = 0.0
         self._gone = set()
         self._member = None
         self._version = 0
@@ -59,6 +64,7 @@
         if (member, version) != (self._member, self._version):
             self._member = member
             self._version = version
+            self._followed_s = boot_clock_s()
             self._changed.set()
             self._changed = trio.Event()
 
@@ -71,6 +77,22 @@
         """Return whether it is proved that a process leads no more."""
         return (member.process_id, version) in self._gone
 
+    def grants_closed_s(self, process_id, *, grace_s):
+        """Return since when no leader up to a process extends leases.
+
+        One that has died extends none, and the one before it none after its
+        grace; leaving the lead is no death.
+
+        :param process_id: The process that led last.
+        :param grace_s: How long a leader extends leases after its last
+            proof that it leads, in seconds.
+        :returns: Seconds of the boot clock; None without a proof.
+        """
+        if process_id not in self._deaths_s:
+            return None
+        followed_s, died_s = self._deaths_s[process_id]
+        return max(died_s, followed_s + grace_s)
+
     async def run(self):
         """Watch until cancelled."""
         while True:
@@ -81,7 +103,7 @@
                 await self._watch(member)
             except ConnectionLost as exc:
                 if exc.was_refused:
-                    self._note_gone(member, "nobody listens")
+                    self._note_death(member, "nobody listens")
             except CallRefused as exc:
                 _log.info("probe_refused", reason=exc)
             await trio.sleep(PAUSE_S)
@@ -89,6 +111,14 @@
     def _is_watched_gone(self):
         return self.is_gone(self._member, version=self._version)
 
+    def _note_death(self, member, reason):
+        if member == self._member:
+            self._deaths_s[member.process_id] = (
+                self._followed_s,
+                boot_clock_s(),
+            )
+        self._note_gone(member, reason)
+
     def _note_gone(self, member, reason):
         self._gone.add((member.process_id, self._version))
         _log.info("process_gone", process=member.process_id, reason=reason)
@@ -120,7 +150,7 @@
             return
         names = [summary.process_id for summary in answer.processes]
         if member.process_id not in names:
-            self._note_gone(member, f"its address is {','.join(names)}'s")
+            self._note_death(member, f"its address is {','.join(names)}'s")
             conn.abort()
         else:
             self.conn = conn
--- a/src/radishlanding/dispatch/lease_book.py
+++ b/src/radishlanding/dispatch/lease_book.py
@@ -6,19 +6,31 @@
 class LeaseBook:
     """Keep when the lease of each VM was last granted."""
 
-    __slots__ = ("_granted_s", "_inherited_s", "_opened_s", "_timing")
-
-    def __init__(self, *, timing, inherited_s=None):
+    __slots__ = (
+        "_closed_s",
+        "_granted_s",
+        "_inherited_s",
+        "_opened_s",
+        "_timing",
+    )
+
+    def __init__(self, *, timing, inherited_s=None, closed_s=None):
         """Start without grants.
 
         :param timing: A :class:`radishlanding.vm.Timing`.
         :param inherited_s: Seconds left of the leases of VMs, where the last
             leader has resigned and said so; None where it may still extend
             leases.
+        :param closed_s: When, in seconds of the boot clock, earlier leaders
+            surely extended no lease any more; None for their whole grace
+            from now on.
         """
         self._inherited_s = inherited_s
         self._granted_s = {}
         self._opened_s = boot_clock_s()
+        if closed_s is None:
+            closed_s = self._opened_s + timing.owner_grace_s
+        self._closed_s = closed_s
         self._timing = timing
 
     def grant(self, vm):
@@ -34,7 +46,7 @@
 
         A VM that was never heard here may have a lease from an earlier
         leader, which may have extended it for its whole grace unless it has
-        resigned.
+        resigned or was proved to have died.
         """
         lease_s = self._timing.vm_lease_s + self._timing.drift_s
         if vm in self._granted_s:
@@ -42,5 +54,5 @@
         elif self._inherited_s is not None:
             end_s = self._opened_s + self._inherited_s.get(vm, lease_s)
         else:
-            end_s = self._opened_s + self._timing.owner_grace_s + lease_s
+            end_s = self._closed_s + lease_s
         return end_s - boot_clock_s()
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -91,6 +91,7 @@
             make_leader=self._make_leader,
             on_change=self._announce,
             counters=self._counters,
+            grace_s=cfg.owner_grace_s,
         )
         self._handler = DispatcherHandler(
             member=self._member, site_watch=self._site_watch
@@ -120,7 +121,7 @@
             counters=self._counters,
         )
 
-    def _make_leader(self, *, log, board):
+    def _make_leader(self, *, log, board, closed_s):
         advisor = None
         if self._cfg.advisor:
             advisor = PlatformAdvisor(address=self._cfg.advisor)
@@ -145,6 +146,7 @@
             on_away=self._tell_away,
             permits=permits,
             advisor=advisor,
+            closed_s=closed_s,
         )
 
     async def _announce(self):
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -63,6 +63,7 @@
       | was replaced                   | 1.7    |
       | resigned with 0.4 s left of it | 0.4    |
       | resigned without a word of it  | 1.2    |
+      | was proved dead for 0.3 s      | 0.9    |
 
   Scenario: what was learnt of images outlives its leader
     When an image is learnt to disturb and another one not
--- /dev/null
+++ b/tests/dispatch/leader_probe_steps.py
@@ -0,0 +1,154 @@
+"""Steps about the probe of a leader."""
+
+import functools
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.dispatch.leader_probe import LeaderProbe
+from radishlanding.membership import Member
+from radishlanding.message import LeaderAway
+from radishlanding.message import ProcessSummary
+from radishlanding.message import StatusAnswer
+from radishlanding.observe import Counters
+from radishlanding.peer import PeerServer
+from radishlanding.vm import boot_clock_s
+
+MAX_CONNECTIONS = 5
+WITHIN_S = 2.0
+GRACE_S = 1.0
+SLACK_S = 0.2
+
+
+class FakeLeader:
+    """A process that says who it is, until it is ended."""
+
+    __slots__ = ("_scope", "port", "process_id", "server")
+
+    def __init__(self, process_id):
+        """Prepare; :meth:`run` listens.
+
+        :param process_id: Its identity.
+        """
+        self._scope = trio.CancelScope()
+        self.port = 0
+        self.process_id = process_id
+        self.server = PeerServer(
+            handler=self, counters=Counters(), max_connections=MAX_CONNECTIONS
+        )
+
+    async def run(self, port, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Listen until ended."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                self.port = await nursery.start(
+                    functools.partial(
+                        self.server.run, host="127.0.0.1", port=port
+                    )
+                )
+                task_status.started()
+
+    def end(self):
+        """Close the port and every connection."""
+        self._scope.cancel()
+
+    async def handle(self, _message, _conn):
+        """Say who it is."""
+        summary = ProcessSummary(
+            kind="dispatcher",
+            process_id=self.process_id,
+            zone="bole",
+            revision=1,
+        )
+        return StatusAnswer(processes=[summary])
+
+    async def connected(self, _conn):
+        """Do nothing."""
+
+    def lost(self, _conn):
+        """Do nothing."""
+
+
+@given("a probe that has seen a process lead for {led_s:g} s")
+def _a_probe(context, led_s):
+    context.bridge.call(_open_probe, context, led_s)
+
+
+async def _open_probe(context, led_s):
+    nursery = context.bridge.nursery
+    context.leader = FakeLeader("a")
+    await nursery.start(context.leader.run, 0)
+    context.member = Member(
+        kind="dispatcher",
+        process_id="a",
+        zone="bole",
+        address=f"127.0.0.1:{context.leader.port}",
+    )
+    context.probe = LeaderProbe(counters=Counters())
+    nursery.start_soon(context.probe.run)
+    context.seen_s = boot_clock_s()
+    context.probe.follow(context.member, version=1)
+    with trio.fail_after(WITHIN_S):
+        while context.probe.conn is None:
+            await trio.sleep(0.01)
+    await trio.sleep(max(0.0, context.seen_s + led_s - boot_clock_s()))
+
+
+@when("the process dies")
+def _dies(context):
+    async def end():
+        context.leader.end()
+
+    context.ended_s = boot_clock_s()
+    context.bridge.call(end)
+
+
+@when("the process leaves its address to another")
+def _leaves_address(context):
+    _dies(context)
+    other = FakeLeader("b")
+    context.bridge.call(
+        context.bridge.nursery.start, other.run, context.leader.port
+    )
+
+
+@when("the process says it has lost the store")
+def _lost_store(context):
+    context.bridge.call(
+        context.leader.server.broadcast, LeaderAway(process_id="a")
+    )
+
+
+@then("within 2 s the probe knows that it is gone")
+def _is_gone(context):
+    context.bridge.call(_until_gone, context)
+
+
+async def _until_gone(context):
+    with trio.fail_after(WITHIN_S):
+        while not context.probe.is_gone(context.member, version=1):
+            await trio.sleep(0.01)
+    context.known_s = boot_clock_s()
+
+
+def _closed_s(context):
+    return context.probe.grants_closed_s("a", grace_s=GRACE_S)
+
+
+@then("with a grace of 1 s leases are extended until its end")
+def _until_its_end(context):
+    closed_s = _closed_s(context)
+    assert context.ended_s <= closed_s <= context.known_s, closed_s
+
+
+@then("with a grace of 1 s leases are extended until 1 s after it was seen")
+def _until_grace(context):
+    late_s = _closed_s(context) - (context.seen_s + GRACE_S)
+    assert 0 <= late_s < SLACK_S, late_s
+
+
+@then("with a grace of 1 s leases are extended for a time that is not known")
+def _not_known(context):
+    assert _closed_s(context) is None
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -424,11 +424,15 @@
 def _predecessor(context, ended):
     inherited_s = {
         "was replaced": None,
+        "was proved dead for 0.3 s": None,
         "resigned with 0.4 s left of it": {"vm9": 0.4},
         "resigned without a word of it": {},
     }[ended]
     timing = Timing(vm_lease_s=1.0, owner_grace_s=0.5, drift_s=0.2)
-    context.leases = LeaseBook(timing=timing, inherited_s=inherited_s)
+    closed_s = boot_clock_s() - 0.3 if "proved dead" in ended else None
+    context.leases = LeaseBook(
+        timing=timing, inherited_s=inherited_s, closed_s=closed_s
+    )
 
 
 @then("a VM that was never heard is lost after {wait_s:g} s, not before")
