Let the strongest dispatcher lead where VMs are unequal

Change: each process registers what its VM gives it; a vacant leadership is left for 0.04 s to each notably stronger process, and a leader makes room once one twice as strong has been there for 3 s. Equal VMs behave as before. Weighed: electing by zone or load (both change by the second), and shards (nothing is bound by one leader's processor at 67 VMs).

--- a/src/radishlanding/dispatch/__init__.py
+++ b/src/radishlanding/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.leader import Leader
 from radishlanding.dispatch.site_watch import SiteWatch
+from radishlanding.dispatch.succession import Succession
 from radishlanding.dispatch.vm_session import VmSession
 
 __all__ = [
@@ -13,5 +14,6 @@
     "Fleet",
     "Leader",
     "SiteWatch",
+    "Succession",
     "VmSession",
 ]
--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -26,6 +26,9 @@
 # Two processes that cannot reach each other would otherwise replace each
 # other at once; within this time only the store's word counts.
 QUARREL_PAUSE_S = 5.0
+# A leader that makes room for a stronger one stands back for as long as that
+# one needs to claim, several times over.
+YIELD_S = 1.0
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -35,6 +38,7 @@
 
     __slots__ = (
         "_grace_s",
+        "_is_leaving",
         "_led_s",
         "_make_leader",
         "_member",
@@ -45,6 +49,7 @@
         "_site_keys",
         "_step_down",
         "_store",
+        "_succession",
         "_told",
         "leader",
     )
@@ -60,6 +65,7 @@
         on_change,
         counters,
         grace_s,
+        succession,
     ):
         """Prepare; :meth:`run` competes.
 
@@ -75,8 +81,10 @@
         :param counters: Counts of the process.
         :param grace_s: How long a leader extends leases after its last
             proof that it leads, in seconds.
+        :param succession: A :class:`Succession`.
         """
         self._grace_s = grace_s
+        self._is_leaving = False
         self._led_s = 0.0
         self._make_leader = make_leader
         self._member = member
@@ -87,6 +95,7 @@
         self._site_keys = site_keys
         self._step_down = trio.Event()
         self._store = store
+        self._succession = succession
         self._told = None
         self.leader = None
 
@@ -153,7 +162,8 @@
                     break
             with trio.move_on_after(RETRY_PAUSE_S):
                 await self._site_keys.wait_changed()
-        await trio.sleep(random.uniform(0, MAX_CLAIM_DELAY_S))
+        pause_s = self._succession.claim_pause_s(gone=member)
+        await trio.sleep(pause_s + random.uniform(0, MAX_CLAIM_DELAY_S))
 
     async def _wait_registered(self):
         while not (self._registration.lease and self._site_keys.is_read):
@@ -199,6 +209,7 @@
                     nursery.start_soon(self._probe.tell, self.notice())
                     nursery.start_soon(self._keep_key, log)
                     nursery.start_soon(self._end_when_replaced)
+                    nursery.start_soon(self._end_when_outclassed)
                     nursery.start_soon(leader.run)
         except* Fenced as group:
             _log.warning(
@@ -211,7 +222,13 @@
             self.leader = None
         if self._scope.cancelled_caught:
             await leader.resign()
-            await trio.sleep_forever()
+            if self._is_leaving:
+                await trio.sleep_forever()
+            await trio.sleep(YIELD_S)
+
+    async def _end_when_outclassed(self):
+        await self._succession.wait_outclassed()
+        self._scope.cancel()
 
     async def _end_when_replaced(self):
         self._step_down = trio.Event()
@@ -278,6 +295,7 @@
 
     def resign(self):
         """Stop leading, for good, and let another process lead."""
+        self._is_leaving = True
         if self._scope is not None and self.leader is not None:
             self._scope.cancel()
 
--- /dev/null
+++ b/src/radishlanding/dispatch/succession.py
@@ -0,0 +1,78 @@
+"""Tells a process when it is its turn to lead, by the others' strength."""
+
+import trio
+
+from radishlanding.dispatch import keys
+from radishlanding.membership import Member
+from radishlanding.observe import EventLog
+from radishlanding.store import CorruptRecord
+from radishlanding.store import unpack
+
+LOOK_PAUSE_S = 0.5
+# A process that has just come back may go again; a leader waits so long.
+SETTLED_LOOKS = 6
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Succession:
+    """Compare this process with the others that are registered."""
+
+    __slots__ = ("_choice", "_member", "_site_keys")
+
+    def __init__(self, *, choice, member, site_keys):
+        """Prepare.
+
+        :param choice: A :class:`radishlanding.policy.StrongestFirst`.
+        :param member: This process, a :class:`Member`.
+        :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
+            site's keys.
+        """
+        self._choice = choice
+        self._member = member
+        self._site_keys = site_keys
+
+    def claim_pause_s(self, *, gone=None):
+        """Return how long to leave a claim to stronger processes.
+
+        :param gone: The :class:`Member` that led until now, or None.
+        """
+        strengths = self._others()
+        if gone is not None:
+            strengths.pop(gone.address, None)
+        return self._choice.claim_pause_s(
+            self._member.millicores, strengths.values()
+        )
+
+    async def wait_outclassed(self):
+        """Wait until a much stronger process has been there for a while."""
+        looks = 0
+        while looks < SETTLED_LOOKS:
+            await trio.sleep(LOOK_PAUSE_S)
+            strengths = self._others()
+            if not self._site_keys.is_lost and self._choice.is_outclassed(
+                self._member.millicores, strengths.values()
+            ):
+                looks += 1
+            else:
+                looks = 0
+        _log.info(
+            "leader_outclassed",
+            millicores=self._member.millicores,
+            strongest=max(strengths.values()),
+        )
+
+    def _others(self):
+        """Return millicores by address of the other processes."""
+        strengths = {}
+        for key, item in self._site_keys.items.items():
+            if not key.startswith(keys.MEMBERS):
+                continue
+            try:
+                member = unpack(Member, item.value)
+            except CorruptRecord as exc:
+                _log.error("member_key_bad", key=key, reason=exc)
+                continue
+            if member.address != self._member.address:
+                strengths[member.address] = member.millicores
+        return strengths
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -9,6 +9,7 @@
 from radishlanding.dispatch import Candidate
 from radishlanding.dispatch import Leader
 from radishlanding.dispatch import SiteWatch
+from radishlanding.dispatch import Succession
 from radishlanding.dispatch.keys import SITE
 from radishlanding.dispatch.site_registration import SiteRegistration
 from radishlanding.dispatcher.handler import DispatcherHandler
@@ -29,6 +30,7 @@
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import Permits
+from radishlanding.policy import StrongestFirst
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.store import CallBudget
 from radishlanding.store import PrefixWatch
@@ -37,6 +39,7 @@
 
 # Agents and dispatchers of a site of the design size, with some spare.
 MAX_PEERS = 6000
+MILLICORES = 1000
 
 _log = EventLog("radishlanding.dispatcher")
 
@@ -75,6 +78,7 @@
             process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
             zone=cfg.zone,
             address=cfg.peer_advertise or cfg.peer_listen,
+            millicores=round(MILLICORES * cfg.cpu_share * cfg.cores),
         )
         self._site_watch = SiteWatch(
             store=self._store, prefix=SITE_PREFIX, parse=read_site
@@ -92,6 +96,11 @@
             on_change=self._announce,
             counters=self._counters,
             grace_s=cfg.owner_grace_s,
+            succession=Succession(
+                choice=StrongestFirst(),
+                member=self._member,
+                site_keys=self._site_keys,
+            ),
         )
         self._handler = DispatcherHandler(
             member=self._member, site_watch=self._site_watch
--- a/src/radishlanding/membership/member.py
+++ b/src/radishlanding/membership/member.py
@@ -7,13 +7,16 @@
 class Member:
     """Where a process can be reached.
 
-    :param kind: Program: entry or scheduler.
+    :param kind: Program: entry, scheduler or dispatcher.
     :param process_id: Unique identity of the process.
     :param zone: Availability zone of its VM.
     :param address: ``ip:port`` for peers.
+    :param millicores: What its VM gives it of a processor, 0 where it does
+        not say.
     """
 
     kind: str
     process_id: str
     zone: str
     address: str
+    millicores: int = 0
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -22,6 +22,7 @@
 from radishlanding.policy.routing import Routing
 from radishlanding.policy.spread_placement import SpreadPlacement
 from radishlanding.policy.standby import choose_standby
+from radishlanding.policy.strongest_first import StrongestFirst
 from radishlanding.policy.target_view import TargetView
 from radishlanding.policy.vm_load import VmLoad
 from radishlanding.policy.vm_view import VmView
@@ -52,6 +53,7 @@
     "RoundRobin",
     "Routing",
     "SpreadPlacement",
+    "StrongestFirst",
     "TargetView",
     "VmLoad",
     "VmView",
--- /dev/null
+++ b/src/radishlanding/policy/strongest_first.py
@@ -0,0 +1,41 @@
+"""Which dispatcher leads where their VMs are unequal."""
+
+# A claim takes two calls to the store, some 10 ms each; a weaker process that
+# waits this long for each stronger one finds the claim of that one.
+RANK_PAUSE_S = 0.04
+# A site is without a leader for no longer than this because of ranks.
+MAX_PAUSE_S = 0.2
+# Less of a difference decides nothing: what else runs on a VM is not known.
+NOTABLY = 1.25
+# A leadership that changes costs callers some tenths of a second, so that it
+# is handed over only to a process that gains a lot.
+MUCH = 2.0
+
+
+class StrongestFirst:
+    """Let the strongest VM lead, as leading takes the most of a processor.
+
+    Strengths are in millicores; 0 stands for one that is not known, and
+    neither waits nor hands over.
+    """
+
+    __slots__ = ()
+
+    def claim_pause_s(self, own, others):
+        """Return how long to leave a vacant leadership to others, in seconds.
+
+        :param own: Strength of this process.
+        :param others: Strengths of the other processes that may lead.
+        """
+        if not own:
+            return 0.0
+        rank = sum(other > own * NOTABLY for other in others)
+        return min(MAX_PAUSE_S, rank * RANK_PAUSE_S)
+
+    def is_outclassed(self, own, others):
+        """Return whether a leader should let another process lead.
+
+        :param own: Strength of the leader.
+        :param others: Strengths of the other processes that may lead.
+        """
+        return bool(own) and any(other >= own * MUCH for other in others)
--- /dev/null
+++ b/tests/dispatcher/succession_steps.py
@@ -0,0 +1,56 @@
+"""Steps about which dispatcher leads a site."""
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from tests.dispatcher.site_steps import JobSource
+
+FIRST_CLAIM_S = 4.0
+
+
+@given("a platform site of dispatchers with {shares} of a core")
+def _unequal_site(context, shares):
+    shares = [float(text) for text in shares.replace(" and", ",").split(",")]
+    context.platform_site = context.bridge.open_platform_site(
+        dispatchers=len(shares), shares=shares
+    )
+
+
+@when("jobs are handed in all the time")
+def _jobs(context):
+    context.source = JobSource(context.platform_site)
+    context.bridge.spawn(context.source.run)
+
+
+@when("the dispatchers start again one after the other, in this order")
+def _in_order(context):
+    context.bridge.call(_start_in_order, context.platform_site)
+
+
+async def _start_in_order(site):
+    for process in site.dispatchers:
+        await process.kill()
+    await site.start_dispatcher(0)
+    await _until_leads(site, FIRST_CLAIM_S, site.shares[0])
+    for at in range(1, len(site.dispatchers)):
+        await site.start_dispatcher(at)
+
+
+@when("the leader is killed for good")
+def _killed(context):
+    site = context.platform_site
+    context.bridge.call(site.dispatchers[site.leader()].kill)
+
+
+@then("within {wait_s:g} s the dispatcher with {share:g} of a core leads")
+def _leads(context, wait_s, share):
+    context.bridge.call(_until_leads, context.platform_site, wait_s, share)
+
+
+async def _until_leads(site, wait_s, share):
+    at = site.shares.index(share)
+    with trio.fail_after(wait_s):
+        while not site.dispatchers[at].is_running or site.leader() != at:
+            await trio.sleep(0.05)
--- /dev/null
+++ b/tests/policy/strongest_first.feature
@@ -0,0 +1,24 @@
+Feature: The strongest VM leads, and a leadership is not handed over for little
+
+  Scenario Outline: how long a process leaves a vacant leadership to others
+    Given a process of <own> millicores among others of <others>
+    Then it waits <pause_s> s before it claims
+    And as a leader it <hands>
+
+    Examples: equal VMs
+      | own  | others              | pause_s | hands       |
+      | 400  | 400, 400, 400       | 0       | leads on    |
+      | 400  | 420, 440, 400       | 0       | leads on    |
+      | 400  | nobody              | 0       | leads on    |
+
+    Examples: unequal VMs
+      | own  | others              | pause_s | hands       |
+      | 2150 | 300, 600, 1000      | 0       | leads on    |
+      | 1000 | 300, 600, 1500      | 0.04    | leads on    |
+      | 600  | 300, 1300, 1000     | 0.08    | makes room  |
+      | 300  | 600, 700, 800, 900, 1000, 1100, 1200 | 0.2 | makes room |
+
+    Examples: what is not known
+      | own  | others              | pause_s | hands       |
+      | 0    | 300, 600            | 0       | leads on    |
+      | 300  | 0, 0                | 0       | leads on    |
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -35,25 +35,31 @@
         "nursery",
         "peer_proxies",
         "record",
+        "shares",
         "store",
         "store_address",
         "store_proxies",
         "version",
     )
 
-    def __init__(self, *, folder, dispatchers=2, machines=3, seed=1):
+    def __init__(
+        self, *, folder, dispatchers=2, machines=3, seed=1, shares=None
+    ):
         """Prepare a site.
 
         :param folder: Folder for settings and logs.
         :param dispatchers: Number of dispatchers.
         :param machines: Number of machines with a runner.
         :param seed: Seed of the faults' dice.
+        :param shares: Share of a core for each dispatcher; None for a whole
+            one each.
         """
         self._clients = {}
         self.answers = []
         self.folder = folder
         self.nursery = None
         self.record = []
+        self.shares = shares or [1.0] * dispatchers
         self.store = PlatformStore(seed=seed)
         self.store_address = ""
         self.version = 0
@@ -128,6 +134,7 @@
                 "peer_advertise": self.peer_proxies[at].address,
                 "vm_lease_s": 4.0,
                 "owner_grace_s": 3.0,
+                "cpu_share": self.shares[at],
             },
         )
         self.peer_proxies[at].upstream = process.ports["peer"]
