Claim as soon as the keys are read

The lease had come before the keys were read, and a process that had one waited for another lease, not for the keys. Change: it waits for what is missing.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -166,9 +166,12 @@
         await trio.sleep(pause_s + random.uniform(0, MAX_CLAIM_DELAY_S))
 
     async def _wait_registered(self):
-        while not (self._registration.lease and self._site_keys.is_read):
+        while not self._registration.lease:
             with trio.move_on_after(RETRY_PAUSE_S):
                 await self._registration.wait_changed()
+        while not self._site_keys.is_read:
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._site_keys.wait_changed()
 
     def _may_quarrel(self):
         return boot_clock_s() - self._led_s > QUARREL_PAUSE_S
