--- a/src/radishlanding/dispatch/site_registration.py
+++ b/src/radishlanding/dispatch/site_registration.py
@@ -10,6 +10,7 @@
 from radishlanding.store import pack
 from radishlanding.store import StoreUnavailable
 from radishlanding.store import Write
+from radishlanding.vm import boot_clock_s
 
 # The keys of a process that has died without a trace are gone after this.
 LEASE_TTL_S = 2.0
@@ -22,7 +23,14 @@
 class SiteRegistration:
     """Register this process under a lease."""
 
-    __slots__ = ("_changed", "_member", "_site_keys", "_store", "lease")
+    __slots__ = (
+        "_changed",
+        "_failed_since_s",
+        "_member",
+        "_site_keys",
+        "_store",
+        "lease",
+    )
 
     def __init__(self, *, store, member, site_keys):
         """Prepare; :meth:`run` registers.
@@ -34,6 +42,7 @@
             site's keys.
         """
         self._changed = trio.Event()
+        self._failed_since_s = 0.0
         self._member = member
         self._site_keys = site_keys
         self._store = store
@@ -53,11 +62,26 @@
             pause_s = RENEW_PAUSE_S
             try:
                 await self._renew()
+                self._note_success()
             except (StoreUnavailable, LeaseGone) as exc:
-                _log.warning("renewal_failed", lease=self.lease, reason=exc)
+                self._note_failure(exc)
                 pause_s = RETRY_PAUSE_S
             await trio.sleep(pause_s * random.uniform(0.8, 1.0))
 
+    def _note_failure(self, exc):
+        """Log the first of several failures."""
+        if not self._failed_since_s:
+            self._failed_since_s = boot_clock_s()
+            _log.warning("renewal_failed", lease=self.lease, reason=exc)
+
+    def _note_success(self):
+        if self._failed_since_s:
+            failed_s = boot_clock_s() - self._failed_since_s
+            self._failed_since_s = 0.0
+            _log.info(
+                "renewal_works", lease=self.lease, failed_s=f"{failed_s:.2f}"
+            )
+
     async def _renew(self):
         if self.lease and await self._store.keep_alive(self.lease):
             if self._key in self._site_keys.items or self._site_keys.is_lost:
