--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -1,12 +1,11 @@
 """Leads the site whenever no other process does."""
 
-import random
-
 import trio
 
 from radishlanding.dispatch import keys
 from radishlanding.dispatch.entry_log import EntryLog
 from radishlanding.dispatch.leader_probe import LeaderProbe
+from radishlanding.dispatch.vacancy import Vacancy
 from radishlanding.journal import Fenced
 from radishlanding.membership import Member
 from radishlanding.message import LeaderNotice
@@ -15,23 +14,14 @@
 from radishlanding.store import LeaseGone
 from radishlanding.store import pack
 from radishlanding.store import StoreUnavailable
-from radishlanding.store import unpack
 from radishlanding.store import Write
 from radishlanding.vm import boot_clock_s
 
-# Spreads the claims of several processes; a lost claim costs one call.
-MAX_CLAIM_DELAY_S = 0.06
 RETRY_PAUSE_S = 0.1
 KEY_PAUSE_S = 0.5
-# Two processes that cannot reach each other would otherwise replace each
-# other at once; within this time only the store's word counts.
-QUARREL_PAUSE_S = 5.0
 # A leader that makes room for a stronger one stands back for as long as that
 # one needs to claim, several times over.
 YIELD_S = 1.0
-# A process that is about to end claims only when the others, that need
-# MAX_CLAIM_DELAY_S, their ranks' pauses and a call, have not.
-LEAVING_PAUSE_S = 0.5
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -41,8 +31,6 @@
 
     __slots__ = (
         "_grace_s",
-        "_is_leaving",
-        "_led_s",
         "_make_leader",
         "_member",
         "_on_change",
@@ -53,7 +41,7 @@
         "_step_down",
         "_store",
         "_succession",
-        "_told",
+        "_vacancy",
         "leader",
     )
 
@@ -87,8 +75,6 @@
         :param succession: A :class:`Succession`.
         """
         self._grace_s = grace_s
-        self._is_leaving = False
-        self._led_s = 0.0
         self._make_leader = make_leader
         self._member = member
         self._on_change = on_change
@@ -99,41 +85,26 @@
         self._step_down = trio.Event()
         self._store = store
         self._succession = succession
-        self._told = None
+        self._vacancy = Vacancy(
+            member=member,
+            probe=self._probe,
+            registration=registration,
+            site_keys=site_keys,
+            succession=succession,
+        )
         self.leader = None
 
-    def leader_member(self):
-        """Return the :class:`Member` that is said to lead, or None.
-
-        While the store is away here, a newer leader's own word counts.
-        """
-        if self._told is not None and self._site_keys.is_lost:
-            return self._told
-        item = self._site_keys.items.get(keys.LEADER)
-        if item is None:
-            return None
-        try:
-            return unpack(Member, item.value)
-        except CorruptRecord as exc:
-            _log.error("leader_key_bad", reason=exc)
-            return None
-
     @property
     def leader_conn(self):
         """Return a connection to the leader, None while there is none."""
         return self._probe.conn
 
-    def _leader_version(self):
-        """Return the version of the leader's key, 0 for an absent one."""
-        item = self._site_keys.items.get(keys.LEADER)
-        return item.version if item else 0
-
     async def run(self):
         """Compete and lead, again and again."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._probe.run)
             while True:
-                await self._wait_vacancy()
+                await self._vacancy.wait()
                 try:
                     await self._lead()
                 except (StoreUnavailable, LeaseGone, CorruptRecord) as exc:
@@ -142,45 +113,6 @@
                     _log.info("claim_lost", reason=exc)
                 await trio.sleep(RETRY_PAUSE_S)
 
-    async def _wait_vacancy(self):
-        """Wait until nobody leads."""
-        while True:
-            await self._wait_registered()
-            member = self.leader_member()
-            if member is None and not self._site_keys.is_lost:
-                _log.info("leader_absent")
-                break
-            if member is not None and member.address == self._member.address:
-                _log.info("leader_ended_here", leader=member.process_id)
-                break
-            if member is not None:
-                version = self._leader_version()
-                self._probe.follow(member, version=version)
-                if (
-                    self._probe.is_gone(member, version=version)
-                    and self._may_quarrel()
-                    and not self._site_keys.is_lost
-                ):
-                    _log.info("leader_gone", leader=member.process_id)
-                    break
-            with trio.move_on_after(RETRY_PAUSE_S):
-                await self._site_keys.wait_changed()
-        pause_s = self._succession.claim_pause_s(gone=member)
-        if self._is_leaving:
-            pause_s += LEAVING_PAUSE_S
-        await trio.sleep(pause_s + random.uniform(0, MAX_CLAIM_DELAY_S))
-
-    async def _wait_registered(self):
-        while not self._registration.lease:
-            with trio.move_on_after(RETRY_PAUSE_S):
-                await self._registration.wait_changed()
-        while not self._site_keys.is_read:
-            with trio.move_on_after(RETRY_PAUSE_S):
-                await self._site_keys.wait_changed()
-
-    def _may_quarrel(self):
-        return boot_clock_s() - self._led_s > QUARREL_PAUSE_S
-
     def _leader_write(self):
         return Write(
             key=keys.LEADER,
@@ -189,14 +121,14 @@
         )
 
     async def _lead(self):
-        if self._someone_else_leads():
+        if self._vacancy.is_taken():
             return
         log = EntryLog(store=self._store)
         began_s = boot_clock_s()
         board = await log.claim(
             process_id=self._member.process_id,
             leader_write=self._leader_write(),
-            leader_version=self._leader_version(),
+            leader_version=self._vacancy.leader_version(),
         )
         _log.info(
             "leading",
@@ -226,7 +158,7 @@
                 reason=_first(group),
             )
         finally:
-            self._led_s = boot_clock_s()
+            self._vacancy.note_end()
             self.leader = None
         if self._scope.cancelled_caught:
             await leader.resign()
@@ -241,15 +173,6 @@
         await self._step_down.wait()
         raise Fenced("a newer leader has said so")
 
-    def _someone_else_leads(self):
-        """Return whether a claim was announced during the delay."""
-        member = self.leader_member()
-        return (
-            member is not None
-            and member.address != self._member.address
-            and not self._probe.is_gone(member, version=self._leader_version())
-        )
-
     async def _keep_key(self, log):
         """Announce the leadership again when its key was lost."""
         while True:
@@ -283,13 +206,13 @@
 
         :param notice: A :class:`radishlanding.message.LeaderNotice`.
         """
-        self._told = Member(
+        member = Member(
             kind=self._member.kind,
             process_id=notice.process_id,
             zone=notice.zone,
             address=notice.address,
         )
-        self._probe.follow(self._told, version=-notice.epoch)
+        self._vacancy.follow(member, epoch=notice.epoch)
         if self.leader is not None and notice.epoch > self.leader.epoch:
             _log.info(
                 "newer_leader_told",
@@ -301,7 +224,7 @@
 
     def leave(self):
         """Stop leading, and lead again only where nobody else does."""
-        self._is_leaving = True
+        self._vacancy.is_leaving = True
         if self._scope is not None and self.leader is not None:
             self._scope.cancel()
 
--- /dev/null
+++ b/src/radishlanding/dispatch/vacancy.py
@@ -0,0 +1,140 @@
+"""Tells who leads, and when nobody does."""
+
+import random
+
+import trio
+
+from radishlanding.dispatch import keys
+from radishlanding.membership import Member
+from radishlanding.observe import EventLog
+from radishlanding.store import CorruptRecord
+from radishlanding.store import unpack
+from radishlanding.vm import boot_clock_s
+
+# Spreads the claims of several processes; a lost claim costs one call.
+MAX_CLAIM_DELAY_S = 0.06
+RETRY_PAUSE_S = 0.1
+# Two processes that cannot reach each other would otherwise replace each
+# other at once; within this time only the store's word counts.
+QUARREL_PAUSE_S = 5.0
+# A process that is about to end claims only when the others, that need
+# MAX_CLAIM_DELAY_S, their ranks' pauses and a call, have not.
+LEAVING_PAUSE_S = 0.5
+
+_log = EventLog("radishlanding.dispatch")
+
+
+class Vacancy:
+    """Follow the leader by its key, its connection and its own word."""
+
+    __slots__ = (
+        "_led_s",
+        "_member",
+        "_probe",
+        "_registration",
+        "_site_keys",
+        "_succession",
+        "_told",
+        "is_leaving",
+    )
+
+    def __init__(self, *, member, probe, registration, site_keys, succession):
+        """Prepare.
+
+        :param member: This process, a :class:`Member`.
+        :param probe: A :class:`LeaderProbe`.
+        :param registration: A :class:`SiteRegistration`.
+        :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
+            site's keys.
+        :param succession: A :class:`Succession`.
+        """
+        self._led_s = 0.0
+        self._member = member
+        self._probe = probe
+        self._registration = registration
+        self._site_keys = site_keys
+        self._succession = succession
+        self._told = None
+        self.is_leaving = False
+
+    def leader_member(self):
+        """Return the :class:`Member` that is said to lead, or None.
+
+        While the store is away here, a newer leader's own word counts.
+        """
+        if self._told is not None and self._site_keys.is_lost:
+            return self._told
+        item = self._site_keys.items.get(keys.LEADER)
+        if item is None:
+            return None
+        try:
+            return unpack(Member, item.value)
+        except CorruptRecord as exc:
+            _log.error("leader_key_bad", reason=exc)
+            return None
+
+    def leader_version(self):
+        """Return the version of the leader's key, 0 for an absent one."""
+        item = self._site_keys.items.get(keys.LEADER)
+        return item.version if item else 0
+
+    def note_end(self):
+        """Note that this process does not lead any more."""
+        self._led_s = boot_clock_s()
+
+    def follow(self, member, *, epoch):
+        """Take the word of a newer leader.
+
+        :param member: The :class:`Member` that leads.
+        :param epoch: Number of its leadership.
+        """
+        self._told = member
+        self._probe.follow(member, version=-epoch)
+
+    async def wait(self):
+        """Wait until nobody leads and it is this process's turn."""
+        while True:
+            await self._wait_registered()
+            member = self.leader_member()
+            if member is None and not self._site_keys.is_lost:
+                _log.info("leader_absent")
+                break
+            if member is not None and member.address == self._member.address:
+                _log.info("leader_ended_here", leader=member.process_id)
+                break
+            if member is not None and self._is_gone(member):
+                _log.info("leader_gone", leader=member.process_id)
+                break
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._site_keys.wait_changed()
+        pause_s = self._succession.claim_pause_s(gone=member)
+        if self.is_leaving:
+            pause_s += LEAVING_PAUSE_S
+        await trio.sleep(pause_s + random.uniform(0, MAX_CLAIM_DELAY_S))
+
+    def _is_gone(self, member):
+        """Watch the leader, and return whether it surely leads no more."""
+        version = self.leader_version()
+        self._probe.follow(member, version=version)
+        return (
+            self._probe.is_gone(member, version=version)
+            and boot_clock_s() - self._led_s > QUARREL_PAUSE_S
+            and not self._site_keys.is_lost
+        )
+
+    async def _wait_registered(self):
+        while not self._registration.lease:
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._registration.wait_changed()
+        while not self._site_keys.is_read:
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await self._site_keys.wait_changed()
+
+    def is_taken(self):
+        """Return whether a claim was announced after :meth:`wait`."""
+        member = self.leader_member()
+        return (
+            member is not None
+            and member.address != self._member.address
+            and not self._probe.is_gone(member, version=self.leader_version())
+        )
