Take a leader for dead only after two refusals

A refused dial that is a reset on its way would prove a death that has not happened, and leases of VMs would count 3 s too short. The leadership is still claimed after one, which the fence makes harmless. Found by reading; no run has shown it.

--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -15,6 +15,8 @@
 
 CALL_TIMEOUT_S = 1.0
 PAUSE_S = 0.1
+# Less than a claim takes, so that the next leader knows of the death.
+CONFIRM_PAUSE_S = 0.03
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -26,7 +28,8 @@
 
     Three things prove that a process does not lead any more: nobody listens
     at its address, another process does, or it says so itself. Silence
-    proves nothing; the leader's key in the store runs out by itself.
+    proves nothing; the leader's key in the store runs out by itself. That it
+    has died is proved by another process at its address, or by two refusals.
     """
 
     __slots__ = (
@@ -103,7 +106,8 @@
                 await self._watch(member)
             except ConnectionLost as exc:
                 if exc.was_refused:
-                    self._note_death(member, "nobody listens")
+                    self._note_gone(member, "nobody listens")
+                    await self._confirm_death(member)
             except CallRefused as exc:
                 _log.info("probe_refused", reason=exc)
             await trio.sleep(PAUSE_S)
@@ -111,13 +115,23 @@
     def _is_watched_gone(self):
         return self.is_gone(self._member, version=self._version)
 
-    def _note_death(self, member, reason):
+    async def _confirm_death(self, member):
+        """Dial once more; a single refusal may be a reset on its way."""
+        await trio.sleep(CONFIRM_PAUSE_S)
+        try:
+            stream = await dial(address=member.address)
+        except ConnectionLost as exc:
+            if exc.was_refused:
+                self._note_death(member)
+        else:
+            await trio.aclose_forcefully(stream)
+
+    def _note_death(self, member):
         if member == self._member:
             self._deaths_s[member.process_id] = (
                 self._followed_s,
                 boot_clock_s(),
             )
-        self._note_gone(member, reason)
 
     def _note_gone(self, member, reason):
         self._gone.add((member.process_id, self._version))
@@ -150,7 +164,8 @@
             return
         names = [summary.process_id for summary in answer.processes]
         if member.process_id not in names:
-            self._note_death(member, f"its address is {','.join(names)}'s")
+            self._note_death(member)
+            self._note_gone(member, f"its address is {','.join(names)}'s")
             conn.abort()
         else:
             self.conn = conn
