Look only at workflows of which something waits

Change: the planner notes workflows of which nothing waits, until an entry tells of an end, a cancellation or a beginning; repeated ones are always looked at.

--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -103,6 +103,7 @@
         self._committing = self._ends
         self._ends = {}
         self._board.apply(entry)
+        self._planner.changed(_changed_names(entry))
         assignments = self._plan(entry.made_ms)
         if assignments:
             planned = Entry(
@@ -128,10 +129,12 @@
         active = [
             record
             for record in self._board.workflows.values()
-            if not record.phase.has_ended
+            if not record.phase.has_ended and not self._planner.is_full(record)
         ]
+        if not active:
+            return []
         loads = self._fleet.loads(self._site_watch.site)
-        if not active or not loads:
+        if not loads:
             return []
         return self._planner.plan(active, loads, now_ms=now_ms)
 
@@ -139,9 +142,7 @@
         """Tell everybody what is on record now."""
         self._counters.add("entries")
         self._counters.add("entry_changes", entry.size())
-        names = {workflow.workflow_id for workflow in entry.accepted}
-        names.update(entry.cancelled)
-        names.update(end.task_id.partition(".")[0] for end in entry.ends)
+        names = _changed_names(entry)
         names.update(
             item.task_id.partition(".")[0] for item in entry.assignments
         )
@@ -181,3 +182,11 @@
             else:
                 settled.append(end)
         return settled
+
+
+def _changed_names(entry):
+    """Return the workflows that begin or change by what an entry tells."""
+    names = {workflow.workflow_id for workflow in entry.accepted}
+    names.update(entry.cancelled)
+    names.update(end.task_id.partition(".")[0] for end in entry.ends)
+    return names
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         "_clock_s",
+        "_full",
         "_idle_since_ms",
         "_interference",
         "_order",
@@ -41,6 +42,7 @@
         """
         self._clock_s = clock_s
         self._permits = permits
+        self._full = set()
         self._idle_since_ms = {}
         self._interference = interference
         self._order = order
@@ -50,10 +52,25 @@
         """Return the sort key of a workflow; see :class:`WorkflowOrder`."""
         return self._order.key(record, now_ms=now_ms)
 
+    def is_full(self, record):
+        """Return whether nothing of a workflow waits for a place.
+
+        That holds until something of it ends; see :meth:`changed`.
+        """
+        return record.workflow.workflow_id in self._full
+
+    def changed(self, names):
+        """Note that workflows have begun, or that tasks of them have ended.
+
+        :param names: Their identities.
+        """
+        self._full.difference_update(names)
+
     def plan(self, records, loads, *, now_ms):
         """Return assignments of waiting tasks.
 
-        :param records: Workflows that have not ended.
+        :param records: Workflows that have not ended; those that are full
+            may be left out.
         :param loads: :class:`VmLoad` objects; they are changed as tasks
             are placed.
         :param now_ms: Unix time, in milliseconds.
@@ -66,16 +83,28 @@
         for record in ranked:
             if len(assignments) >= MAX_ASSIGNMENTS:
                 break
-            vms = [vm for vm in loads if vm.pool == record.workflow.pool]
-            for occurrence in range(record.workflow.occurrences):
-                if record.workflow.due_ms(occurrence) > now_ms:
-                    break
-                assignments += self._place_occurrence(
+            assignments += self._place(record, loads, now_ms)
+        return assignments
+
+    def _place(self, record, loads, now_ms):
+        workflow = record.workflow
+        vms = [vm for vm in loads if vm.pool == workflow.pool]
+        is_starved = self._is_starved(record, now_ms)
+        assignments, waiting = [], 0
+        for occurrence in range(workflow.occurrences):
+            if workflow.due_ms(occurrence) > now_ms:
+                break
+            for number, tasks in self._due(record, occurrence):
+                waiting += len(tasks)
+                assignments += self._place_step(
                     record,
-                    occurrence,
+                    (occurrence, number),
+                    tasks,
                     vms,
-                    is_starved=self._is_starved(record, now_ms),
+                    is_starved=is_starved,
                 )
+        if waiting == len(assignments) and not workflow.repeats:
+            self._full.add(workflow.workflow_id)
         return assignments
 
     def _forget_ended(self, records):
@@ -92,24 +121,23 @@
         since_ms = self._idle_since_ms.setdefault(name, now_ms)
         return now_ms - since_ms > STARVED_MS
 
-    def _place_occurrence(self, record, occurrence, vms, *, is_starved):
-        assignments = []
-        for number, step in enumerate(record.workflow.steps):
-            if not record.step_is_due(occurrence, number):
-                continue
-            tasks = record.waiting(occurrence, number)
-            if not tasks:
-                continue
-            key = (record.workflow.workflow_id, occurrence, number)
-            if record.workflow.is_advised:
-                allowed = self._permitted(key, vms)
-            else:
-                allowed = vms
-            place = self._place_gang if step.gang else self._place_tasks
-            assignments += place(
-                key, step, tasks, allowed, is_starved=is_starved
-            )
-        return assignments
+    def _due(self, record, occurrence):
+        """Return the steps whose tasks may start, with those that wait."""
+        return [
+            (number, record.waiting(occurrence, number))
+            for number in range(len(record.workflow.steps))
+            if record.step_is_due(occurrence, number)
+        ]
+
+    def _place_step(self, record, which, tasks, vms, *, is_starved):
+        if not tasks:
+            return []
+        workflow = record.workflow
+        step = workflow.steps[which[1]]
+        key = (workflow.workflow_id, *which)
+        allowed = self._permitted(key, vms) if workflow.is_advised else vms
+        place = self._place_gang if step.gang else self._place_tasks
+        return place(key, step, tasks, allowed, is_starved=is_starved)
 
     def _permitted(self, key, vms):
         """Return the VMs that an advisor permits for a step."""
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -138,3 +138,18 @@
     And an image that disturbs
     When tasks of it run on a, with checkpoints and without
     Then only the one with checkpoints moves
+
+  Scenario Outline: a workflow is looked at again only when something of it changed
+    Given VMs
+      | vm | cores | free_mb | zone | labels |
+      | a  | 4     | 9000    | z0   | k,r1   |
+    When <what> is planned
+    Then the workflow <state>
+    When an end of it is recorded
+    Then the workflow is looked at again
+
+    Examples:
+      | what                                       | state              |
+      | a step of 2 tasks of 2 cores and 100 MB    | is left alone      |
+      | a step of 3 tasks of 2 cores and 100 MB    | is looked at again |
+      | a step of 2 tasks that is repeated 3 times | is looked at again |
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -382,3 +382,26 @@
         for record in (context.record, WorkflowRecord(workflow=other))
     ]
     assert keys == sorted(keys), keys
+
+
+@when("a step of {count:d} tasks that is repeated {times:d} times is planned")
+def _repeated_step(context, count, times):
+    _plan_step(
+        context,
+        _step(count),
+        repeats=times,
+        interval_ms=1000,
+        first_due_ms=NOW_MS,
+    )
+
+
+@when("an end of it is recorded")
+def _end_recorded(context):
+    context.planner.changed({context.workflow.workflow_id})
+
+
+@then("the workflow {state}")
+def _looked_at(context, state):
+    record = WorkflowRecord(workflow=context.workflow)
+    wanted = {"is left alone": True, "is looked at again": False}[state]
+    assert context.planner.is_full(record) == wanted
