Let go of a leadership whose log cannot be read

Before: the new scenario of candidate.feature fails; after: 69 of 69 of dispatch and dispatcher, 40 of 40 of platform.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -120,10 +120,8 @@
             lease=self._registration.lease,
         )
 
-    async def _lead(self):
-        if self._vacancy.is_taken():
-            return
-        log = EntryLog(store=self._store)
+    async def _claim(self, log):
+        """Claim the log, and return the :class:`Leader` that goes on."""
         began_s = boot_clock_s()
         board = await log.claim(
             process_id=self._member.process_id,
@@ -141,6 +139,24 @@
         )
         leader = self._make_leader(log=log, board=board, closed_s=closed_s)
         await leader.prepare(self._store)
+        return leader
+
+    async def _stand_back(self, log):
+        """Let another process lead that can read the log."""
+        _log.warning("log_unread", epoch=log.epoch)
+        await log.withdraw()
+        await trio.sleep(YIELD_S)
+
+    async def _lead(self):
+        if self._vacancy.is_taken():
+            return
+        log = EntryLog(store=self._store)
+        try:
+            leader = await self._claim(log)
+        except (StoreUnavailable, CorruptRecord):
+            if log.epoch:
+                await self._stand_back(log)
+            raise
         self.leader = leader
         try:
             with trio.CancelScope() as self._scope:
--- a/src/radishlanding/dispatch/chunks.py
+++ b/src/radishlanding/dispatch/chunks.py
@@ -2,8 +2,9 @@
 
 from radishlanding.store import pack
 
-# A value holds at most 1 MB in the store, and grows by a third in base64.
-CHUNK_BYTES = 400_000
+# Grows by a third in base64; a link of 2 Mbit/s takes it within the store's
+# call timeout of 0.8 s.
+CHUNK_BYTES = 100_000
 
 
 def make_chunks(records):
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -223,6 +223,22 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
 
+    async def withdraw(self):
+        """Remove the leader's key without a word about leases.
+
+        For a process that has claimed the log and could not read it.
+
+        :raises Fenced: Another process leads now.
+        :raises StoreUnavailable: The store gave no answer.
+        """
+        try:
+            await self._store.transact(
+                expected={keys.HEAD: self._head_version},
+                removes=[keys.LEADER],
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+
     def wants_snapshot(self):
         """Return whether a new leader would replay many entries."""
         return self._since_snapshot >= SNAPSHOT_ENTRIES
--- a/src/radishlanding/dispatch/log_reader.py
+++ b/src/radishlanding/dispatch/log_reader.py
@@ -7,6 +7,9 @@
 from radishlanding.workflow import Entry
 from radishlanding.workflow import WorkflowRecord
 
+# A page holds up to a megabyte, which takes a link of 5 Mbit/s 1.7 s.
+LOG_TIMEOUT_S = 3.0
+
 
 async def read_board(store, head):
     """Return the board on record and the number of the last entry.
@@ -25,7 +28,7 @@
             raise Fenced("the snapshot was replaced while it was read")
         board.load(unpack(list[WorkflowRecord], kv.value))
     last = head.number
-    listing = await store.list(keys.LOG)
+    listing = await store.list(keys.LOG, timeout_s=LOG_TIMEOUT_S)
     for item in listing.items:
         if item.key <= keys.segment(last):
             continue
--- a/src/radishlanding/dispatch/succession.py
+++ b/src/radishlanding/dispatch/succession.py
@@ -41,7 +41,7 @@
         if gone is not None:
             strengths.pop(gone.address, None)
         return self._choice.claim_pause_s(
-            self._member.millicores, strengths.values()
+            self._member.strength, strengths.values()
         )
 
     async def wait_outclassed(self):
@@ -51,19 +51,19 @@
             await trio.sleep(LOOK_PAUSE_S)
             strengths = self._others()
             if not self._site_keys.is_lost and self._choice.is_outclassed(
-                self._member.millicores, strengths.values()
+                self._member.strength, strengths.values()
             ):
                 looks += 1
             else:
                 looks = 0
         _log.info(
             "leader_outclassed",
-            millicores=self._member.millicores,
+            strength=self._member.strength,
             strongest=max(strengths.values()),
         )
 
     def _others(self):
-        """Return millicores by address of the other processes."""
+        """Return strengths by address of the other processes."""
         strengths = {}
         for key, item in self._site_keys.items.items():
             if not key.startswith(keys.MEMBERS):
@@ -74,5 +74,5 @@
                 _log.error("member_key_bad", key=key, reason=exc)
                 continue
             if member.address != self._member.address:
-                strengths[member.address] = member.millicores
+                strengths[member.address] = member.strength
         return strengths
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -73,12 +73,16 @@
         self._interference = Interference()
         self._is_stopping = False
         self._store = self._make_store()
+        choice = StrongestFirst()
         self._member = Member(
             kind="dispatcher",
             process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
             zone=cfg.zone,
             address=cfg.peer_advertise or cfg.peer_listen,
-            millicores=round(MILLICORES * cfg.cpu_share * cfg.cores),
+            strength=choice.strength(
+                millicores=MILLICORES * cfg.cpu_share * cfg.cores,
+                link_mbps=cfg.link_mbps,
+            ),
         )
         self._site_watch = SiteWatch(
             store=self._store, prefix=SITE_PREFIX, parse=read_site
@@ -97,7 +101,7 @@
             counters=self._counters,
             grace_s=cfg.owner_grace_s,
             succession=Succession(
-                choice=StrongestFirst(),
+                choice=choice,
                 member=self._member,
                 site_keys=self._site_keys,
             ),
--- a/src/radishlanding/membership/member.py
+++ b/src/radishlanding/membership/member.py
@@ -11,12 +11,12 @@
     :param process_id: Unique identity of the process.
     :param zone: Availability zone of its VM.
     :param address: ``ip:port`` for peers.
-    :param millicores: What its VM gives it of a processor, 0 where it does
-        not say.
+    :param strength: How well its VM suits a process that leads, in
+        millicores; 0 where it does not say.
     """
 
     kind: str
     process_id: str
     zone: str
     address: str
-    millicores: int = 0
+    strength: int = 0
--- a/src/radishlanding/platform/kv_store.py
+++ b/src/radishlanding/platform/kv_store.py
@@ -110,14 +110,17 @@
             raise self._unexpected("kv-key", status)
         return _item(answer)
 
-    async def list(self, prefix, *, is_stale_ok=False):
+    async def list(self, prefix, *, is_stale_ok=False, timeout_s=None):
         """Return the keys of a prefix in order."""
+        timeout_s = timeout_s or CALL_TIMEOUT_S
         query = {"prefix": prefix}
         if is_stale_ok:
             query["serializable"] = "1"
         items, revision = [], None
         while True:
-            status, answer = await self._call("GET", "kv-range", query=query)
+            status, answer = await self._call(
+                "GET", "kv-range", query=query, timeout_s=timeout_s
+            )
             if status != 200:
                 raise self._unexpected("kv-range", status)
             items += [_item(raw) for raw in answer["items"]]
--- a/src/radishlanding/policy/strongest_first.py
+++ b/src/radishlanding/policy/strongest_first.py
@@ -12,8 +12,14 @@
 MUCH = 2.0
 
 
+# Millicores that are worth no more than a megabit a second of the link: at 67
+# VMs a leader used 450 millicores at most, and reading a megabyte of log on
+# 20 Mbit/s takes it 0.4 s.
+MILLICORES_PER_MBPS = 20
+
+
 class StrongestFirst:
-    """Let the strongest VM lead, as leading takes the most of a processor.
+    """Let the strongest VM lead: leading takes the most of what a VM has.
 
     Strengths are in millicores; 0 stands for one that is not known, and
     neither waits nor hands over.
@@ -21,6 +27,14 @@
 
     __slots__ = ()
 
+    def strength(self, *, millicores, link_mbps):
+        """Return how well a VM suits a process that leads.
+
+        :param millicores: What it gives the process of a processor.
+        :param link_mbps: Its link, in megabits a second.
+        """
+        return round(min(millicores, MILLICORES_PER_MBPS * link_mbps))
+
     def claim_pause_s(self, own, others):
         """Return how long to leave a vacant leadership to others, in seconds.
 
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -18,6 +18,7 @@
     :param metrics_listen: ``ip:port`` for metrics, empty for none.
     :param cpu_share: Share of a core that the process may use.
     :param cores: How fast that core is, in cores of the platform.
+    :param link_mbps: Link of the VM, in megabits a second.
     :param store_calls_per_s: Bound on calls to the store.
     :param vm_lease_s: How long tasks run without an acknowledgement, in
         seconds; the same in every process of a site.
@@ -43,6 +44,7 @@
     metrics_listen: str = ""
     cpu_share: float = 1.0
     cores: float = 1.0
+    link_mbps: float = 1000.0
     store_calls_per_s: float = 150.0
     vm_lease_s: float = 7.0
     owner_grace_s: float = 3.0
--- a/src/radishlanding/store/transactional_store.py
+++ b/src/radishlanding/store/transactional_store.py
@@ -14,10 +14,12 @@
     async def get(self, key):
         """Return a key as a :class:`KeyValue`, None if it is absent."""
 
-    async def list(self, prefix, *, is_stale_ok=False):
+    async def list(self, prefix, *, is_stale_ok=False, timeout_s=None):
         """Return the keys of a prefix as a :class:`Listing`.
 
         :param is_stale_ok: Whether an answer may be some seconds old.
+        :param timeout_s: How long a page of up to a megabyte may take, in
+            seconds; None for the usual time of a call.
         """
 
     async def watch(self, prefix, *, after, wait_s):
--- a/tests/dispatch/candidate.feature
+++ b/tests/dispatch/candidate.feature
@@ -10,3 +10,8 @@
       | 0.03    | 0.02   |
       | 0.02    | 0.17   |
       | 0.17    | 0.02   |
+
+  Scenario: a process that cannot read the log lets another one lead
+    Given a process whose link is too slow to read the log
+    Then within 1 s it has claimed the log and taken its name from the leader's key
+    And it claims nothing more for 0.8 s
--- a/tests/dispatch/candidate_steps.py
+++ b/tests/dispatch/candidate_steps.py
@@ -5,6 +5,7 @@
 from behave import then
 
 from radishlanding.dispatch import Candidate
+from radishlanding.dispatch import keys
 from radishlanding.dispatch import Succession
 from radishlanding.membership import Member
 from radishlanding.observe import Counters
@@ -85,6 +86,25 @@
         raise StoreUnavailable("no answer", was_sent=True)
 
 
+def _make_candidate(store, registration, site_keys):
+    member = Member(
+        kind="dispatcher", process_id="a", zone="bole", address="127.0.0.1:1"
+    )
+    return Candidate(
+        store=store,
+        member=member,
+        site_keys=site_keys,
+        registration=registration,
+        make_leader=None,
+        on_change=None,
+        counters=Counters(),
+        grace_s=GRACE_S,
+        succession=Succession(
+            choice=StrongestFirst(), member=member, site_keys=site_keys
+        ),
+    )
+
+
 @given(
     "{count:d} processes that get a lease after {lease_s:g} s and read the "
     "keys after {read_s:g} s"
@@ -96,24 +116,9 @@
 async def _open_candidates(context, count, lease_s, read_s):
     nursery = context.bridge.nursery
     registration, site_keys = FakeRegistration(), FakeKeys()
-    member = Member(
-        kind="dispatcher", process_id="a", zone="bole", address="127.0.0.1:1"
-    )
     context.store = FakeStore()
     for _ in range(count):
-        candidate = Candidate(
-            store=context.store,
-            member=member,
-            site_keys=site_keys,
-            registration=registration,
-            make_leader=None,
-            on_change=None,
-            counters=Counters(),
-            grace_s=GRACE_S,
-            succession=Succession(
-                choice=StrongestFirst(), member=member, site_keys=site_keys
-            ),
-        )
+        candidate = _make_candidate(context.store, registration, site_keys)
         nursery.start_soon(candidate.run)
     context.known_s = boot_clock_s() + max(lease_s, read_s)
     nursery.start_soon(registration.learn, lease_s)
@@ -131,3 +136,62 @@
     with trio.fail_after(WITHIN_S):
         while not store.asked_s:
             await trio.sleep(0.01)
+
+
+class SlowStore:
+    """A store that takes writes, and whose log is too long for a link."""
+
+    __slots__ = ("claims", "withdrawals")
+
+    def __init__(self):
+        """Start without a claim."""
+        self.claims = 0
+        self.withdrawals = 0
+
+    async def get(self, _key):
+        """Return nothing."""
+        return
+
+    async def transact(self, *, expected, writes=(), removes=()):
+        """Count what is written; return a version."""
+        self.claims += any(write.key == keys.HEAD for write in writes)
+        self.withdrawals += keys.LEADER in removes
+        return 1
+
+    async def list(self, _prefix, **_options):
+        """Give no answer in time."""
+        raise StoreUnavailable("too slow", was_sent=True)
+
+
+@given("a process whose link is too slow to read the log")
+def _slow_process(context):
+    context.bridge.call(_open_slow, context)
+
+
+async def _open_slow(context):
+    registration, site_keys = FakeRegistration(), FakeKeys()
+    registration.is_known = site_keys.is_known = True
+    context.store = SlowStore()
+    candidate = _make_candidate(context.store, registration, site_keys)
+    context.bridge.nursery.start_soon(candidate.run)
+
+
+@then(
+    "within 1 s it has claimed the log and taken its name from the leader's "
+    "key"
+)
+def _withdrawn(context):
+    context.bridge.call(_until_withdrawn, context.store)
+    assert context.store.claims == 1, context.store.claims
+
+
+async def _until_withdrawn(store):
+    with trio.fail_after(1.0):
+        while not store.withdrawals:
+            await trio.sleep(0.01)
+
+
+@then("it claims nothing more for 0.8 s")
+def _claims_nothing(context):
+    context.bridge.call(trio.sleep, 0.8)
+    assert context.store.claims == 1, context.store.claims
--- a/tests/policy/strongest_first.feature
+++ b/tests/policy/strongest_first.feature
@@ -22,3 +22,14 @@
       | own  | others              | pause_s | hands       |
       | 0    | 300, 600            | 0       | leads on    |
       | 300  | 0, 0                | 0       | leads on    |
+
+  Scenario Outline: a link can be what binds
+    Given a VM of <millicores> millicores with a link of <mbps> Mbit/s
+    Then its strength is <strength>
+
+    Examples:
+      | millicores | mbps | strength |
+      | 2150       | 200  | 2150     |
+      | 297        | 10   | 200      |
+      | 430        | 1000 | 430      |
+      | 600        | 5    | 100      |
--- a/tests/policy/strongest_first_steps.py
+++ b/tests/policy/strongest_first_steps.py
@@ -25,3 +25,15 @@
 def _as_leader(context, hands):
     found = StrongestFirst().is_outclassed(context.own, context.others)
     assert found == {"leads on": False, "makes room": True}[hands], found
+
+
+@given("a VM of {millicores:d} millicores with a link of {mbps:d} Mbit/s")
+def _a_vm(context, millicores, mbps):
+    context.strength = StrongestFirst().strength(
+        millicores=millicores, link_mbps=mbps
+    )
+
+
+@then("its strength is {strength:d}")
+def _strength_is(context, strength):
+    assert context.strength == strength, context.strength
