--- a/tests/run.py
+++ b/tests/run.py
@@ -87,7 +87,7 @@
 
 
 def run(job):
-    """Run behave once and return its counts and output."""
+    """Run behave once; return its counts, what failed, and its output."""
     name, arguments = job
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         done = subprocess.run(
@@ -108,17 +108,17 @@
             text=True,
         )
         text = pathlib.Path(report.name).read_text()
-    statuses = []
+    statuses, broken = [], []
     for feature in json.loads(text) if text.strip() else []:
         for item in feature.get("elements", []):
             if item["type"] == "scenario":
                 statuses.append(item["status"])
+                if item["status"] not in ("passed", "skipped", "untested"):
+                    broken.append(f"{item['location']} {item['name']}")
     passed = statuses.count("passed")
-    skipped = statuses.count("skipped") + statuses.count("untested")
-    failed = len(statuses) - passed - skipped
-    if done.returncode and not failed:
-        failed = 1
-    return name, passed, failed, done.stdout + done.stderr
+    if done.returncode and not broken:
+        broken = [name]
+    return name, passed, broken, done.stdout + done.stderr
 
 
 def main():
@@ -129,18 +129,20 @@
         for job in jobs()
         if not wanted or any(word in job[0] for word in wanted)
     ]
-    passed = failed = 0
+    passed, broken = 0, []
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
         for name, good, bad, output in pool.map(run, chosen):
             passed += good
-            failed += bad
-            print(f"{name}: {good} passed, {bad} failed", flush=True)
+            broken += bad
+            print(f"{name}: {good} passed, {len(bad)} failed", flush=True)
             if bad:
                 print(output, flush=True)
     for name in known_red():
         print(f"known red, passed over: {name}")
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed or not passed else 0
+    for name in broken:
+        print(f"failed: {name}")
+    print(f"{passed} passed, {len(broken)} failed")
+    return 1 if broken or not passed else 0
 
 
 if __name__ == "__main__":
