--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -74,7 +74,29 @@
         self._is_stopping = False
         self._store = self._make_store()
         choice = StrongestFirst()
-        self._member = Member(
+        self._member = self._make_member(choice)
+        self._site_watch = SiteWatch(
+            store=self._store, prefix=SITE_PREFIX, parse=read_site
+        )
+        self._site_keys = PrefixWatch(store=self._store, prefix=SITE)
+        self._registration = SiteRegistration(
+            store=self._store, member=self._member, site_keys=self._site_keys
+        )
+        self._candidate = self._make_candidate(choice)
+        self._handler = DispatcherHandler(
+            member=self._member, site_watch=self._site_watch
+        )
+        self._handler.connect(self._candidate)
+        self._peers = PeerServer(
+            handler=self._handler,
+            counters=self._counters,
+            max_connections=MAX_PEERS,
+        )
+        self._front = self._make_front()
+
+    def _make_member(self, choice):
+        cfg = self._cfg
+        return Member(
             kind="dispatcher",
             process_id=f"{cfg.id}-{uuid.uuid4().hex[:8]}",
             zone=cfg.zone,
@@ -84,14 +106,9 @@
                 link_mbps=cfg.link_mbps,
             ),
         )
-        self._site_watch = SiteWatch(
-            store=self._store, prefix=SITE_PREFIX, parse=read_site
-        )
-        self._site_keys = PrefixWatch(store=self._store, prefix=SITE)
-        self._registration = SiteRegistration(
-            store=self._store, member=self._member, site_keys=self._site_keys
-        )
-        self._candidate = Candidate(
+
+    def _make_candidate(self, choice):
+        return Candidate(
             store=self._store,
             member=self._member,
             site_keys=self._site_keys,
@@ -99,31 +116,22 @@
             make_leader=self._make_leader,
             on_change=self._announce,
             counters=self._counters,
-            grace_s=cfg.owner_grace_s,
+            grace_s=self._cfg.owner_grace_s,
             succession=Succession(
                 choice=choice,
                 member=self._member,
                 site_keys=self._site_keys,
             ),
         )
-        self._handler = DispatcherHandler(
-            member=self._member, site_watch=self._site_watch
-        )
-        self._handler.connect(self._candidate)
-        self._peers = PeerServer(
-            handler=self._handler,
+
+    def _make_front(self):
+        desk = QueueDesk(
+            candidate=self._candidate,
             counters=self._counters,
-            max_connections=MAX_PEERS,
+            has_advisor=bool(self._cfg.advisor),
         )
-        self._front = HttpServer(
-            handler=ClientApi(
-                desk=QueueDesk(
-                    candidate=self._candidate,
-                    counters=self._counters,
-                    has_advisor=bool(cfg.advisor),
-                ),
-                site=lambda: self._site_watch.site,
-            )
+        return HttpServer(
+            handler=ClientApi(desk=desk, site=lambda: self._site_watch.site)
         )
 
     def _make_store(self):
