--- a/src/radishlanding/policy/strongest_first.py
+++ b/src/radishlanding/policy/strongest_first.py
@@ -1,10 +1,10 @@
 """Which dispatcher leads where their VMs are unequal."""
 
-# A claim takes two calls to the store, some 10 ms each; a weaker process that
-# waits this long for each stronger one finds the claim of that one.
-RANK_PAUSE_S = 0.04
+# Claims are spread over 60 ms and take two calls to the store, some 10 ms
+# each; a process that waits this long finds the claim of a stronger one.
+RANK_PAUSE_S = 0.08
 # A site is without a leader for no longer than this because of ranks.
-MAX_PAUSE_S = 0.2
+MAX_PAUSE_S = 0.24
 # Less of a difference decides nothing: what else runs on a VM is not known.
 NOTABLY = 1.25
 # A leadership that changes costs callers some tenths of a second, so that it
