Judge a run by the tries that were sent before it began

The check took a job for refused while a later try of it was still unanswered, and at the end it forgave a run that had begun before the try that was accepted. Change: a run must have come of a try that was sent before and not refused; one that is not answered yet may still be accepted. That is stricter at the end.

--- a/tests/dispatcher/site_steps.py
+++ b/tests/dispatcher/site_steps.py
@@ -79,7 +79,7 @@
 
 
 def _handed_in(site):
-    return [name for name, _ in site.answers if name != "0" * 16]
+    return [item.job for item in site.submissions if item.job != "0" * 16]
 
 
 @then("no task ran twice, too early, or on a full runner")
@@ -96,5 +96,5 @@
 @then("nothing ran that was refused")
 def _refused(context):
     site = context.platform_site
-    findings = checks.refused_runs(site.record, site.answers)
+    findings = checks.refused_runs(site.record, site.submissions)
     assert not findings, findings[:5]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,7 +39,7 @@
     found += checks.too_full(
         site.record, millicores=MILLICORES, capacity=CAPACITY
     )
-    return found + checks.refused_runs(site.record, site.answers)
+    return found + checks.refused_runs(site.record, site.submissions)
 
 
 class Soak:
--- a/tests/standin/platform_checks.py
+++ b/tests/standin/platform_checks.py
@@ -2,6 +2,9 @@
 
 import collections
 
+# Statuses that say that a try had no effect.
+REFUSED = {400, 404, 429, 503}
+
 
 def double_runs(record):
     """Return findings of tasks that ran in two places, or after their end.
@@ -36,26 +39,33 @@
     )
 
 
-def refused_runs(record, answers):
-    """Return findings of jobs that ran though every answer refused them.
+def refused_runs(record, submissions):
+    """Return findings of runs that began though every try was refused.
+
+    A refusal says that this try is on no record and never will be. What ran
+    must have come of a try that was sent before and not refused; one that
+    is not answered yet may still be accepted.
 
-    :param answers: Pairs of job and status, 0 for no answer.
+    :param submissions: :class:`tests.standin.submission.Submission` objects.
     """
-    statuses = collections.defaultdict(set)
-    for name, status in answers:
-        statuses[name].add(status)
-    refused = {
-        name
-        for name, found in statuses.items()
-        if found <= {400, 404, 429, 503}
-    }
+    tries = collections.defaultdict(list)
+    for item in submissions:
+        tries[item.job].append(item)
     return [
         f"{run.task} ran, and its job was refused"
         for run in record
-        if run.task.partition(".")[0] in refused
+        for sent in (tries.get(run.task.partition(".")[0]),)
+        if sent and not _may_run(run, sent)
     ]
 
 
+def _may_run(run, sent):
+    return any(
+        item.sent_s < run.began_s and item.status not in REFUSED
+        for item in sent
+    )
+
+
 def out_of_order(record):
     """Return findings of tasks that ran before the step before was done.
 
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -14,6 +14,7 @@
 from tests.standin.platform_store import PlatformStore
 from tests.standin.process import Process
 from tests.standin.proxy import Proxy
+from tests.standin.submission import Submission
 
 HOST = "desk.example"
 PREFIX = "/jobs/"
@@ -28,7 +29,6 @@
 
     __slots__ = (
         "_clients",
-        "answers",
         "dispatchers",
         "folder",
         "machines",
@@ -39,6 +39,7 @@
         "store",
         "store_address",
         "store_proxies",
+        "submissions",
         "version",
     )
 
@@ -55,11 +56,11 @@
             one each.
         """
         self._clients = {}
-        self.answers = []
         self.folder = folder
         self.nursery = None
         self.record = []
         self.shares = shares or [1.0] * dispatchers
+        self.submissions = []
         self.store = PlatformStore(seed=seed)
         self.store_address = ""
         self.version = 0
@@ -207,12 +208,13 @@
             {"cpu": 500, "memMb": 100, "estimatedMs": 300, **step}
             for step in steps
         ]
+        submission = Submission(name)
+        self.submissions.append(submission)
         response = await self.ask(
             "POST", name, at=at, body={"spec": spec, "steps": plain, **fields}
         )
-        status = response.status if response else 0
-        self.answers.append((name, status))
-        return status
+        submission.status = response.status if response else 0
+        return submission.status
 
     async def submit_surely(self, name, steps, **fields):
         """Hand a job in until it is accepted, at one after the other."""
