Log how long serving tasks exceed their targets, and each pace order

Adds latency_exceeded, latency_recovered and pace_told lines, known= on task_found, and histograms latency_exceeded_ms and pace_order_ms. No decision changes.

--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -143,6 +143,7 @@
             vm_lease_s=self._cfg.vm_lease_s,
             hold_max_s=self._cfg.hold_max_ms / 1000,
             nursery=self._nursery,
+            counters=self._counters,
         )
         self._seats[seat.vm] = seat
         _log.info(
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -5,6 +5,7 @@
 from radishlanding.observe import EventLog
 from radishlanding.policy import PaceControl
 from radishlanding.vm import boot_clock_s
+from radishlanding.vmagent.latency_watch import LatencyWatch
 from radishlanding.worker import WorkerUnavailable
 
 # A new pace shows in figures that cover half a second.
@@ -21,14 +22,24 @@
 class SeatPace:
     """Keep the tail latency of serving tasks within their bounds."""
 
-    __slots__ = ("_control", "_repeat_s", "_seat", "_lightness")
+    __slots__ = (
+        "_control",
+        "_counters",
+        "_lightness",
+        "_repeat_s",
+        "_seat",
+        "_watch",
+    )
 
-    def __init__(self, *, seat):
+    def __init__(self, *, seat, counters):
         """Prepare; :meth:`run` controls.
 
         :param seat: The :class:`WorkerSeat`.
+        :param counters: Counts of the process.
         """
         self._control = PaceControl()
+        self._counters = counters
+        self._watch = LatencyWatch(vm=seat.vm, counters=counters)
         self._repeat_s = 0.0
         self._seat = seat
         self._lightness = {}
@@ -69,15 +80,17 @@
         """Return whether tasks serve beside tasks that fill."""
         return self._worst_share() > 0 and bool(self._fillers())
 
-    def _worst_share(self):
-        shares = [
-            task.gauge / task.order.latency_target_ms
+    def _serving(self):
+        return [
+            task
             for task in self._seat.table.active()
             if task.order is not None
             and task.order.latency_target_ms
             and task.is_confirmed
         ]
-        return max(shares, default=0.0)
+
+    def _worst_share(self):
+        return max((task.latency_share for task in self._serving()), default=0)
 
     def _fillers(self):
         return [
@@ -94,6 +107,7 @@
         while True:
             await trio.sleep(CONTROL_PAUSE_S)
             fillers = self._fillers()
+            self._observe(fillers)
             self._decide(fillers)
             is_due = boot_clock_s() > self._repeat_s
             if is_due:
@@ -106,6 +120,15 @@
                 ):
                     await self._tell(task, percent)
 
+    def _observe(self, fillers):
+        active = self._seat.table.active()
+        self._watch.observe(
+            self._serving(),
+            fillers,
+            unknown=sum(task.order is None for task in active),
+            now_s=boot_clock_s(),
+        )
+
     def _decide(self, fillers):
         control = self._control
         share = self._worst_share()
@@ -131,18 +154,37 @@
             await self._tell(task, percent)
 
     async def _tell(self, task, percent):
+        sent_s, before = boot_clock_s(), task.pace_percent
         try:
-            if await self._seat.worker.pace(
+            is_taken = await self._seat.worker.pace(
                 task.task_id,
                 task.attempt,
                 percent=percent,
                 fence=self._seat.fence,
-            ):
-                task.pace_percent = percent
+            )
         except WorkerUnavailable as exc:
+            self._counters.add("pace_unanswered")
             _log.warning(
                 "pace_unanswered",
                 task=task.task_id,
+                attempt=task.attempt,
                 vm=self._seat.vm,
+                percent=percent,
                 reason=exc,
             )
+            return
+        now_s = boot_clock_s()
+        self._counters.time("pace_order", since_s=sent_s, now_s=now_s)
+        if is_taken:
+            task.pace_percent = percent
+        if before != percent:
+            _log.info(
+                "pace_told",
+                task=task.task_id,
+                attempt=task.attempt,
+                vm=self._seat.vm,
+                percent=percent,
+                before=before,
+                taken=is_taken,
+                took_ms=int((now_s - sent_s) * 1000),
+            )
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -114,6 +114,7 @@
                 row.progress, pace_percent=task.pace_percent, now_s=now_s
             )
             task.gauge = row.gauge
+            task.gauge_s = now_s
             task.is_listed = True
             if not task.is_confirmed:
                 task.is_confirmed = True
@@ -154,6 +155,11 @@
             task = SeatTask(task_id=row.task_id, attempt=row.attempt)
             task.is_confirmed = True
             self.add(task)
-            _log.info("task_found", task=row.task_id, attempt=row.attempt)
+            _log.info(
+                "task_found",
+                task=row.task_id,
+                attempt=row.attempt,
+                known=task.order is not None,
+            )
             self.notify()
         return task
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -29,6 +29,7 @@
     :param watch: Follows that.
     :param gauge: Figure of the last half second, see
         :class:`radishlanding.worker.RunningRow`.
+    :param gauge_s: When it came, on the boot clock.
     :param pace_percent: Pace that the worker was told.
     :param end: How it ended, None while it may run.
     :param end_reason: The word for that.
@@ -49,6 +50,7 @@
     progress: int = 0
     watch: ProgressWatch = dataclasses.field(default_factory=ProgressWatch)
     gauge: float = 0.0
+    gauge_s: float = 0.0
     pace_percent: int = 100
     end: EndKind | None = None
     end_reason: str = ""
@@ -59,6 +61,17 @@
         """Return task and attempt."""
         return self.task_id, self.attempt
 
+    @property
+    def latency_share(self):
+        """Return its tail latency as a share of its target, 0 for none."""
+        if self.order is None or not self.order.latency_target_ms:
+            return 0.0
+        return self.gauge / self.order.latency_target_ms
+
+    def gauge_age_ms(self, now_s):
+        """Return how long ago its figure came, in milliseconds."""
+        return int((now_s - self.gauge_s) * 1000)
+
     def running_report(self):
         """Return what to report while it may run."""
         return RunningTask(
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -50,7 +50,14 @@
     )
 
     def __init__(
-        self, *, report, make_worker, vm_lease_s, hold_max_s, nursery
+        self,
+        *,
+        report,
+        make_worker,
+        vm_lease_s,
+        hold_max_s,
+        nursery,
+        counters,
     ):
         """Prepare; :meth:`run` works.
 
@@ -62,6 +69,7 @@
         :param hold_max_s: Longest time that the worker is held by a
             deadline, in seconds.
         :param nursery: Nursery for starts and stops.
+        :param counters: Counts of the process.
         """
         self._make_worker = make_worker
         self._hold_s = min(HOLD_S, HOLD_SHARE * hold_max_s)
@@ -75,7 +83,7 @@
         self.report = report
         self.table = SeatTable()
         self.worker = make_worker(report)
-        self.pace = SeatPace(seat=self)
+        self.pace = SeatPace(seat=self, counters=counters)
         self._desk = SeatDesk(seat=self, nursery=nursery)
 
     @property
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -9,6 +9,7 @@
 
 from radishlanding.message import StartOrders
 from radishlanding.message import TaskOrder
+from radishlanding.observe import Counters
 from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Capacity
 from radishlanding.vm import clock_ms
@@ -33,6 +34,7 @@
 
 def _open(context, worker):
     context.worker = worker
+    context.counters = Counters()
     context.ordered_boot = REPORT.boot
     context.bridge.call(_open_seat, context)
 
@@ -45,6 +47,7 @@
         vm_lease_s=30.0,
         hold_max_s=10.0,
         nursery=nursery,
+        counters=context.counters,
     )
     context.seat.lease.extend(sent_s=boot_clock_s())
     context.seat.follow(7)
