Add failing tests of restarted agents: unpaced filling tasks, ends never forgotten

The stand-in of the platform's runner now plays the tail latency of serving tasks and what filling tasks add to it, and its checks judge how long one is over its target.

--- a/tests/standin/platform_checks.py
+++ b/tests/standin/platform_checks.py
@@ -103,3 +103,17 @@
         if len(beside) * millicores > capacity:
             findings.append(f"{run.worker_id} had {len(beside)} runs")
     return findings
+
+
+def harmed(record, *, harm_s):
+    """Return findings of serving tasks that were over their target too long.
+
+    :param record: :class:`tests.standin.runner_run.RunnerRun` objects.
+    :param harm_s: Longest time on end that is borne.
+    """
+    return [
+        f"{run.task} #{run.number} on {run.worker_id} was over its target "
+        f"for {run.load.longest_over_s:.1f} s on end"
+        for run in record
+        if run.load.longest_over_s >= harm_s
+    ]
--- a/tests/standin/platform_runner.py
+++ b/tests/standin/platform_runner.py
@@ -148,11 +148,15 @@
                     run.is_void = True
                 for run in list(self.runs.values()):
                     self._end(run, "lapsed")
+            added_ms = sum(
+                run.load.added_ms * run.pace for run in self.runs.values()
+            )
             for run in list(self.runs.values()):
                 run.advance(PACE_S)
+                run.load.feel(added_ms, PACE_S)
                 if self.fails_all and run.progress_s > self.work_s / 3:
                     self._end(run, "failed")
-                elif run.progress_s >= self.work_s and not run.stands:
+                elif run.is_done(self.work_s):
                     self._end(run, "done")
 
     def _end(self, run, how):
--- a/tests/standin/runner_run.py
+++ b/tests/standin/runner_run.py
@@ -2,6 +2,8 @@
 
 import time
 
+from tests.standin.run_load import RunLoad
+
 
 class RunnerRun:
     """Keep what a run did, for the checks."""
@@ -13,6 +15,7 @@
         "how",
         "is_noted",
         "is_void",
+        "load",
         "number",
         "pace",
         "progress_s",
@@ -41,11 +44,12 @@
         # runner's lease lapsed before that.
         self.is_noted = False
         self.is_void = False
+        self.load = RunLoad(spec)
         self.number = number
         self.pace = 1.0
         self.progress_s = float(checkpoint or 0)
         self.spec = spec
-        self.stands = spec == "stand"
+        self.stands = spec == "stand" or spec.startswith("serve")
         self.task = task
         self.worker_id = worker_id
         self.zone = zone
@@ -64,10 +68,25 @@
         """Return its progress as a checkpoint."""
         return f"{self.progress_s:.2f}"
 
+    def is_done(self, work_s):
+        """Return whether it has done its work.
+
+        :param work_s: What a task without a load of its own needs.
+        """
+        needed_s = self.load.work_s or work_s
+        return self.progress_s >= needed_s and not self.stands
+
     def row(self, work_s):
         """Return what a runner lists of it."""
-        percent = min(100, int(100 * self.progress_s / work_s))
-        return [self.task, self.number, self.saved(), percent, 0]
+        percent = int(100 * self.progress_s / (self.load.work_s or work_s))
+        figure = self.load.figure(self.pace)
+        return [
+            self.task,
+            self.number,
+            self.saved(),
+            min(100, percent),
+            figure,
+        ]
 
     def overlaps(self, other):
         """Return whether two runs were there at the same time."""
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -25,6 +25,7 @@
         "born_ms",
         "forbidden",
         "is_silent",
+        "looks",
         "loses_looks",
         "running",
         "settled_number",
@@ -46,6 +47,7 @@
         self.born_ms = 1000
         self.forbidden = set()
         self.is_silent = False
+        self.looks = 0
         self.loses_looks = False
         self.running = {}
         self.settled_number = 0
@@ -120,6 +122,7 @@
     async def look(self, *, fence, settled_number, deadline_ms, wait_s):
         """List everything."""
         self._check_look()
+        self.looks += 1
         if settled_number > self.settled_number:
             self.settled_number = settled_number
         self._ended = [
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -40,6 +40,13 @@
     When a seat follows a leader
     Then within 2 s it is listed with that attempt
 
+  Scenario: ends stay listed for good at the worker of a restarted agent
+    Given a worker that has 57 ends of an earlier agent behind it
+    When a seat follows a leader
+    And an attempt ends, and another, both are put on record
+    Then within 2 s the worker was let forget all 59 ends
+    And its seat looks no more than 10 times in 1 s
+
   Scenario: the worker is held no longer than the lease, and silence ends it
     Given a seat whose worker runs an attempt
     When the worker falls silent
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -94,6 +94,48 @@
     context.worker.running[(TASK, 1)] = "c9"
 
 
+@given("a worker that has {count:d} ends of an earlier agent behind it")
+def _has_ends(context, count):
+    context.worker = FakeLeasedWorker()
+    context.worker.settled_number = count
+
+
+@when("an attempt ends, and another, both are put on record")
+def _two_end(context):
+    async def end_two():
+        for attempt in (1, 2):
+            _start_attempt(context, attempt)
+            with trio.fail_after(2):
+                while (TASK, attempt) not in context.worker.running:
+                    await trio.sleep(0.01)
+        for attempt in (1, 2):
+            await context.worker.finish(TASK, attempt, "done")
+        with trio.fail_after(2):
+            while len(context.seat.ends()) < 2:
+                await trio.sleep(0.01)
+        context.seat.table.settle([(TASK, 1), (TASK, 2)])
+
+    context.bridge.call(end_two)
+
+
+@then("within {wait_s:d} s the worker was let forget all {count:d} ends")
+def _forgot_all(context, wait_s, count):
+    async def wait():
+        with trio.move_on_after(wait_s):
+            while context.worker.settled_number != count:
+                await trio.sleep(0.01)
+
+    context.bridge.call(wait)
+    assert context.worker.settled_number == count
+
+
+@then("its seat looks no more than {count:d} times in {wait_s:d} s")
+def _few_looks(context, count, wait_s):
+    before = context.worker.looks
+    context.bridge.call(trio.sleep, wait_s)
+    assert context.worker.looks - before <= count, context.worker.looks
+
+
 @when("a seat follows a leader")
 def _follows(context):
     _open(context, context.worker)
