Tell a restarted agent what its tasks are

Callers saw a latency target exceeded for 4 s and more by filling tasks beside. Cause: an attempt that a restarted agent found on its worker had no order, so that neither its target nor whether it fills was known; nothing on that VM was measured or paced for as long as those attempts ran.

The agent now says which attempts it has no order of, and the leader answers a report with those orders, from the record. Nothing is started by them.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -189,17 +189,24 @@
 
     def unwanted(self, session):
         """Return running attempts that are not on record as running."""
-        unwanted = []
-        for item in session.running.values():
-            record, task = self._board.find(item.task_id)
-            if (
-                task is None
-                or record.phase.has_ended
-                or task.attempt != item.attempt
-                or task.vm != session.vm
-            ):
-                unwanted.append(item)
-        return unwanted
+        return [
+            item
+            for item in session.running.values()
+            if not self.is_wanted(session, item)
+        ]
+
+    def is_wanted(self, session, item):
+        """Return whether an attempt is on record as running on a VM.
+
+        :param item: A :class:`radishlanding.message.RunningTask`.
+        """
+        record, task = self._board.find(item.task_id)
+        return (
+            task is not None
+            and not record.phase.has_ended
+            and task.attempt == item.attempt
+            and task.vm == session.vm
+        )
 
     def leases_s(self):
         """Return the seconds left of the leases of busy VMs."""
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -211,7 +211,9 @@
         if granted:
             self.fleet.grant(session)
         return VmReportAck(
-            granted=granted, weights=self.fleet.weights(session)
+            granted=granted,
+            weights=self.fleet.weights(session),
+            orders=self._orders.of_found(session),
         )
 
     async def resign(self):
--- a/src/radishlanding/dispatch/orders.py
+++ b/src/radishlanding/dispatch/orders.py
@@ -70,43 +70,63 @@
             if session is None or session.state.boot != group[0].boot:
                 _log.warning("order_unsent", vm=vm, tasks=len(group))
                 continue
-            orders = [self._order(item) for item in group]
+            orders = []
             for item in group:
                 session.ordered[item.task_id] = item.attempt
+                orders.append(self._order(item.task_id, item.boot))
+                self._log_assigned(item, orders[-1])
             self._nursery.start_soon(self._start, session, orders)
 
-    def _order(self, assignment):
-        record, task = self._board.find(assignment.task_id)
-        place = TaskPlace.parse(assignment.task_id)
-        step = record.workflow.steps[place.step]
+    def of_found(self, session):
+        """Return the orders of attempts that an agent reports without one.
+
+        An agent that has started again finds them on its worker.
+
+        :param session: The :class:`VmSession` of the VM.
+        :returns: :class:`radishlanding.message.TaskOrder` objects.
+        """
+        return [
+            self._order(item.task_id, session.state.boot)
+            for item in session.running.values()
+            if item.lacks_order and self._fleet.is_wanted(session, item)
+        ]
+
+    def _log_assigned(self, assignment, order):
         _log.info(
             "task_assigned",
             task=assignment.task_id,
             attempt=assignment.attempt,
             vm=assignment.vm,
             boot=assignment.boot,
-            resumes=bool(task.checkpoint),
+            resumes=bool(order.checkpoint),
             epoch=self._epoch,
         )
+
+    def _order(self, task_id, boot):
+        """Return the order of a task's attempt on record.
+
+        :param boot: Boot of the worker that runs it or is to run it.
+        """
+        record, task = self._board.find(task_id)
+        place = TaskPlace.parse(task_id)
+        step = record.workflow.steps[place.step]
         return TaskOrder(
-            task_id=assignment.task_id,
-            attempt=assignment.attempt,
+            task_id=task_id,
+            attempt=task.attempt,
             spec=record.workflow.spec,
             reserved=step.reserved,
             checkpoint=task.checkpoint,
-            ticket=self._ticket(record, place, assignment),
+            ticket=self._ticket(record, place, boot),
             image=step.image,
             fills=step.fills,
             latency_target_ms=step.latency_target_ms,
             estimated_ms=0 if step.standing else step.estimated_ms,
         )
 
-    def _ticket(self, record, place, assignment):
+    def _ticket(self, record, place, boot):
         if not record.workflow.is_advised or self._permits is None:
             return ""
-        return self._permits.ticket(
-            place[:3], assignment.boot, now_s=boot_clock_s()
-        )
+        return self._permits.ticket(place[:3], boot, now_s=boot_clock_s())
 
     async def _start(self, session, orders):
         message = StartOrders(
--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -14,6 +14,8 @@
         task in milliseconds, or the millicores that another task used.
     :param progress: Share of its work that is done, in percent.
     :param is_stuck: Whether it proceeds far more slowly than estimated.
+    :param lacks_order: Whether the agent has found it, and knows nothing
+        else of it.
     """
 
     task_id: str
@@ -22,3 +24,4 @@
     progress: int = 0
     gauge: float = 0.0
     is_stuck: bool = False
+    lacks_order: bool = False
--- a/src/radishlanding/vmagent/leader_line.py
+++ b/src/radishlanding/vmagent/leader_line.py
@@ -199,6 +199,7 @@
             _log.info("report_unanswered", peer=conn.peer, reason=exc)
             conn.abort()
             return
+        seat.table.take_orders(ack.orders)
         seat.pace.learn({item.image: item.is_light for item in ack.weights})
         if ack.granted and conn is self.conn:
             was_held = seat.lease.remaining_s() > 0
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -34,6 +34,23 @@
         """Return an attempt, or None."""
         return self._tasks.get((task_id, attempt))
 
+    def take_orders(self, orders):
+        """Learn what was ordered of attempts that were found.
+
+        :param orders: :class:`radishlanding.message.TaskOrder` objects.
+        """
+        for order in orders:
+            task = self.get(order.task_id, order.attempt)
+            if task is not None and task.order is None:
+                task.order = order
+                _log.info(
+                    "order_learnt",
+                    task=order.task_id,
+                    attempt=order.attempt,
+                    fills=order.fills,
+                    target_ms=order.latency_target_ms,
+                )
+
     def add(self, task):
         """Hold an attempt."""
         self._tasks[task.key] = task
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -84,6 +84,7 @@
                 self.order is not None
                 and self.watch.is_stuck(self.order.estimated_ms)
             ),
+            lacks_order=self.order is None,
         )
 
     def end_report(self):
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -358,6 +358,7 @@
 struct VmReportAck {
   granted @0 :Bool;
   weights @1 :List(ImageWeight);
+  orders @2 :List(TaskOrder);
 }
 
 struct EndsRecorded {
@@ -439,6 +440,7 @@
   progress @3 :Int64;
   gauge @4 :Float64;
   isStuck @5 :Bool;
+  lacksOrder @6 :Bool;
 }
 
 struct VmState {
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -42,6 +42,12 @@
     And the VM reports that it has none of them
     Then within 2 s the VM is ordered to start them again, as attempt 2
 
+  Scenario: a restarted agent never learns what its tasks are
+    When a filling and a serving task are submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports them without their orders, and one that is on no record
+    Then it is told both orders again, and of no other
+
   Scenario: a VM whose lease has run out is lost
     When a workflow of 2 tasks is submitted
     And within 2 s the VM is ordered to start 2 tasks
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -197,6 +197,35 @@
     context.answers = [_submit(context, count=count)]
 
 
+@when("a filling and a serving task are submitted")
+def _filling_and_serving(context):
+    _submit(context, count=1, fills=True, image=IMAGE, estimated_ms=900)
+    _submit(
+        context, count=1, name="c" * 16, latency_target_ms=150, standing=True
+    )
+
+
+@when("the VM reports them without their orders, and one that is on no record")
+def _without_orders(context):
+    running = [
+        dataclasses.replace(item, lacks_order=True)
+        for item in _running(context)
+    ]
+    stranger = RunningTask(
+        task_id="e" * 16 + ".0.0.0", attempt=1, lacks_order=True
+    )
+    context.ack = _report(context, "vm1", running=[*running, stranger])
+
+
+@then("it is told both orders again, and of no other")
+def _told_orders(context):
+    told = sorted(context.ack.orders, key=lambda order: order.task_id)
+    started = context.agents["vm1"].started
+    assert told == sorted(started, key=lambda order: order.task_id), told
+    known = [(o.fills, o.latency_target_ms, o.estimated_ms) for o in told]
+    assert sorted(known) == [(False, 150, 0), (True, 0, 900)], known
+
+
 @when("the same workflow is submitted three times at once")
 def _three_times(context):
     workflow = make_workflow([Step(count=2, needs=NEEDS)])
