Let a worker forget ends again after its agent has restarted

A restarted agent counted the numbers of ends from 1. As the worker had forgotten the first ones, no number followed on another, and the agent never let the worker forget an end again. Ends then stayed listed for good, and as a hold answers at once while ends are listed, looks went round without a pause and kept the processor.

Every number below the first listed end counts as settled now, as the worker has forgotten it.

--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -102,11 +102,16 @@
                 del self._tasks[key]
                 if task.end_number > self.settled_number:
                     self._settled.add(task.end_number)
-        while self.settled_number + 1 in self._settled:
-            self.settled_number += 1
-            self._settled.discard(self.settled_number)
+        self._settle_up_to(self.settled_number)
         self.notify()
 
+    def _settle_up_to(self, number):
+        """Count ends as settled up to a number, and what follows on it."""
+        while number + 1 in self._settled:
+            number += 1
+        self.settled_number = number
+        self._settled = {other for other in self._settled if other > number}
+
     def reset_numbers(self):
         """Begin with the ends of a new boot of the worker."""
         self.settled_number = 0
@@ -136,6 +141,10 @@
             if not task.is_confirmed:
                 task.is_confirmed = True
                 task.confirmed_s = now_s
+        if look.ended:
+            # The worker has forgotten what an earlier agent settled.
+            first = min(row.number for row in look.ended)
+            self._settle_up_to(max(self.settled_number, first - 1))
         for row in look.ended:
             if row.number <= self.settled_number:
                 continue
