Set the paces that an earlier agent has left

A restarted agent took every task that it found for one at full pace. A filling task that its predecessor had paused was wanted at full pace and taken to be, so it was told nothing and stood still for good.

The pace of a task that was found is unknown now until the worker is told one; tasks that don't fill were never told any.

--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -7,6 +7,7 @@
 from radishlanding.policy.interference import Interference
 from radishlanding.policy.least_outstanding import LeastOutstanding
 from radishlanding.policy.migration import Migration
+from radishlanding.policy.pace_control import FULL_PERCENT
 from radishlanding.policy.pace_control import PaceControl
 from radishlanding.policy.permits import Permits
 from radishlanding.policy.placement import Placement
@@ -32,6 +33,7 @@
 
 __all__ = [
     "Comeback",
+    "FULL_PERCENT",
     "MIN_FILL_SHARE",
     "EarliestDeadline",
     "FairQueue",
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.observe import EventLog
+from radishlanding.policy import FULL_PERCENT
 from radishlanding.policy import PaceControl
 from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.latency_watch import LatencyWatch
@@ -12,7 +13,6 @@
 CONTROL_PAUSE_S = 0.6
 # A pace that was carried out late is set right by the next call.
 REPEAT_S = 3.0
-FULL_PERCENT = 100
 # Pace at which an image shows whether it disturbs.
 TRIAL_PERCENT = 60
 
--- a/src/radishlanding/vmagent/seat_table.py
+++ b/src/radishlanding/vmagent/seat_table.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.observe import EventLog
+from radishlanding.policy import FULL_PERCENT
 from radishlanding.vmagent.seat_task import SeatTask
 from radishlanding.workflow import EndKind
 
@@ -43,6 +44,8 @@
             task = self.get(order.task_id, order.attempt)
             if task is not None and task.order is None:
                 task.order = order
+                if not order.fills:
+                    task.pace_percent = FULL_PERCENT
                 _log.info(
                     "order_learnt",
                     task=order.task_id,
@@ -133,7 +136,9 @@
             task.checkpoint = row.checkpoint or task.checkpoint
             task.progress = row.progress
             task.watch.observe(
-                row.progress, pace_percent=task.pace_percent, now_s=now_s
+                row.progress,
+                pace_percent=task.pace_percent or 0,
+                now_s=now_s,
             )
             task.gauge = row.gauge
             task.gauge_s = now_s
@@ -178,8 +183,12 @@
     def _find(self, row):
         task = self._tasks.get((row.task_id, row.attempt))
         if task is None:
-            task = SeatTask(task_id=row.task_id, attempt=row.attempt)
-            task.is_confirmed = True
+            task = SeatTask(
+                task_id=row.task_id,
+                attempt=row.attempt,
+                is_confirmed=True,
+                pace_percent=None,
+            )
             self.add(task)
             _log.info(
                 "task_found",
--- a/src/radishlanding/vmagent/seat_task.py
+++ b/src/radishlanding/vmagent/seat_task.py
@@ -5,6 +5,7 @@
 from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
 from radishlanding.message import TaskOrder
+from radishlanding.policy import FULL_PERCENT
 from radishlanding.policy import ProgressWatch
 from radishlanding.workflow import EndKind
 
@@ -30,7 +31,8 @@
     :param gauge: Figure of the last half second, see
         :class:`radishlanding.worker.RunningRow`.
     :param gauge_s: When it came, on the boot clock.
-    :param pace_percent: Pace that the worker was told.
+    :param pace_percent: Pace that the worker was told, None where an earlier
+        agent may have told it any.
     :param end: How it ended, None while it may run.
     :param end_reason: The word for that.
     :param end_number: The worker's number of the end, 0 for none.
@@ -51,7 +53,7 @@
     watch: ProgressWatch = dataclasses.field(default_factory=ProgressWatch)
     gauge: float = 0.0
     gauge_s: float = 0.0
-    pace_percent: int = 100
+    pace_percent: int | None = FULL_PERCENT
     end: EndKind | None = None
     end_reason: str = ""
     end_number: int = 0
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -27,6 +27,7 @@
         "is_silent",
         "looks",
         "loses_looks",
+        "paces",
         "running",
         "settled_number",
         "start_gate",
@@ -49,6 +50,7 @@
         self.is_silent = False
         self.looks = 0
         self.loses_looks = False
+        self.paces = {}
         self.running = {}
         self.settled_number = 0
         self.start_gate = None
@@ -149,6 +151,7 @@
         )
 
     async def pace(self, task_id, attempt, *, percent, fence):
-        """Take any pace."""
+        """Take any pace, and keep it."""
         self._check()
+        self.paces[(task_id, attempt)] = percent
         return True
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -47,6 +47,12 @@
     Then within 2 s the worker was let forget all 59 ends
     And its seat looks no more than 10 times in 1 s
 
+  Scenario: a filling task that an earlier agent has paused stays paused for good
+    Given a worker that runs an attempt of an earlier agent, which has paused it
+    When a seat follows a leader
+    And the leader tells it that the attempt fills
+    Then within 2 s the worker is told its pace, 100 percent
+
   Scenario: the worker is held no longer than the lease, and silence ends it
     Given a seat whose worker runs an attempt
     When the worker falls silent
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -94,6 +94,44 @@
     context.worker.running[(TASK, 1)] = "c9"
 
 
+@given(
+    "a worker that runs an attempt of an earlier agent, which has paused it"
+)
+def _runs_paused(context):
+    _runs_already(context)
+    context.worker.paces[(TASK, 1)] = 0
+
+
+@when("the leader tells it that the attempt fills")
+def _told_fills(context):
+    async def tell():
+        await _wait(context, lambda task: True, 2)
+        context.seat.table.take_orders(
+            [
+                TaskOrder(
+                    task_id=TASK,
+                    attempt=1,
+                    spec="work",
+                    reserved=Capacity(),
+                    fills=True,
+                )
+            ]
+        )
+
+    context.bridge.call(tell)
+
+
+@then("within {wait_s:d} s the worker is told its pace, {percent:d} percent")
+def _told_pace(context, wait_s, percent):
+    async def wait():
+        with trio.move_on_after(wait_s):
+            while context.worker.paces[(TASK, 1)] != percent:
+                await trio.sleep(0.01)
+
+    context.bridge.call(wait)
+    assert context.worker.paces[(TASK, 1)] == percent, context.worker.paces
+
+
 @given("a worker that has {count:d} ends of an earlier agent behind it")
 def _has_ends(context, count):
     context.worker = FakeLeasedWorker()
