Slow light filling tasks down near the bound, whatever one figure says

Above the bound they stop now as soon as no heavy task works, and between 0.95 and 1 they slow down by half each round. Three rows of the new outline in pace_play.feature failed before.

--- a/src/radishlanding/policy/pace_control.py
+++ b/src/radishlanding/policy/pace_control.py
@@ -13,8 +13,6 @@
 RAISE = 20
 IDLE_RAISE = 50
 LIGHT_RAISE_PERCENT = 20
-# Rounds above the bound after which light tasks stop, too.
-PATIENT_ROUNDS = 2
 
 
 class PaceControl:
@@ -24,14 +22,13 @@
     work at full speed and the others wait, so that some are done soon. The
     budget falls at once and rises by steps, as the figures lag by half a
     second and change within seconds; after a fall it comes back to half of
-    what was too much. Light tasks are slowed down only when a bound stays
-    exceeded.
+    what was too much. Light tasks are slowed down near the bound, and stop
+    above it, once no heavy task works any more.
     """
 
     __slots__ = (
         "_ceiling",
         "_is_alone",
-        "_rounds_over",
         "heavy_budget",
         "light_percent",
     )
@@ -40,7 +37,6 @@
         """Start before any filling task."""
         self._ceiling = FIRST_BUDGET
         self._is_alone = True
-        self._rounds_over = 0
         self.heavy_budget = FIRST_BUDGET
         self.light_percent = FULL_PERCENT
 
@@ -53,26 +49,30 @@
         """
         self._is_alone = not share
         if self._is_alone:
-            self._rounds_over = 0
             self._ceiling = self.heavy_budget = FIRST_BUDGET
             self.light_percent = FULL_PERCENT
             return
-        self._rounds_over = self._rounds_over + 1 if share > 1 else 0
+        if not (heavy_count and self.heavy_budget):
+            self._lower_light(share)
         if share > HIGH_SHARE:
             self._lower(share)
         elif not heavy_count:
             self._ceiling = self.heavy_budget = FIRST_BUDGET
         elif share < LOW_SHARE:
             self._raise(share, FULL_PERCENT * heavy_count)
-        if self._rounds_over >= PATIENT_ROUNDS or (
-            self._rounds_over and not heavy_count
-        ):
-            self.light_percent = 0
-        elif share < HIGH_SHARE:
+        if share < HIGH_SHARE:
             self.light_percent = min(
                 FULL_PERCENT, self.light_percent + LIGHT_RAISE_PERCENT
             )
 
+    def _lower_light(self, share):
+        # Figures are rough: one just below the bound may stand for a tail
+        # above it.
+        if share > 1:
+            self.light_percent = 0
+        elif share > STOP_SHARE:
+            self.light_percent //= 2
+
     def _lower(self, share):
         half = self.heavy_budget // 2
         if half >= LEAST_PERCENT:
--- a/tests/policy/pace_play.feature
+++ b/tests/policy/pace_play.feature
@@ -17,3 +17,16 @@
       | add 0.1 each       | 6      | 40    |
       | add 0.3 each       | 12     | 8     |
       | change all the time | 12    | 12    |
+
+  Scenario Outline: rough figures hide that light filling tasks exceed a target
+    Given light filling tasks that add <added> of the bound in all
+    When figures are off by up to 0.2 on 60 plays
+    Then the bound is never exceeded for 4 s on end beside light tasks
+    And light tasks work for <share> of the time or more
+
+    Examples: they could work for about (1 - 0.35) / added of it
+      | added | share |
+      | 0.3   | 0.9   |
+      | 0.6   | 0.5   |
+      | 0.8   | 0.4   |
+      | 1.0   | 0.3   |
--- a/tests/policy/pace_play_steps.py
+++ b/tests/policy/pace_play_steps.py
@@ -102,6 +102,53 @@
     return play
 
 
+def _play_light(added, error, heavy_growth, *, seed):
+    """Return the longest time on end over the bound, with work going on.
+
+    Light tasks add to the tail in all; two heavy ones wait for their turn.
+    """
+    rng = random.Random(seed)
+    control, seen, over_s, longest_s = PaceControl(), 0.35, 0.0, 0.0
+    light_work = 0.0
+    for number in range(int(PLAYED_S / ROUND_S)):
+        control.update(seen, heavy_count=2)
+        heavy = control.heavy_percents(2)
+        swing = math.sin(2 * math.pi * number * ROUND_S / SWING_S)
+        tail = 0.35 + 0.15 * swing + added * control.light_percent / 100
+        tail += heavy_growth * sum(heavy) / 100
+        is_harm = tail > 1 and (control.light_percent or any(heavy))
+        over_s = over_s + ROUND_S if is_harm else 0.0
+        longest_s = max(longest_s, over_s)
+        light_work += control.light_percent / 100 * ROUND_S
+        seen = tail * (1 + rng.uniform(-error, error))
+    return longest_s, light_work
+
+
+@given("light filling tasks that add {added:g} of the bound in all")
+def _light(context, added):
+    context.added = added
+
+
+@when("figures are off by up to {error:g} on {plays:d} plays")
+def _rough(context, error, plays):
+    context.light_plays = [
+        _play_light(context.added, error, 0.3, seed=seed)
+        for seed in range(plays)
+    ]
+
+
+@then("the bound is never exceeded for 4 s on end beside light tasks")
+def _no_light_harm(context):
+    longest_s = max(longest_s for longest_s, _ in context.light_plays)
+    assert longest_s < HARM_S, longest_s
+
+
+@then("light tasks work for {share:g} of the time or more")
+def _light_work(context, share):
+    works_s = [work_s for _, work_s in context.light_plays]
+    assert sum(works_s) >= share * PLAYED_S * len(works_s), works_s
+
+
 @given("a VM whose filling tasks {kind}")
 def _vm(context, kind):
     context.growth_of = KINDS[kind.strip()]
