Wait out the deadline that an earlier agent may have given a worker

Where the worker fell silent before the agent had given it a deadline of its own, which takes a lease, everything it ran was reported as interrupted at once, while the deadline of the earlier agent still let it run: the tasks would run twice.

A worker whose first report to this agent is not its first of all counts as held for the platform's longest hold. The scenario in seat.feature failed before: its end was reported within 8 s.

--- a/src/radishlanding/vmagent/seat_clock.py
+++ b/src/radishlanding/vmagent/seat_clock.py
@@ -13,16 +13,19 @@
 
     __slots__ = ("_at_s", "_clock_ms", "_hold_max_s", "held_until_s")
 
-    def __init__(self, *, hold_max_s):
+    def __init__(self, *, hold_max_s, may_be_held):
         """Start without a reading.
 
         :param hold_max_s: Longest time that a worker is held by a deadline,
             in seconds.
+        :param may_be_held: Whether an earlier agent may have held it.
         """
         self._hold_max_s = hold_max_s
         self._at_s = 0.0
         self._clock_ms = None
         self.held_until_s = 0.0
+        if may_be_held:
+            self.held_until_s = boot_clock_s() + hold_max_s
 
     @property
     def is_known(self):
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -25,6 +25,9 @@
 # Pause of looks while ends wait to be on record, as they answer at once.
 SETTLE_PAUSE_S = 0.05
 RETRY_PAUSE_S = 0.1
+# Number of the first report of a worker's boot; later ones may have gone to
+# an earlier agent.
+FIRST_REPORT = 1
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -73,7 +76,9 @@
         """
         self._make_worker = make_worker
         self._hold_s = min(HOLD_S, HOLD_SHARE * hold_max_s)
-        self.clock = SeatClock(hold_max_s=hold_max_s)
+        self.clock = SeatClock(
+            hold_max_s=hold_max_s, may_be_held=report.number > FIRST_REPORT
+        )
         self.fence = 0
         self.is_answering = True
         self.has_left = False
--- a/tests/vmagent/seat.feature
+++ b/tests/vmagent/seat.feature
@@ -109,3 +109,8 @@
     Given a seat whose worker runs nothing
     When a new boot of the worker reports, and it falls silent
     Then its end is not reported for 8 s, and is within 13 s
+
+  Scenario: a restarted agent reports as ended what its worker still runs
+    Given a worker that runs an attempt of an earlier agent
+    When a seat follows a leader that grants no lease, and the worker falls silent
+    Then its end is not reported for 8 s, and is within 13 s
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -39,17 +39,18 @@
     context.bridge.call(_open_seat, context)
 
 
-async def _open_seat(context):
+async def _open_seat(context, *, has_lease=True, number=1):
     nursery = context.bridge.nursery
     context.seat = WorkerSeat(
-        report=REPORT,
+        report=dataclasses.replace(REPORT, number=number),
         make_worker=lambda _report: context.worker,
         vm_lease_s=30.0,
         hold_max_s=10.0,
         nursery=nursery,
         counters=context.counters,
     )
-    context.seat.lease.extend(sent_s=boot_clock_s())
+    if has_lease:
+        context.seat.lease.extend(sent_s=boot_clock_s())
     context.seat.follow(7)
     nursery.start_soon(context.seat.run)
     with trio.fail_after(2):
@@ -179,6 +180,18 @@
     _open(context, context.worker)
 
 
+@when(
+    "a seat follows a leader that grants no lease, and the worker falls silent"
+)
+def _follows_without_lease(context):
+    async def open_and_silence():
+        await _open_seat(context, has_lease=False, number=2)
+        context.worker.is_silent = True
+
+    context.counters = Counters()
+    context.bridge.call(open_and_silence)
+
+
 def _start_attempt(context, attempt, *, age_ms=0, boot=None):
     context.seat.start(
         StartOrders(
