Let the soak judge latency targets after a last restart

Each seed now runs a serving task on each VM beside filling tasks that disturb it, kills every process once more when all jobs are done, hands new filling tasks in and judges stretches over the target from 3 s after the restart, by the platform's 4 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,6 +16,7 @@
 from tests.dispatcher.site_steps import CAPACITY
 from tests.dispatcher.site_steps import JobSource
 from tests.dispatcher.site_steps import MILLICORES
+from tests.standin import latency_load
 from tests.standin import platform_checks as checks
 from tests.standin.platform_site import PlatformSite
 
@@ -23,6 +24,12 @@
 MAX_GAP_S = 4.0
 CHECK_PAUSE_S = 0.5
 SETTLE_S = 40.0
+# Bounds of the platform's pages: how long a machine has to be without faults
+# to be judged, and how long a serving task may be over its target.
+CALM_S = 3.0
+HARM_S = 4.0
+# As long again as a stretch may be, for one that begins late.
+LATENCY_PLAYED_S = 9.0
 # Faults that wait for a leader or start processes must not meet themselves.
 ALONE = {"nothing"}
 # Seeds that have failed, with the cause.
@@ -62,6 +69,8 @@
     async def run(self, *, seconds):
         """Play faults, then wait for everything that was accepted."""
         source = JobSource(self._site)
+        await latency_load.serve(self._site, count=len(self._site.machines))
+        await latency_load.fill(self._site, batch=0)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(source.run)
             nursery.start_soon(self._check)
@@ -70,6 +79,7 @@
             source.stop()
             async with self._busy:
                 await self._wait_done(source)
+            await self._judge_latency()
             nursery.cancel_scope.cancel()
         self.findings += findings_of(self._site)
 
@@ -107,6 +117,16 @@
         if scope.cancelled_caught:
             self.findings.append(f"{name} is not completed")
 
+    async def _judge_latency(self):
+        """Let filling tasks disturb serving ones, after a last restart."""
+        await FAULTS["everything is killed"](self._site)
+        await trio.sleep(CALM_S)
+        for run in self._site.record:
+            run.load.forget()
+        await latency_load.fill(self._site, batch=1)
+        await trio.sleep(LATENCY_PLAYED_S)
+        self.findings += checks.harmed(self._site.record, harm_s=HARM_S)
+
 
 async def play(seed, seconds):
     """Return the findings of one seed."""
--- /dev/null
+++ b/tests/standin/latency_load.py
@@ -0,0 +1,44 @@
+"""Serving tasks and filling tasks that disturb them, for a platform site."""
+
+# At rest a third of the target; two filling tasks at full pace exceed it.
+SERVE = "serve 50 150"
+FILL = "fill 60 6"
+TARGET_MS = 150
+FILLERS = 6
+SERVING_JOB = "5" * 16
+
+
+async def serve(site, *, count):
+    """Hand in a job of serving tasks, one a VM at most."""
+    step = {
+        "count": count,
+        "antiAffinity": 1,
+        "longRunning": True,
+        "targetMs": TARGET_MS,
+        "image": "desk",
+    }
+    await site.submit_surely(SERVING_JOB, [step], spec=SERVE)
+
+
+async def fill(site, *, batch):
+    """Hand in filling tasks, each a job with an image of its own.
+
+    :param batch: Number from 0 to 9, which their names begin with; see
+        :func:`filler_prefix`.
+    """
+    for number in range(FILLERS):
+        step = {
+            "count": 1,
+            "cpu": 300,
+            "estimatedMs": 6000,
+            "fills": True,
+            "checkpointing": True,
+            "image": f"image-{batch}-{number}",
+        }
+        name = f"{filler_prefix(batch)}{number:014x}"
+        await site.submit_surely(name, [step], spec=FILL)
+
+
+def filler_prefix(batch):
+    """Return what the names of a batch of filling tasks begin with."""
+    return f"f{batch}"
