--- a/tests/observe/observe_steps.py
+++ b/tests/observe/observe_steps.py
@@ -14,6 +14,7 @@
 from radishlanding.observe import BoundedHandler
 from radishlanding.observe import Counters
 from radishlanding.observe import EventLog
+from tests.standin.log_lines import captured_lines
 
 CHECK = (
     "import sys, radishlanding.agent, radishlanding.entry, "
@@ -22,24 +23,9 @@
 )
 
 
-class _Lines(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        self.lines.append(record.getMessage())
-
-
 def _log(context, write):
-    lines = _Lines()
-    logger = logging.getLogger("tests.observe")
-    logger.setLevel(logging.DEBUG)
-    logger.propagate = False
-    logger.addHandler(lines)
-    write(EventLog("tests.observe"))
-    logger.removeHandler(lines)
-    context.lines = lines.lines
+    with captured_lines("tests.observe") as context.lines:
+        write(EventLog("tests.observe"))
 
 
 @when("an event is logged with reason {reason}")
--- /dev/null
+++ b/tests/standin/log_lines.py
@@ -0,0 +1,37 @@
+"""Keeps what a logger writes."""
+
+import contextlib
+import logging
+
+
+class LogLines(logging.Handler):
+    """Keep each line that is logged."""
+
+    def __init__(self):
+        """Start without lines."""
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        """Keep a line."""
+        self.lines.append(record.getMessage())
+
+
+@contextlib.contextmanager
+def captured_lines(name):
+    """Give the list that takes what a logger writes meanwhile.
+
+    :param name: Name of the logger.
+    """
+    handler = LogLines()
+    logger = logging.getLogger(name)
+    level, propagates = logger.level, logger.propagate
+    logger.setLevel(logging.DEBUG)
+    logger.propagate = False
+    logger.addHandler(handler)
+    try:
+        yield handler.lines
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(level)
+        logger.propagate = propagates
--- a/tests/vmagent/latency_watch_steps.py
+++ b/tests/vmagent/latency_watch_steps.py
@@ -1,7 +1,5 @@
 """Steps about how long serving tasks exceed their latency targets."""
 
-import logging
-
 from behave import given
 from behave import then
 from behave import when
@@ -11,22 +9,11 @@
 from radishlanding.vm import Capacity
 from radishlanding.vmagent.latency_watch import LatencyWatch
 from radishlanding.vmagent.seat_task import SeatTask
+from tests.standin.log_lines import captured_lines
 
 ROUND_S = 0.6
 
 
-class _Lines(logging.Handler):
-    """Keep what is logged."""
-
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        """Keep a line."""
-        self.lines.append(record.getMessage())
-
-
 def make_task(name, **order):
     """Return a confirmed attempt of a known task."""
     return SeatTask(
@@ -52,23 +39,16 @@
 
 @when("its figure is {first:d} ms for {over_s:g} s, and then {last:d} ms")
 def _figures(context, first, over_s, last):
-    handler = _Lines()
-    logger = logging.getLogger("radishlanding.vmagent")
-    level = logger.level
-    logger.addHandler(handler)
-    logger.setLevel(logging.INFO)
     rounds = round(over_s / ROUND_S)
-    for number in range(rounds + 1):
-        context.serving.gauge = first if number < rounds else last
-        context.watch.observe(
-            [context.serving],
-            [context.filling],
-            unknown=0,
-            now_s=100 + number * ROUND_S,
-        )
-    logger.removeHandler(handler)
-    logger.setLevel(level)
-    context.lines = handler.lines
+    with captured_lines("radishlanding.vmagent") as context.lines:
+        for number in range(rounds + 1):
+            context.serving.gauge = first if number < rounds else last
+            context.watch.observe(
+                [context.serving],
+                [context.filling],
+                unknown=0,
+                now_s=100 + number * ROUND_S,
+            )
 
 
 @then("latency_exceeded is logged {notes:d} times, with what works beside it")
