Wait for deadlines on a restarted worker's earlier clock before its VM is lost

What callers see: a task runs twice. A worker that starts again under its name begins its clock anew. A look that was sent before takes the new boot for the old one and gives it a deadline far ahead, which the platform cuts to its longest hold. Where the agent then dies or freezes, the worker runs on until that hold ends, while the leader took the VM for lost when its lease was over and started its tasks elsewhere.

The leader notes the boot of each worker's VM, and counts a VM whose worker has started again as held for the longest hold. The new scenario of leader.feature failed before (other VM ordered after 1.2 s of 3 s), and passes; the rest of the feature passes, 20 scenarios.

Left: a leader that takes over from one that died, and never hears the VM, does not know of the new boot.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -79,6 +79,12 @@
             vm=hello.vm, conn=conn, state=hello.state, clock_ms=hello.clock_ms
         )
         self._leases.grant(hello.vm)
+        boot = hello.state.boot
+        self._leases.note_boot(
+            hello.vm,
+            boot,
+            is_new=bool(self._earlier_boots(hello.vm, boot)),
+        )
         fence = self._epoch * FENCES_PER_EPOCH + self._fences
         _log.info(
             "vm_followed",
@@ -90,6 +96,10 @@
         )
         return VmWelcome(accepted=True, epoch=self._epoch, fence=fence)
 
+    def _earlier_boots(self, vm, boot):
+        """Return the other boots that tasks on record were assigned to."""
+        return {task.boot for task in self._board.tasks_on(vm)} - {boot}
+
     def drop(self, conn):
         """Forget the sessions of a connection; return their VMs."""
         gone = [vm for vm, ses in self.sessions.items() if ses.conn is conn]
@@ -114,6 +124,7 @@
         :returns: :class:`radishlanding.workflow.TaskEnd` objects.
         """
         session.state = report.state
+        self._leases.note_boot(session.vm, report.state.boot)
         session.clock_ms = max(session.clock_ms, report.clock_ms)
         session.is_listed = session.is_listed or report.is_full
         session.running = {task.task_id: task for task in report.running}
--- a/src/radishlanding/dispatch/lease_book.py
+++ b/src/radishlanding/dispatch/lease_book.py
@@ -7,8 +7,10 @@
     """Keep when the lease of each VM was last granted."""
 
     __slots__ = (
+        "_boots",
         "_closed_s",
         "_granted_s",
+        "_held_until_s",
         "_inherited_s",
         "_opened_s",
         "_timing",
@@ -25,8 +27,10 @@
             surely extended no lease any more; None for their whole grace
             from now on.
         """
+        self._boots = {}
         self._inherited_s = inherited_s
         self._granted_s = {}
+        self._held_until_s = {}
         self._opened_s = boot_clock_s()
         if closed_s is None:
             closed_s = self._opened_s + timing.owner_grace_s
@@ -37,6 +41,23 @@
         """Note that a VM's lease is being extended."""
         self._granted_s[vm] = boot_clock_s()
 
+    def note_boot(self, vm, boot, *, is_new=False):
+        """Note which boot of its worker a VM has.
+
+        A worker that has started again may have taken a deadline on its
+        earlier clock, which was ahead; only the longest hold bounds it.
+
+        :param vm: Identity of the VM.
+        :param boot: Boot of its worker, empty for none.
+        :param is_new: Whether tasks on record were assigned to another boot.
+        """
+        if not boot:
+            return
+        before = self._boots.setdefault(vm, boot)
+        self._boots[vm] = boot
+        if is_new or before != boot:
+            self._held_until_s[vm] = boot_clock_s() + self._timing.hold_max_s
+
     def has_lapsed(self, vm):
         """Return whether nothing of a VM's lease can be left."""
         return self.remaining_s(vm) < 0
@@ -55,4 +76,7 @@
             end_s = self._opened_s + self._inherited_s.get(vm, lease_s)
         else:
             end_s = self._closed_s + lease_s
+        held_until_s = self._held_until_s.get(vm, 0.0)
+        if held_until_s:
+            end_s = max(end_s, held_until_s + self._timing.drift_s)
         return end_s - boot_clock_s()
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -162,6 +162,7 @@
                 vm_lease_s=self._cfg.vm_lease_s,
                 owner_grace_s=self._cfg.owner_grace_s,
                 drift_s=self._cfg.drift_s,
+                hold_max_s=self._cfg.hold_max_ms / 1000,
             ),
             counters=self._counters,
             on_away=self._tell_away,
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -25,6 +25,8 @@
     :param owner_grace_s: How long a leader that cannot prove its leadership
         extends leases, in seconds.
     :param drift_s: Allowance for clocks at different rates, in seconds.
+    :param hold_max_ms: Longest time that a worker is held by a deadline, in
+        milliseconds; the platform says how long.
     :param linger_s: How long new requests are still taken after a stop was
         asked for, in seconds; the platform needs two readiness checks, a
         second apart, to send them elsewhere.
@@ -49,6 +51,7 @@
     vm_lease_s: float = 7.0
     owner_grace_s: float = 3.0
     drift_s: float = 0.5
+    hold_max_ms: int = 10_000
     linger_s: float = 2.2
     drain_s: float = 3.0
     log_level: str = "info"
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -55,6 +55,13 @@
     And another VM follows
     Then within 2 s the other VM is ordered to start them, as attempt 2
 
+  Scenario: a VM is lost while a deadline on its worker's earlier clock may hold it
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports them on another boot of its worker, and is heard no more
+    And another VM follows
+    Then the other VM is ordered to start them after 3 s, not before
+
   Scenario: a filling task that disturbs is moved when another VM has room
     Given another VM follows, without serving tasks
     When a filling task that disturbs runs beside a serving one
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -47,7 +47,7 @@
 from tests.workflow.workflow_steps import NAME
 from tests.workflow.workflow_steps import NEEDS
 
-TIMING = Timing(vm_lease_s=1.0, owner_grace_s=1.0, drift_s=0.2)
+TIMING = Timing(vm_lease_s=1.0, owner_grace_s=1.0, drift_s=0.2, hold_max_s=3.0)
 IMAGE = "cruncher"
 
 
@@ -141,9 +141,9 @@
     nursery.start_soon(context.leader.run)
 
 
-def _state(vm):
+def _state(vm, *, boot=1):
     return VmState(
-        boot=f"{vm}/1",
+        boot=f"{vm}/{boot}",
         zone="z0",
         pool="order-desk",
         labels=["a", "r1"],
@@ -162,7 +162,7 @@
     _report(context, vm)
 
 
-def _report(context, vm, *, running=(), ended=()):
+def _report(context, vm, *, running=(), ended=(), boot=1):
     async def report():
         await trio.sleep(0.01)
         session = context.leader.fleet.find(vm, context.agents[vm])
@@ -172,7 +172,7 @@
                 vm=vm,
                 is_full=True,
                 clock_ms=clock_ms(),
-                state=_state(vm),
+                state=_state(vm, boot=boot),
                 running=list(running),
                 ended=list(ended),
             ),
@@ -414,6 +414,23 @@
     context.bridge.call(trio.sleep, 1.6)
 
 
+@when(
+    "the VM reports them on another boot of its worker, and is heard no more"
+)
+def _another_boot(context):
+    _report(context, "vm1", running=_running(context), boot=2)
+    context.reborn_s = boot_clock_s()
+    context.leader.drop(context.agents["vm1"])
+
+
+@then("the other VM is ordered to start them after {wait_s:g} s, not before")
+def _not_before(context, wait_s):
+    agent = context.agents["vm2"]
+    _wait(context, lambda: len(agent.started) == 2, wait_s + 2)
+    waited_s = boot_clock_s() - context.reborn_s
+    assert waited_s >= wait_s, waited_s
+
+
 @when("another VM follows")
 @given("another VM follows, without serving tasks")
 def _another(context):
