Tell the paces of a round at the same time

An order on a pace that gets no answer held up the paces of all other tasks of the VM for the second that it waits, while serving tasks may be over their target.

The scenario of seat_pace.feature failed before: none of the other tasks was stopped within 0.7 s.

--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -113,16 +113,22 @@
             fillers = self._fillers()
             self._observe(fillers)
             self._decide(fillers)
-            is_due = boot_clock_s() > self._repeat_s
-            if is_due:
-                self._repeat_s = boot_clock_s() + REPEAT_S
-            percents = self._percents(fillers)
-            for task in fillers:
-                percent = percents[task.key]
-                if task.pace_percent != percent or (
-                    is_due and percent != FULL_PERCENT
-                ):
-                    await self._tell(task, percent)
+            async with trio.open_nursery() as nursery:
+                for task, percent in self._changes(fillers):
+                    nursery.start_soon(self._tell, task, percent)
+
+    def _changes(self, fillers):
+        """Return the tasks to tell, with their paces."""
+        is_due = boot_clock_s() > self._repeat_s
+        if is_due:
+            self._repeat_s = boot_clock_s() + REPEAT_S
+        percents = self._percents(fillers)
+        return [
+            (task, percents[task.key])
+            for task in fillers
+            if task.pace_percent != percents[task.key]
+            or (is_due and task.pace_percent != FULL_PERCENT)
+        ]
 
     def _observe(self, fillers):
         active = self._seat.table.active()
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -11,6 +11,8 @@
 from radishlanding.worker import WorkerUnavailable
 from radishlanding.workflow import EndKind
 
+# As long as the platform's client waits for an answer.
+PACE_TIMEOUT_S = 1.0
 KINDS = {"done": EndKind.DONE, "failed": EndKind.FAILED}
 
 
@@ -23,15 +25,18 @@
         "_has_room",
         "_lost_starts",
         "born_ms",
+        "figures",
         "forbidden",
         "is_silent",
         "looks",
         "loses_looks",
         "paces",
+        "paces_at_s",
         "running",
         "settled_number",
         "start_gate",
         "starts",
+        "unpaced",
     )
 
     def __init__(self, *, lost_starts=0, has_room=True):
@@ -46,15 +51,19 @@
         self._has_room = has_room
         self._lost_starts = lost_starts
         self.born_ms = 1000
+        self.figures = {}
         self.forbidden = set()
         self.is_silent = False
         self.looks = 0
         self.loses_looks = False
         self.paces = {}
+        self.paces_at_s = {}
         self.running = {}
         self.settled_number = 0
         self.start_gate = None
         self.starts = []
+        # Task whose paces get no answer, None for none.
+        self.unpaced = None
 
     def _check(self):
         if self.is_silent:
@@ -143,7 +152,7 @@
                     attempt=key[1],
                     checkpoint=saved,
                     progress=0,
-                    gauge=0.0,
+                    gauge=self.figures.get(key[0], 0.0),
                 )
                 for key, saved in self.running.items()
             ],
@@ -153,5 +162,10 @@
     async def pace(self, task_id, attempt, *, percent, fence):
         """Take any pace, and keep it."""
         self._check()
+        if task_id == self.unpaced:
+            await trio.sleep(PACE_TIMEOUT_S)
+            raise WorkerUnavailable("no answer")
+        if self.paces.get((task_id, attempt)) != percent:
+            self.paces_at_s[task_id] = time.monotonic()
         self.paces[(task_id, attempt)] = percent
         return True
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -32,7 +32,8 @@
 )
 
 
-def _open(context, worker):
+def open_seat(context, worker):
+    """Open a seat with a worker, and let it follow a leader."""
     context.worker = worker
     context.counters = Counters()
     context.ordered_boot = REPORT.boot
@@ -61,12 +62,12 @@
 @given("a seat whose worker loses the answers to {count:d} starts")
 @given("a seat whose worker loses the answer to {count:d} start")
 def _loses(context, count):
-    _open(context, FakeLeasedWorker(lost_starts=count))
+    open_seat(context, FakeLeasedWorker(lost_starts=count))
 
 
 @given("a seat whose worker has no room")
 def _no_room(context):
-    _open(context, FakeLeasedWorker(has_room=False))
+    open_seat(context, FakeLeasedWorker(has_room=False))
 
 
 @given(
@@ -74,17 +75,17 @@
     "room"
 )
 def _loses_and_full(context, count):
-    _open(context, FakeLeasedWorker(lost_starts=count, has_room=False))
+    open_seat(context, FakeLeasedWorker(lost_starts=count, has_room=False))
 
 
 @given("a seat whose worker runs nothing")
 def _runs_nothing(context):
-    _open(context, FakeLeasedWorker())
+    open_seat(context, FakeLeasedWorker())
 
 
 @given("a seat whose worker runs an attempt")
 def _runs(context):
-    _open(context, FakeLeasedWorker())
+    open_seat(context, FakeLeasedWorker())
     _order(context)
     context.bridge.call(_wait, context, lambda task: task.is_confirmed, 2)
 
@@ -177,7 +178,7 @@
 
 @when("a seat follows a leader")
 def _follows(context):
-    _open(context, context.worker)
+    open_seat(context, context.worker)
 
 
 @when(
@@ -402,7 +403,7 @@
 @given("a seat whose worker answers starts only later")
 def _answers_later(context):
     worker = FakeLeasedWorker()
-    _open(context, worker)
+    open_seat(context, worker)
     worker.start_gate = trio.Event()
 
 
