--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -11,7 +11,6 @@
 from radishlanding.policy.migration import Migration
 from radishlanding.policy.pace_control import FULL_PERCENT
 from radishlanding.policy.pace_control import PaceControl
-from radishlanding.policy.pace_control import STOP_SHARE
 from radishlanding.policy.permits import Permits
 from radishlanding.policy.placement import Placement
 from radishlanding.policy.power_of_two import PowerOfTwo
@@ -57,7 +56,6 @@
     "RetryBudget",
     "RoundRobin",
     "Routing",
-    "STOP_SHARE",
     "SpreadPlacement",
     "StrongestFirst",
     "TargetView",
--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -6,7 +6,6 @@
 from radishlanding.policy import FULL_PERCENT
 from radishlanding.policy import headroom_of
 from radishlanding.policy import PaceControl
-from radishlanding.policy import STOP_SHARE
 from radishlanding.policy import UNKNOWN_WEIGHT
 from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.latency_watch import LatencyWatch
@@ -26,10 +25,8 @@
     __slots__ = (
         "_control",
         "_counters",
-        "_looked",
         "_repeat_s",
         "_seat",
-        "_share",
         "_watch",
         "_weights",
     )
@@ -43,11 +40,8 @@
         self._control = PaceControl()
         self._counters = counters
         self._watch = LatencyWatch(vm=seat.vm, counters=counters)
-        self._looked = trio.Event()
         self._repeat_s = 0.0
         self._seat = seat
-        # Share that the last round took for the worst.
-        self._share = 0.0
         self._weights = {}
 
     def learn(self, weights):
@@ -112,15 +106,10 @@
             and not task.is_stopping
         ]
 
-    def figures_came(self):
-        """Note that a look has brought newer figures."""
-        self._looked.set()
-        self._looked = trio.Event()
-
     async def run(self):
         """Control the pace until cancelled."""
         while True:
-            await self._wait_due()
+            await trio.sleep(CONTROL_PAUSE_S)
             fillers = self._fillers()
             self._observe(fillers)
             self._decide(fillers)
@@ -128,14 +117,6 @@
                 for task, percent in self._changes(fillers):
                     nursery.start_soon(self._tell, task, percent)
 
-    async def _wait_due(self):
-        """Wait for the next round, or for a figure to come near its bound."""
-        with trio.move_on_after(CONTROL_PAUSE_S):
-            while self._share > STOP_SHARE or (
-                self._worst_share() <= STOP_SHARE
-            ):
-                await self._looked.wait()
-
     def _changes(self, fillers):
         """Return the tasks to tell, with their paces."""
         is_due = boot_clock_s() > self._repeat_s
@@ -160,7 +141,7 @@
 
     def _decide(self, fillers):
         control = self._control
-        share = self._share = self._worst_share()
+        share = self._worst_share()
         before = (control.budget > 0, control.light_percent)
         heavy = [task for task in fillers if not self._is_light(task)]
         control.update(
--- a/src/radishlanding/vmagent/worker_seat.py
+++ b/src/radishlanding/vmagent/worker_seat.py
@@ -257,7 +257,6 @@
             return
         self.clock.read(look.clock_ms)
         self.table.take_look(look, sent_s=sent_s, now_s=boot_clock_s())
-        self.pace.figures_came()
         if fence == self.fence and not self.is_listed:
             self.is_listed = True
             _log.info(
