Forget figures of serving tasks that have ended

Interference.forget_bases was never called, so that the headroom of each serving task that ever ran stayed in the leader's memory. The new scenario of leader.feature fails with the call taken out.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -257,6 +257,10 @@
         """Return what is known of the images that fill a VM."""
         return self._images.weights(session)
 
+    def forget_ended(self):
+        """Drop what was learnt of serving tasks that run nowhere."""
+        self._images.forget_ended(self.sessions.values())
+
     def judge(self, end, vm):
         """Note what an end says of its VM."""
         session = self.sessions.get(vm)
--- a/src/radishlanding/dispatch/image_watch.py
+++ b/src/radishlanding/dispatch/image_watch.py
@@ -52,6 +52,15 @@
                     vm=session.vm,
                 )
 
+    def forget_ended(self, sessions):
+        """Drop what is known of serving tasks that run nowhere.
+
+        :param sessions: Those of all VMs.
+        """
+        self._interference.forget_bases(
+            {task_id for session in sessions for task_id in session.running}
+        )
+
     def weights(self, session):
         """Return the weight of each image that fills a VM."""
         images = set()
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -188,6 +188,7 @@
         while True:
             await trio.sleep(IMAGES_PAUSE_S)
             await self._image_notes.save(self._log)
+            self.fleet.forget_ended()
 
     def hello(self, hello, conn):
         """Let a VM follow this leader."""
--- a/src/radishlanding/policy/interference.py
+++ b/src/radishlanding/policy/interference.py
@@ -178,6 +178,11 @@
             if note.is_light:
                 self._light.add(note.image)
 
+    @property
+    def serving_tasks(self):
+        """Return the names of the serving tasks whose headroom is known."""
+        return set(self._bases)
+
     def forget_bases(self, tasks):
         """Drop what is known of serving tasks that have ended.
 
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -78,6 +78,10 @@
       | resigned without a word of it  | 1.2    |
       | was proved dead for 0.3 s      | 0.9    |
 
+  Scenario: figures of serving tasks that have ended are kept for good
+    When figures of 2 serving tasks come, of which one runs
+    Then within 3 s only the figure of that one is known
+
   Scenario: what was learnt of images outlives its leader
     When an image is learnt to disturb and another one not
     Then within 3 s a leader in a new process knows both as they are
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -488,6 +488,23 @@
     assert not context.leases.has_lapsed("vm9")
 
 
+@when("figures of 2 serving tasks come, of which one runs")
+def _two_figures(context):
+    running = RunningTask(task_id="e" * 16 + ".0.0.0", attempt=1)
+    _report(context, "vm1", running=[running])
+    for name in (running.task_id, "f" * 16 + ".0.0.0"):
+        context.interference.observe([(name, 0.4)], {})
+
+
+@then("within {wait_s:d} s only the figure of that one is known")
+def _one_known(context, wait_s):
+    def is_one():
+        return context.interference.serving_tasks == {"e" * 16 + ".0.0.0"}
+
+    _wait(context, is_one, wait_s)
+    assert is_one(), context.interference.serving_tasks
+
+
 @when("an image is learnt to disturb and another one not")
 def _learnt(context):
     for image, growth in (("heavy", 1.0), ("light", 0.0)):
