Place serving tasks on the emptiest serving VM, and the largest first

Cause: the tightest fit opens small VMs first and fills each to the brim, so that jobs which allow two tasks a VM find no room on VMs that serve and open new ones.

--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -244,13 +244,15 @@
 def _score(vm, step, *, is_light):
     """Return how well a VM suits a task; higher is better.
 
-    Serving tasks are packed tightly, with the tasks that neither serve nor
-    fill and those that hardly disturb, so that whole VMs are left to the
-    filling tasks that do.
+    Serving tasks go where others serve, with the tasks that neither serve
+    nor fill and those that hardly disturb, so that whole VMs are left to the
+    filling tasks that do. The emptiest of those VMs comes first, and the
+    largest of the others, as steps that allow few tasks a VM need room on
+    many: the tightest fit leaves fewer VMs without serving tasks.
     """
     if step.latency_target_ms:
         press = 0.0 if vm.serving else -vm.press
-        return (vm.serving > 0, press, -vm.free.millicores)
+        return (vm.serving > 0, press, vm.free.millicores)
     if step.fills and not is_light:
         return (not vm.serving, -vm.press, vm.idle_millicores)
     return (vm.serving > 0, vm.idle_millicores)
