--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -27,10 +27,10 @@
 from radishlanding.policy.standby import choose_standby
 from radishlanding.policy.strongest_first import StrongestFirst
 from radishlanding.policy.target_view import TargetView
+from radishlanding.policy.vm_choice import MIN_FILL_SHARE
 from radishlanding.policy.vm_load import VmLoad
 from radishlanding.policy.vm_view import VmView
 from radishlanding.policy.workflow_order import WorkflowOrder
-from radishlanding.policy.workflow_planner import MIN_FILL_SHARE
 from radishlanding.policy.workflow_planner import WorkflowPlanner
 
 __all__ = [
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -2,15 +2,11 @@
 
 import random
 
+from radishlanding.policy.vm_choice import VmChoice
 from radishlanding.workflow import Assignment
 
-# Share of its processors that a filling task must find idle to be started.
-MIN_FILL_SHARE = 0.6
 # Assignments of one entry of the log; more would delay its answer.
 MAX_ASSIGNMENTS = 150
-# Headroom of serving tasks that the filling tasks of a VM may take: from
-# tails at half of their bounds, which is usual, to three quarters.
-MAX_PRESS = 0.7
 # Filling tasks that disturb wait this long for a VM without serving tasks;
 # that is a fifth of the time in which such a workflow is due.
 STARVED_MS = 4000
@@ -20,6 +16,7 @@
     """Place the tasks of workflows, first come by an order of choice."""
 
     __slots__ = (
+        "_choice",
         "_clock_s",
         "_full",
         "_idle_since_ms",
@@ -40,6 +37,7 @@
         :param clock_s: Callable that returns the clock of their ends.
         :param rng: Source of random numbers, for equal VMs.
         """
+        self._choice = VmChoice(interference=interference)
         self._clock_s = clock_s
         self._permits = permits
         self._full = set()
@@ -154,9 +152,11 @@
             vm = None
             if task.failed_vm:
                 elsewhere = [vm for vm in vms if vm.vm != task.failed_vm]
-                vm = self._choose(key, step, elsewhere, is_starved=is_starved)
+                vm = self._choice.choose(
+                    key, step, elsewhere, is_starved=is_starved
+                )
             if vm is None:
-                vm = self._choose(key, step, vms, is_starved=is_starved)
+                vm = self._choice.choose(key, step, vms, is_starved=is_starved)
             if vm is None:
                 break
             self._add(vm, key, step)
@@ -186,7 +186,7 @@
     def _try_gang(self, key, step, tasks, vms, is_starved):
         chosen = []
         for _ in tasks:
-            vm = self._choose(key, step, vms, is_starved=is_starved)
+            vm = self._choice.choose(key, step, vms, is_starved=is_starved)
             if vm is None:
                 for taken in chosen:
                     taken.remove(key, step)
@@ -199,64 +199,6 @@
         vm.add(key, step)
         vm.press += self._interference.press(step, vm.capacity)
 
-    def _choose(self, key, step, vms, *, is_starved=False):
-        """Return the best VM for one more task of a step, or None.
-
-        Filling tasks that disturb share a VM with those that serve only
-        when their workflow would come to a standstill.
-        """
-        fitting = [vm for vm in vms if vm.holds(key, step)]
-        if step.fills:
-            fitting = [
-                vm
-                for vm in fitting
-                if self._may_fill(vm, step, vms, is_starved=is_starved)
-            ]
-        if not fitting:
-            return None
-        near = [vm for vm in fitting if vm.is_near(step)]
-        is_light = self._interference.is_light(step.image)
-        return max(
-            near or fitting,
-            key=lambda vm: _score(vm, step, is_light=is_light),
-        )
-
-    def _may_fill(self, vm, step, vms, *, is_starved):
-        """Return whether a filling task may go to a VM that has room.
-
-        One task of an image that is not known yet is tried beside serving
-        tasks; the others wait for what it shows.
-        """
-        least = step.needs.millicores * MIN_FILL_SHARE
-        if vm.idle_millicores < least:
-            return False
-        if not vm.serving or is_starved:
-            return True
-        if not self._interference.is_known(step.image):
-            return not any(
-                other.serving and other.filling.get(step.image, 0)
-                for other in vms
-            )
-        press = self._interference.press(step, vm.capacity)
-        return vm.press + press <= MAX_PRESS
-
-
-def _score(vm, step, *, is_light):
-    """Return how well a VM suits a task; higher is better.
-
-    Serving tasks go where others serve, with the tasks that neither serve
-    nor fill and those that hardly disturb, so that whole VMs are left to the
-    filling tasks that do. The emptiest of those VMs comes first, and the
-    largest of the others, as steps that allow few tasks a VM need room on
-    many: the tightest fit leaves fewer VMs without serving tasks.
-    """
-    if step.latency_target_ms:
-        press = 0.0 if vm.serving else -vm.press
-        return (vm.serving > 0, press, vm.free.millicores)
-    if step.fills and not is_light:
-        return (not vm.serving, -vm.press, vm.idle_millicores)
-    return (vm.serving > 0, vm.idle_millicores)
-
 
 def _rack(vm):
     """Return the rack of a VM, the last of its labels."""
