Pace beside a worker that tells no capacity

Since paces go by headroom an agent divided by its worker's processors, and ended where the worker's report has none, as reports of another writer may. One task counts as filling such a worker. The scenario of seat_pace.feature failed before (its agent ended).

--- a/src/radishlanding/vmagent/seat_pace.py
+++ b/src/radishlanding/vmagent/seat_pace.py
@@ -59,7 +59,9 @@
         """Return the headroom that a filling task takes with processors."""
         known = self._weights.get(task.order.image)
         weight = UNKNOWN_WEIGHT if known is None else known.weight
-        return weight * millicores / self._seat.report.capacity.millicores
+        capacity = self._seat.report.capacity.millicores
+        # A worker that tells no capacity counts as filled by one task.
+        return weight * millicores / capacity if capacity else weight
 
     def _percents(self, fillers):
         """Return the pace of each filling task, by task and attempt.
--- a/tests/vmagent/seat_pace_steps.py
+++ b/tests/vmagent/seat_pace_steps.py
@@ -29,23 +29,44 @@
 
 @given("a seat whose worker runs a serving task and {count:d} filling ones")
 def _runs(context, count):
+    # Light tasks all work until a target is exceeded, and then all stop.
+    _open(context, count, weight=0.0, is_light=True)
+
+
+@given(
+    "a seat whose worker runs a serving task and a heavy filling one of "
+    "weight 0"
+)
+def _weightless(context):
+    _open(context, 1, weight=0.0, is_light=False)
+
+
+@given(
+    "a seat whose worker tells no capacity and runs a serving task and a "
+    "heavy filling one"
+)
+def _no_capacity(context):
+    _open(context, 1, weight=1.0, is_light=False, capacity=Capacity())
+
+
+def _open(context, count, *, weight, is_light, **options):
     worker = FakeLeasedWorker()
     context.filling = [_filling(number) for number in range(1, count + 1)]
     for task in (SERVING, *context.filling):
         worker.running[(task, 1)] = ""
     worker.figures[SERVING] = CALM_MS
-    open_seat(context, worker)
+    open_seat(context, worker, **options)
     orders = [_order(SERVING, latency_target_ms=TARGET_MS)]
     orders += [
         _order(task, fills=True, image=IMAGE, millicores=MILLICORES)
         for task in context.filling
     ]
-    context.bridge.call(_learn, context.seat, orders)
+    known = ImageWeight(image=IMAGE, weight=weight, is_light=is_light)
+    context.bridge.call(_learn, context.seat, orders, known)
 
 
-async def _learn(seat, orders):
-    # Light tasks all work until a target is exceeded, and then all stop.
-    seat.pace.learn([ImageWeight(image=IMAGE, weight=0.0, is_light=True)])
+async def _learn(seat, orders, known):
+    seat.pace.learn([known])
     seat.table.take_orders(orders)
     await trio.sleep(SETTLE_S)
 
--- a/tests/vmagent/seat_steps.py
+++ b/tests/vmagent/seat_steps.py
@@ -1,6 +1,7 @@
 """Steps about the agent's seat at a worker."""
 
 import dataclasses
+import functools
 
 import trio
 from behave import given
@@ -32,18 +33,22 @@
 )
 
 
-def open_seat(context, worker):
+def open_seat(context, worker, *, capacity=REPORT.capacity):
     """Open a seat with a worker, and let it follow a leader."""
     context.worker = worker
     context.counters = Counters()
     context.ordered_boot = REPORT.boot
-    context.bridge.call(_open_seat, context)
+    context.bridge.call(
+        functools.partial(_open_seat, context, capacity=capacity)
+    )
 
 
-async def _open_seat(context, *, has_lease=True, number=1):
+async def _open_seat(
+    context, *, has_lease=True, number=1, capacity=REPORT.capacity
+):
     nursery = context.bridge.nursery
     context.seat = WorkerSeat(
-        report=dataclasses.replace(REPORT, number=number),
+        report=dataclasses.replace(REPORT, number=number, capacity=capacity),
         make_worker=lambda _report: context.worker,
         vm_lease_s=30.0,
         hold_max_s=10.0,
