Stop heavy tasks of no weight, too, where no headroom is left

Without headroom left a heavy task whose weight is 0 so far, or whose order tells no processors, went on at full speed, as it took nothing from the budget: the serving tasks beside it would stay over their target for as long as it runs. The new scenario of seat_pace.feature failed before.

--- a/src/radishlanding/policy/pace_control.py
+++ b/src/radishlanding/policy/pace_control.py
@@ -88,6 +88,8 @@
             if press > left:
                 steps = left / press * FULL_PERCENT // STEP_PERCENT
                 percent = int(steps) * STEP_PERCENT
+            if left <= 0:
+                percent = 0
             percents.append(percent)
             left -= press * percent / FULL_PERCENT
         return percents
