Check what other programs write at each boundary

Cause: an entry among the dispatchers' registrations with 200,000 nested levels raised RecursionError in every process that read the list, again after each restart. A ping with a remaining time of 10^30, or with an unpaired surrogate, was accepted and ended the agent where it encoded its hello; an address with port 0 or 99999 got a supervisor that polled for ever. Answers of runners, the advisor and the store that lack a field ended the process too.

Change: one rule at each boundary: types, ranges, sizes, depth, and addresses that can be dialled (findings/address.py, findings/json_value.py, platform/fields.py, Member). RecordReader skips a corrupt record, and logs and counts each version of it once; a corrupt configuration stays in place and the one in force holds. An agent supervises 16 workers at most. Keys of others among the log's entries are skipped. Log values are cut and quoted unless they can be printed.

--- a/src/radishlanding/config/watch.py
+++ b/src/radishlanding/config/watch.py
@@ -7,8 +7,8 @@
 from radishlanding.config.document import Document
 from radishlanding.observe import EventLog
 from radishlanding.store import pack
+from radishlanding.store import RecordReader
 from radishlanding.store import StoreUnavailable
-from radishlanding.store import unpack
 
 DOCUMENT_KEY = "config/document"
 POLL_INTERVAL_S = 1.0
@@ -20,16 +20,20 @@
     """The newest configuration document that this process knows.
 
     A lower revision never replaces a higher one. If the store was rolled
-    back to older content, the newest known document is written again.
+    back to older content, the newest known document is written again. A
+    corrupt one is left in place, as a newer program may have written it; an
+    operator replaces it with the next revision of the document in force.
     """
 
-    __slots__ = ("_changed", "_store", "_version", "document")
+    __slots__ = ("_changed", "_reader", "_store", "_version", "document")
 
-    def __init__(self, *, store):
+    def __init__(self, *, store, counters):
         """Start with an empty document of revision 0.
 
         :param store: A :class:`radishlanding.store.Store`.
+        :param counters: The process's :class:`radishlanding.observe.Counters`.
         """
+        self._reader = RecordReader(Document, counters=counters)
         self._store = store
         self._version = 0
         self._changed = trio.Event()
@@ -50,6 +54,8 @@
         :raises StoreUnavailable: The store gave no answer.
         """
         stored = await self._read()
+        if stored is None:
+            return self.document.revision
         if stored.revision > self.document.revision:
             self._adopt(stored)
         elif stored.revision < self.document.revision:
@@ -57,9 +63,10 @@
         return self.document.revision
 
     async def _read(self):
+        """Return the stored document, None if it is corrupt."""
         kv = await self._store.get(DOCUMENT_KEY)
         self._version = kv.version if kv else 0
-        return unpack(Document, kv.value) if kv else Document()
+        return self._reader.read(kv) if kv else Document()
 
     async def _restore(self, stored_revision):
         _log.error(
--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -90,6 +90,7 @@
             registration=registration,
             site_keys=site_keys,
             succession=succession,
+            counters=counters,
         )
         self.leader = None
 
--- a/src/radishlanding/dispatch/keys.py
+++ b/src/radishlanding/dispatch/keys.py
@@ -17,6 +17,12 @@
     return f"{LOG}{number:0{NUMBER_DIGITS}d}"
 
 
+def is_entry(key):
+    """Return whether a key can be one of a log entry."""
+    name = key.removeprefix(LOG)
+    return len(name) == NUMBER_DIGITS and name.isdecimal()
+
+
 def chunk(number, epoch, index):
     """Return the key of a snapshot chunk."""
     return f"{SNAPSHOTS}{number:0{NUMBER_DIGITS}d}-{epoch}/{index:04d}"
--- a/src/radishlanding/dispatch/leader_watch.py
+++ b/src/radishlanding/dispatch/leader_watch.py
@@ -7,8 +7,7 @@
 from radishlanding.dispatch import keys
 from radishlanding.membership import Member
 from radishlanding.observe import EventLog
-from radishlanding.store import CorruptRecord
-from radishlanding.store import unpack
+from radishlanding.store import RecordReader
 from radishlanding.vm import boot_clock_s
 
 # Spreads concurrent claims; a lost claim costs one store call.
@@ -33,13 +32,23 @@
         "_led_until_s",
         "_member",
         "_probe",
+        "_reader",
         "_registration",
         "_site_keys",
         "_succession",
         "is_leaving",
     )
 
-    def __init__(self, *, member, probe, registration, site_keys, succession):
+    def __init__(
+        self,
+        *,
+        member,
+        probe,
+        registration,
+        site_keys,
+        succession,
+        counters,
+    ):
         """Initialise the watch.
 
         :param member: :class:`Member` that describes this process.
@@ -48,10 +57,12 @@
         :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
             site's keys.
         :param succession: A :class:`Succession`.
+        :param counters: The process's :class:`radishlanding.observe.Counters`.
         """
         self._led_until_s = 0.0
         self._member = member
         self._probe = probe
+        self._reader = RecordReader(Member, counters=counters)
         self._registration = registration
         self._site_keys = site_keys
         self._succession = succession
@@ -69,11 +80,7 @@
         item = self._site_keys.items.get(keys.LEADER)
         if item is None:
             return None
-        try:
-            return unpack(Member, item.value)
-        except CorruptRecord as exc:
-            _log.error("leader_key_corrupt", reason=exc)
-            return None
+        return self._reader.read(item)
 
     def leader_version(self):
         """Return the version of the leader's key, 0 if it is absent."""
--- a/src/radishlanding/dispatch/log_reader.py
+++ b/src/radishlanding/dispatch/log_reader.py
@@ -2,6 +2,7 @@
 
 from radishlanding.dispatch import keys
 from radishlanding.journal import Fenced
+from radishlanding.observe import EventLog
 from radishlanding.store import unpack
 from radishlanding.workflow import LogEntry
 from radishlanding.workflow import WorkflowRecord
@@ -10,6 +11,8 @@
 # A page of up to one megabyte takes 1.7 s on a 5 Mbit/s link.
 LOG_TIMEOUT_S = 3.0
 
+_log = EventLog("radishlanding.dispatch")
+
 
 async def read_registry(store, head):
     """Return the recorded state and the number of the last entry.
@@ -32,6 +35,9 @@
     last = head.number
     listing = await store.list(keys.LOG, timeout_s=LOG_TIMEOUT_S)
     for item in listing.items:
+        if not keys.is_entry(item.key):
+            _log.error("log_key_foreign", key=item.key, version=item.version)
+            continue
         if item.key <= keys.entry(last):
             # In the snapshot, but not removed yet.
             continue
--- a/src/radishlanding/dispatch/succession.py
+++ b/src/radishlanding/dispatch/succession.py
@@ -5,8 +5,7 @@
 from radishlanding.dispatch import keys
 from radishlanding.membership import Member
 from radishlanding.observe import EventLog
-from radishlanding.store import CorruptRecord
-from radishlanding.store import unpack
+from radishlanding.store import RecordReader
 
 CHECK_INTERVAL_S = 0.5
 # A stronger process has to stay for 3 s: a restarted one may fail again.
@@ -18,18 +17,20 @@
 class Succession:
     """Compare the strength of this process with the other dispatchers'."""
 
-    __slots__ = ("_member", "_policy", "_site_keys")
+    __slots__ = ("_member", "_policy", "_reader", "_site_keys")
 
-    def __init__(self, *, policy, member, site_keys):
+    def __init__(self, *, policy, member, site_keys, counters):
         """Initialise the comparison.
 
         :param policy: A :class:`radishlanding.policy.StrongestFirst`.
         :param member: :class:`Member` that describes this process.
         :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
             site's keys.
+        :param counters: The process's :class:`radishlanding.observe.Counters`.
         """
         self._member = member
         self._policy = policy
+        self._reader = RecordReader(Member, counters=counters)
         self._site_keys = site_keys
 
     def claim_delay_s(self, *, last_leader=None):
@@ -69,10 +70,8 @@
         for key, item in self._site_keys.items.items():
             if not key.startswith(keys.MEMBERS):
                 continue
-            try:
-                member = unpack(Member, item.value)
-            except CorruptRecord as exc:
-                _log.error("member_key_corrupt", key=key, reason=exc)
+            member = self._reader.read(item)
+            if member is None:
                 continue
             if member.address != self._member.address:
                 strengths[member.address] = member.strength
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -121,6 +121,7 @@
                 policy=policy,
                 member=self._member,
                 site_keys=self._site_keys,
+                counters=self._counters,
             ),
         )
 
--- a/src/radishlanding/membership/member_watch.py
+++ b/src/radishlanding/membership/member_watch.py
@@ -6,8 +6,8 @@
 
 from radishlanding.membership.member import Member
 from radishlanding.observe import EventLog
+from radishlanding.store import RecordReader
 from radishlanding.store import StoreUnavailable
-from radishlanding.store import unpack
 
 MEMBER_PREFIX = "member/"
 OWNER_PREFIX = "owner/"
@@ -22,13 +22,15 @@
     If the store is unavailable, the last values read are kept.
     """
 
-    __slots__ = ("_changed", "_store", "members", "owners")
+    __slots__ = ("_changed", "_reader", "_store", "members", "owners")
 
-    def __init__(self, *, store):
+    def __init__(self, *, store, counters):
         """Start without members.
 
         :param store: A :class:`radishlanding.store.Store`.
+        :param counters: The process's :class:`radishlanding.observe.Counters`.
         """
+        self._reader = RecordReader(Member, counters=counters)
         self._store = store
         self._changed = trio.Event()
         self.members: list[Member] = []
@@ -50,17 +52,24 @@
             answer.
         """
         kvs = await self._store.scan(MEMBER_PREFIX)
-        members = [unpack(Member, kv.value) for kv in kvs]
+        members = self._reader.read_all(kvs)
         kvs = await self._store.scan(OWNER_PREFIX)
-        self.owners = {
-            int(kv.key.removeprefix(OWNER_PREFIX)): unpack(Member, kv.value)
-            for kv in kvs
-        }
+        self.owners = self._read_owners(kvs)
         if members != self.members:
             self.members = members
             self._changed.set()
             self._changed = trio.Event()
 
+    def _read_owners(self, kvs):
+        """Return the owners by shard, without the corrupt entries."""
+        owners = {}
+        for kv in kvs:
+            shard = kv.key.removeprefix(OWNER_PREFIX)
+            member = self._reader.read(kv)
+            if member is not None and shard.isdecimal():
+                owners[int(shard)] = member
+        return owners
+
     async def wait_changed(self):
         """Wait until the members change."""
         await self._changed.wait()
--- a/src/radishlanding/membership/site_membership.py
+++ b/src/radishlanding/membership/site_membership.py
@@ -45,8 +45,8 @@
             ),
             counters=counters,
         )
-        self.cfg_watch = ConfigWatch(store=self.store)
-        self.member_watch = MemberWatch(store=self.store)
+        self.cfg_watch = ConfigWatch(store=self.store, counters=counters)
+        self.member_watch = MemberWatch(store=self.store, counters=counters)
         self.zone = cfg.zone
 
     def start(self, nursery, *, address):
--- a/src/radishlanding/observe/event_log.py
+++ b/src/radishlanding/observe/event_log.py
@@ -4,10 +4,15 @@
 import logging
 import traceback
 
+# Longer values, such as reasons that quote input, are cut.
+MAX_VALUE_CHARS = 4000
+
 
 def _format_value(value):
     text = str(value)
-    if text and not any(char in text for char in ' "=\n\r'):
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "..."
+    if text and text.isprintable() and not any(c in text for c in ' "='):
         return text
     return json.dumps(text)
 
@@ -15,8 +20,8 @@
 class EventLog:
     """Write each event as one line of key=value pairs.
 
-    Values that contain blanks, quotes, equal signs or line breaks are
-    written as JSON strings.
+    Values that contain blanks, quotes, equal signs or characters that cannot
+    be printed are written as JSON strings. Long values are cut.
     """
 
     __slots__ = ("_logger",)
@@ -35,7 +40,7 @@
 
     def exception(self, event, **fields):
         """Log an event with the exception being handled and its traceback."""
-        trace = traceback.format_exc()
+        trace = traceback.format_exc()[-MAX_VALUE_CHARS:]
         self._write(logging.ERROR, event, {**fields, "trace": trace})
 
     def debug(self, event, **fields):
--- a/src/radishlanding/peer/link.py
+++ b/src/radishlanding/peer/link.py
@@ -23,7 +23,7 @@
     try:
         with trio.fail_after(DIAL_TIMEOUT_S):
             return await trio.open_tcp_stream(host, int(port))
-    except (OSError, ValueError, trio.TooSlowError) as exc:
+    except (OSError, OverflowError, ValueError, trio.TooSlowError) as exc:
         raise ConnectionLost(
             f"{address}: {exc!r}",
             was_sent=False,
--- a/src/radishlanding/platform/advisor.py
+++ b/src/radishlanding/platform/advisor.py
@@ -8,6 +8,8 @@
 
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
+from radishlanding.platform.fields import check_text
+from radishlanding.platform.fields import read_list
 from radishlanding.worker import AdvisorUnavailable
 
 # A call about 100 workers may take seconds once the calls queued before it
@@ -50,5 +52,18 @@
             raise AdvisorUnavailable(f"{step}: {exc}") from exc
         if response.status != 200:
             raise AdvisorUnavailable(f"{step}: status {response.status}")
-        # "good" holds rows of a worker identity and its ticket.
-        return {row[0]: row[1] for row in answer["good"]}
+        try:
+            return _decode_tickets(answer)
+        except (TypeError, ValueError) as exc:
+            raise AdvisorUnavailable(f"{step}: {exc}") from exc
+
+
+def _decode_tickets(answer):
+    """Return the tickets by worker identity."""
+    if "good" not in answer:
+        raise ValueError("good is missing")
+    tickets = {}
+    for row in read_list(answer, "good"):
+        worker_id, ticket, *_ = row
+        tickets[check_text(worker_id, "worker")] = check_text(ticket, "ticket")
+    return tickets
--- a/src/radishlanding/platform/client_api.py
+++ b/src/radishlanding/platform/client_api.py
@@ -4,20 +4,15 @@
 """
 
 import re
-import time
-
-import msgspec
 
 from radishlanding.http import HttpError
 from radishlanding.http import HttpResponse
 from radishlanding.observe import EventLog
-from radishlanding.vm import Capacity
-from radishlanding.workflow import Step
-from radishlanding.workflow import Workflow
+from radishlanding.platform.job import decode_job
 from radishlanding.workflow import WorkflowOutcome
 
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
-MAX_SPEC_BYTES = 4000
+MAX_DEADLINE_MS = 3_600_000
 # The platform's pages specify no default; the callers that its sheets
 # describe wait 3 s.
 DEFAULT_DEADLINE_MS = 3000
@@ -96,8 +91,8 @@
 
     async def _submit(self, req, queue, name, timeout_s):
         try:
-            workflow = _decode_workflow(name, queue, req.body)
-        except (KeyError, TypeError, ValueError) as exc:
+            workflow = decode_job(name, queue, req.body)
+        except ValueError as exc:
             _log.info(
                 "job_malformed", request=_request_id(req), job=name, reason=exc
             )
@@ -114,9 +109,10 @@
 
 def _timeout_s(req):
     try:
-        return int(req.headers["x-deadline-ms"]) / 1000
+        deadline_ms = int(req.headers["x-deadline-ms"])
     except (KeyError, ValueError):
         return DEFAULT_DEADLINE_MS / 1000
+    return min(max(deadline_ms, 0), MAX_DEADLINE_MS) / 1000
 
 
 def _retry_response(status, retry_after_s):
@@ -143,73 +139,3 @@
         case WorkflowOutcome.REFUSED:
             return _retry_response(503, answer.retry_after_s)
     return _retry_response(504, answer.retry_after_s)
-
-
-def _decode_step(raw, number):
-    after = [int(item) for item in raw.get("after", [])]
-    if any(not 0 <= item < number for item in after):
-        raise ValueError(f"step {number} cannot come after {after}")
-    count = int(raw["count"])
-    if count < 1:
-        raise ValueError(f"step {number} has {count} tasks")
-    return Step(
-        count=count,
-        needs=Capacity(
-            millicores=int(raw.get("cpu", 0)),
-            memory_mb=int(raw.get("memMb", 0)),
-            accelerators=int(raw.get("gpu", 0)),
-        ),
-        estimated_ms=int(raw.get("estimatedMs", 0)),
-        after=after,
-        checkpointing=bool(raw.get("checkpointing", False)),
-        gang=bool(raw.get("gang", False)),
-        same_rack=bool(raw.get("sameRack", False)),
-        # One label that the VM must have.
-        label=str(raw.get("requirements", "") or ""),
-        # The rack that holds the input data.
-        data_rack=str(raw.get("affinity", "") or ""),
-        # Highest number of the step's tasks on one VM, 0 for no limit.
-        max_per_vm=int(raw.get("antiAffinity", 0)),
-        speculative=bool(raw.get("speculative", False)),
-        standing=bool(raw.get("longRunning", False)),
-        image=str(raw.get("image", "") or ""),
-        latency_target_ms=int(raw.get("targetMs", 0)),
-        fills=bool(raw.get("fills", False)),
-        # Standing tasks that planned stops may take down at once.
-        max_unavailable=int(raw.get("mayMiss", 0)),
-    )
-
-
-def _decode_workflow(name, queue, body):
-    """Decode a job.
-
-    The workflow keeps the settings that its queue has now; a later change of
-    the queue does not affect it.
-    """
-    raw = msgspec.json.decode(body)
-    spec = raw["spec"]
-    if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
-        raise ValueError(
-            f"spec is not a string of at most {MAX_SPEC_BYTES} bytes"
-        )
-    steps = [
-        _decode_step(step, number) for number, step in enumerate(raw["steps"])
-    ]
-    if not steps:
-        raise ValueError("the job has no steps")
-    return Workflow(
-        workflow_id=name,
-        queue=queue.name,
-        pool=queue.pool,
-        spec=spec,
-        steps=steps,
-        repeats=int(raw.get("repeatCount", 0)),
-        first_due_ms=int(raw.get("firstRunMs", 0)),
-        interval_ms=int(raw.get("intervalMs", 0)),
-        accepted_ms=int(time.time() * 1000),
-        priority=queue.priority,
-        max_attempts=queue.max_attempts,
-        stretch=queue.stretch,
-        latency_ms=queue.latency_ms,
-        is_advised=queue.advisor_timing is not None,
-    )
--- a/src/radishlanding/platform/kv_store.py
+++ b/src/radishlanding/platform/kv_store.py
@@ -5,12 +5,18 @@
 """
 
 import base64
+import contextlib
 import json
 import time
 import urllib.parse
 
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
+from radishlanding.platform.fields import check_text
+from radishlanding.platform.fields import MAX_NUMBER
+from radishlanding.platform.fields import read_int
+from radishlanding.platform.fields import read_list
+from radishlanding.platform.fields import read_object
 from radishlanding.store import ChangeSet
 from radishlanding.store import Conflict
 from radishlanding.store import HistoryCompacted
@@ -29,13 +35,31 @@
 HEADERS = (("content-type", "application/json"),)
 # A call that is answered with one of these statuses had no effect.
 NOT_EXECUTED_STATUSES = (403, 429, 503)
+MAX_LEASE = 2**64 - 1
 
 
 def _decode_item(raw):
     return KeyValue(
-        key=raw["key"],
+        key=check_text(read_object(raw, "item")["key"], "key"),
         value=base64.b64decode(raw.get("value", "")),
-        version=int(raw["revision"]),
+        version=read_int(raw, "revision", maximum=MAX_NUMBER),
+    )
+
+
+def _decode_changes(answer):
+    written, deleted = {}, {}
+    for event in read_list(answer, "events"):
+        key = check_text(read_object(event, "event")["key"], "key")
+        if event.get("deleted"):
+            deleted[key] = True
+            written.pop(key, None)
+        else:
+            written[key] = _decode_item(event)
+            deleted.pop(key, None)
+    return ChangeSet(
+        written=list(written.values()),
+        deleted=list(deleted),
+        revision=read_int(answer, "storeRevision", maximum=MAX_NUMBER),
     )
 
 
@@ -103,6 +127,17 @@
             )
         return response.status, answer
 
+    @contextlib.contextmanager
+    def _decoding(self, path):
+        """Raise StoreUnavailable for an answer that cannot be decoded."""
+        try:
+            yield
+        except (KeyError, TypeError, ValueError) as exc:
+            self._counters.add("store_failures")
+            raise StoreUnavailable(
+                f"{path}: malformed answer: {exc!r}", was_sent=True
+            ) from exc
+
     def _unexpected_status(self, path, status):
         self._counters.add("store_failures")
         return StoreUnavailable(f"{path}: status {status}", was_sent=True)
@@ -118,7 +153,8 @@
             return None
         if status != 200:
             raise self._unexpected_status("kv-key", status)
-        return _decode_item(answer)
+        with self._decoding("kv-key"):
+            return _decode_item(answer)
 
     async def list(self, prefix, *, is_stale_ok=False, timeout_s=None):
         """Return the keys of a prefix in order, read page by page.
@@ -139,12 +175,18 @@
             )
             if status != 200:
                 raise self._unexpected_status("kv-range", status)
-            items += [_decode_item(raw) for raw in answer["items"]]
-            if revision is None:
-                revision = int(answer["storeRevision"])
-            if not answer.get("morePages") or not answer["items"]:
+            with self._decoding("kv-range"):
+                page = [
+                    _decode_item(raw) for raw in read_list(answer, "items")
+                ]
+                items += page
+                if revision is None:
+                    revision = read_int(
+                        answer, "storeRevision", maximum=MAX_NUMBER
+                    )
+            if not answer.get("morePages") or not page:
                 return Listing(items=items, revision=revision)
-            query["after"] = answer["items"][-1]["key"]
+            query["after"] = page[-1].key
 
     async def watch(self, prefix, *, after, wait_s):
         """Return the changes of a prefix after a revision.
@@ -168,20 +210,8 @@
             raise HistoryCompacted(f"{prefix}: after {after}")
         if status != 200:
             raise self._unexpected_status("kv-watch", status)
-        written, deleted = {}, {}
-        for event in answer["events"]:
-            key = event["key"]
-            if event.get("deleted"):
-                deleted[key] = True
-                written.pop(key, None)
-            else:
-                written[key] = _decode_item(event)
-                deleted.pop(key, None)
-        return ChangeSet(
-            written=list(written.values()),
-            deleted=list(deleted),
-            revision=int(answer["storeRevision"]),
-        )
+        with self._decoding("kv-watch"):
+            return _decode_changes(answer)
 
     async def transact(self, *, expected, writes=(), removes=()):
         """Write and remove keys if all expected versions hold.
@@ -215,7 +245,8 @@
             raise LeaseExpired(", ".join(write.key for write in writes))
         if status != 200:
             raise self._unexpected_status("kv-txn", status)
-        return int(answer["revision"])
+        with self._decoding("kv-txn"):
+            return read_int(answer, "revision", maximum=MAX_NUMBER)
 
     async def grant(self, *, ttl_s):
         """Return the identity of a new lease.
@@ -227,7 +258,8 @@
         )
         if status != 200:
             raise self._unexpected_status("kv-lease", status)
-        return int(answer["lease"])
+        with self._decoding("kv-lease"):
+            return read_int(answer, "lease", maximum=MAX_LEASE)
 
     async def keep_alive(self, lease):
         """Renew a lease; return whether it still exists.
--- a/src/radishlanding/platform/operator_documents.py
+++ b/src/radishlanding/platform/operator_documents.py
@@ -4,16 +4,22 @@
 operator's API.
 """
 
-import json
-
 from radishlanding.config import AdvisorTiming
 from radishlanding.config import Queue
 from radishlanding.config import Site
+from radishlanding.findings import decode_json
 from radishlanding.observe import EventLog
+from radishlanding.platform.fields import check_number
+from radishlanding.platform.fields import MAX_NUMBER
+from radishlanding.platform.fields import read_int
+from radishlanding.platform.fields import read_list
+from radishlanding.platform.fields import read_object
+from radishlanding.platform.fields import read_text
 
 SITE_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
+DEFAULT_MAX_BODY_BYTES = 262_144
 
 _log = EventLog("radishlanding.platform")
 
@@ -21,25 +27,27 @@
 def _decode_advisor_timing(raw):
     if not raw:
         return None
+    read_object(raw, "advice")
     return AdvisorTiming(
-        decide_ms=int(raw.get("decideMs", 0)),
-        each_ms=int(raw.get("eachMs", 0)),
-        valid_ms=int(raw.get("validMs", 0)),
+        decide_ms=read_int(raw, "decideMs", default=0),
+        each_ms=read_int(raw, "eachMs", default=0),
+        valid_ms=read_int(raw, "validMs", default=0),
     )
 
 
 def _decode_queue(raw):
+    read_object(raw, "routes")
     return Queue(
-        name=raw["name"],
-        host=raw["host"],
-        prefix=raw["prefix"],
+        name=read_text(raw, "name"),
+        host=read_text(raw, "host"),
+        prefix=read_text(raw, "prefix"),
         # The platform calls a pool of VMs a service.
-        pool=raw["service"],
-        priority=int(raw.get("priority", 0)),
-        max_attempts=int(raw.get("maxAttempts", 0)),
-        stretch=float(raw.get("stretch", 1.0)),
-        latency_ms=int(raw.get("targetLatencyMs", 0)),
-        timeout_ms=int(raw.get("timeoutMs", 0)),
+        pool=read_text(raw, "service"),
+        priority=read_int(raw, "priority", default=0),
+        max_attempts=read_int(raw, "maxAttempts", default=0),
+        stretch=check_number(raw.get("stretch", 1.0), "stretch"),
+        latency_ms=read_int(raw, "targetLatencyMs", default=0),
+        timeout_ms=read_int(raw, "timeoutMs", default=0),
         advisor_timing=_decode_advisor_timing(raw.get("advice")),
     )
 
@@ -47,9 +55,9 @@
 def _pools_with(raw, flag):
     """Return the names of the pools that have a flag."""
     return frozenset(
-        service["name"]
-        for service in raw.get("services", [])
-        if service.get(flag)
+        read_text(service, "name")
+        for service in read_list(raw, "services")
+        if read_object(service, "services").get(flag)
     )
 
 
@@ -69,18 +77,21 @@
     if item is None:
         return Site(zones_out=zones_out)
     try:
-        raw = json.loads(item.value)
-        queues = [_decode_queue(route) for route in raw["routes"]]
+        raw = read_object(decode_json(item.value), "the document")
+        if "routes" not in raw:
+            raise ValueError("routes is missing")
+        queues = [_decode_queue(route) for route in read_list(raw, "routes")]
+        limits = read_object(raw.get("limits") or {}, "limits")
         return Site(
-            version=int(raw["version"]),
+            version=read_int(raw, "version", maximum=MAX_NUMBER),
             queues={queue.name: queue for queue in queues},
             enforcing_pools=_pools_with(raw, "enforcesCapacity"),
             spare_pools=_pools_with(raw, "spare"),
             zones_out=zones_out,
-            max_body_bytes=int(
-                raw.get("limits", {}).get("maxBodyBytes", 262_144)
+            max_body_bytes=read_int(
+                limits, "maxBodyBytes", default=DEFAULT_MAX_BODY_BYTES
             ),
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except ValueError as exc:
         _log.error("config_unreadable", version=item.version, reason=exc)
         return Site(zones_out=zones_out)
--- a/src/radishlanding/settings/load.py
+++ b/src/radishlanding/settings/load.py
@@ -1,9 +1,9 @@
 """Loads and validates the settings of a process."""
 
 import dataclasses
-import ipaddress
 
 from radishlanding.findings import Collector
+from radishlanding.findings import find_address_problem
 from radishlanding.findings import read_toml
 from radishlanding.findings import structure
 from radishlanding.settings.agent import AgentSettings
@@ -47,20 +47,6 @@
 )
 
 
-def _find_address_problem(text, *, is_zero_allowed):
-    """Return what is wrong with an address, or an empty string."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return f"{text!r} is not ip:port"
-    if not port.isdecimal() or not 0 <= int(port) <= 65535:
-        return f"{text!r} must have a port from 0 to 65535"
-    if int(port) == 0 and not is_zero_allowed:
-        return f"{text!r} has port 0, to which nothing can connect"
-    return ""
-
-
 def _check_addresses(name, value, collector):
     if name in _OPTIONAL_KEYS and not value:
         return
@@ -68,7 +54,7 @@
     if not values:
         collector.add(key=name, problem="must name at least one address")
     for text in values:
-        problem = _find_address_problem(
+        problem = find_address_problem(
             text, is_zero_allowed=name in _LISTEN_KEYS
         )
         if problem:
--- a/src/radishlanding/store/__init__.py
+++ b/src/radishlanding/store/__init__.py
@@ -11,6 +11,7 @@
 from radishlanding.store.prefix_watch import PrefixWatch
 from radishlanding.store.record import pack
 from radishlanding.store.record import unpack
+from radishlanding.store.record_reader import RecordReader
 from radishlanding.store.store import Store
 from radishlanding.store.transactional_store import TransactionalStore
 from radishlanding.store.unavailable import StoreUnavailable
@@ -26,6 +27,7 @@
     "LeaseExpired",
     "Listing",
     "PrefixWatch",
+    "RecordReader",
     "Store",
     "StoreUnavailable",
     "TransactionalStore",
--- a/src/radishlanding/store/record.py
+++ b/src/radishlanding/store/record.py
@@ -15,9 +15,12 @@
 
     :param cls: Dataclass of the record.
     :param data: Bytes from :func:`pack`.
-    :raises CorruptRecord: The bytes are not a record of this type.
+    :raises CorruptRecord: The bytes are not a record of this type, or are
+        nested too deeply.
     """
     try:
         return msgspec.json.decode(data, type=cls)
+    except RecursionError as exc:
+        raise CorruptRecord(f"{cls.__name__}: nested too deeply") from exc
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise CorruptRecord(f"{cls.__name__}: {exc}") from exc
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -63,6 +63,10 @@
         """Add a :class:`TaskAttempt`."""
         self._attempts[task.key] = task
 
+    def has_attempts(self):
+        """Return whether there is an attempt that is not settled."""
+        return bool(self._attempts)
+
     def active(self):
         """Return the attempts that may run."""
         return [task for task in self._attempts.values() if task.end is None]
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -16,9 +16,8 @@
 from radishlanding.platform import Runner
 from radishlanding.policy import choose_standby
 from radishlanding.store import CallBudget
-from radishlanding.store import CorruptRecord
+from radishlanding.store import RecordReader
 from radishlanding.store import StoreUnavailable
-from radishlanding.store import unpack
 from radishlanding.vmagent.dispatcher_links import DispatcherLinks
 from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
 
@@ -26,6 +25,8 @@
 DISCOVERY_INTERVAL_S = 0.5
 # Added to that while one is connected.
 LEADER_CHECK_INTERVAL_S = 5.0
+# Workers on one VM: the running one, and those whose ends are not settled.
+MAX_WORKERS = 16
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -37,6 +38,7 @@
         "_cfg",
         "_counters",
         "_links",
+        "_member_reader",
         "_nursery",
         "_store",
         "_supervisors",
@@ -49,6 +51,7 @@
         """
         self._cfg = cfg
         self._counters = Counters()
+        self._member_reader = RecordReader(Member, counters=self._counters)
         self._nursery = None
         self._supervisors = {}
         self._links = DispatcherLinks(
@@ -79,7 +82,9 @@
 
     async def _start(self, nursery):
         self._links.open(nursery)
-        server = HttpServer(handler=RegistrationApi(handler=self))
+        server = HttpServer(
+            handler=RegistrationApi(handler=self, counters=self._counters)
+        )
         host, _, port = self._cfg.report_listen.rpartition(":")
         port = await nursery.start(
             functools.partial(server.run, host=host, port=int(port))
@@ -130,12 +135,8 @@
         :raises StoreUnavailable: The store gave no answer.
         """
         listing = await self._store.list(MEMBERS, is_stale_ok=True)
-        addresses = set()
-        for item in listing.items:
-            try:
-                addresses.add(unpack(Member, item.value).address)
-            except CorruptRecord as exc:
-                _log.error("member_bad", key=item.key, reason=exc)
+        members = self._member_reader.read_all(listing.items)
+        addresses = {member.address for member in members}
         if addresses:
             self._links.close_disconnected(self._links.addresses - addresses)
         return addresses
@@ -148,10 +149,33 @@
         """
         supervisor = self._supervisors.get(report.address)
         if supervisor is None:
-            self._add_supervisor(report)
+            if self._has_room():
+                self._add_supervisor(report)
+            else:
+                self._counters.add("workers_refused")
+                _log.warning(
+                    "worker_refused",
+                    vm=report.address,
+                    worker=report.worker_id,
+                    supervised=len(self._supervisors),
+                )
         elif self._is_newer(report, supervisor.report):
             supervisor.update(report)
 
+    def _has_room(self):
+        """Return whether another worker can be supervised.
+
+        Supervisors whose worker has left with all ends settled are removed.
+        """
+        for vm, supervisor in list(self._supervisors.items()):
+            if len(self._supervisors) < MAX_WORKERS:
+                break
+            if supervisor.has_left and not supervisor.table.has_attempts():
+                del self._supervisors[vm]
+                supervisor.close()
+                _log.info("worker_removed", vm=vm)
+        return len(self._supervisors) < MAX_WORKERS
+
     def _is_newer(self, report, known):
         return (report.born_ms, report.number) > (known.born_ms, known.number)
 
@@ -177,9 +201,10 @@
 
     async def _run_supervisor(self, supervisor):
         self._links.introduce(supervisor)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._links.run_reports, supervisor)
-            nursery.start_soon(supervisor.run)
+        with supervisor.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._links.run_reports, supervisor)
+                nursery.start_soon(supervisor.run)
 
     def worker_left(self, worker_id):
         """Mark a worker as leaving after it has deregistered.
--- a/tests/config/config_steps.py
+++ b/tests/config/config_steps.py
@@ -12,6 +12,7 @@
 from radishlanding.config import ConfigWatch
 from radishlanding.config import diff_documents
 from radishlanding.config import Document
+from radishlanding.observe import Counters
 from tests.standin.open_store import open_store
 
 EXAMPLE = pathlib.Path(__file__).parent.parent.parent / "examples"
@@ -39,7 +40,9 @@
 @given("two watches of one store at revision 1")
 def _two_watches(context):
     context.store, store = context.bridge.call(open_store, context.bridge)
-    context.watches = [ConfigWatch(store=store) for _ in range(2)]
+    context.watches = [
+        ConfigWatch(store=store, counters=Counters()) for _ in range(2)
+    ]
     replace = functools.partial(
         context.watches[0].replace, Document(author="zero"), expected=0
     )
--- a/tests/dispatch/candidate_steps.py
+++ b/tests/dispatch/candidate_steps.py
@@ -100,7 +100,10 @@
         counters=Counters(),
         grace_s=GRACE_S,
         succession=Succession(
-            policy=StrongestFirst(), member=member, site_keys=site_keys
+            policy=StrongestFirst(),
+            member=member,
+            site_keys=site_keys,
+            counters=Counters(),
         ),
     )
 
--- a/tests/dispatch/entry_log.feature
+++ b/tests/dispatch/entry_log.feature
@@ -7,6 +7,12 @@
     And an append by A is fenced
     And a confirmation by A is fenced
 
+  Scenario: a key of another writer among the entries is skipped
+    Given a log that A leads with 3 workflows
+    When another writer adds a key among the entries
+    And B claims the log
+    Then B has 3 workflows and epoch 2
+
   Scenario: only one of two concurrent claims succeeds
     Given a log without a leader
     When A and B claim it concurrently
--- a/tests/dispatch/entry_log_steps.py
+++ b/tests/dispatch/entry_log_steps.py
@@ -252,6 +252,12 @@
     assert len(claimant.registry.workflows) == count
 
 
+@when("another writer adds a key among the entries")
+def _foreign_key(context):
+    for name in ("odd", "0", "zzzzzzzzzzzz"):
+        context.platform_store.put(keys.LOG + name, b"odd")
+
+
 @then("the leader's key is absent")
 def _key_absent(context):
     assert context.platform_store.get(keys.LEADER) is None
--- a/tests/membership/membership_steps.py
+++ b/tests/membership/membership_steps.py
@@ -8,6 +8,7 @@
 from radishlanding.membership import Member
 from radishlanding.membership import MemberWatch
 from radishlanding.membership import Registration
+from radishlanding.observe import Counters
 from radishlanding.store import StoreUnavailable
 from tests.standin.open_store import open_store
 from tests.standin.proxy import Proxy
@@ -25,7 +26,9 @@
     context.standin, context.store = context.bridge.call(
         open_store, context.bridge, proxy=context.proxy
     )
-    context.member_watch = MemberWatch(store=context.store)
+    context.member_watch = MemberWatch(
+        store=context.store, counters=Counters()
+    )
     context.bridge.call(_register, context)
 
 
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -71,6 +71,27 @@
       | no capacity          |
       | numbers as labels    |
       | no JSON              |
+      | 200000 levels        |
+      | a capacity of 10^30  |
+      | a negative capacity  |
+      | a remaining time of 10^30 |
+      | an infinite number   |
+      | port 0               |
+      | port 99999           |
+      | a host name          |
+      | an unpaired surrogate |
+      | a zone of 1 MB       |
+      | 200000 labels        |
+
+  Scenario Outline: a ping of an identity that no header can carry is refused
+    When a runner whose identity is <identity> sends a ping
+    Then it is answered with 400 and not reported
+
+    Examples:
+      | identity     |
+      | a%0d%0ab     |
+      | %F0%9F%90%9F |
+      | a%20b        |
 
   Scenario Outline: the response to a submission gives the recorded outcome
     Given a queue whose leader answers a submission with <outcome>
@@ -104,6 +125,14 @@
       | a step of 0 tasks         |
       | a spec of 5000 bytes      |
       | a spec that is a number   |
+      | 200000 levels             |
+      | a step of 10^30 cores     |
+      | a step of 10^30 tasks     |
+      | a time of 10^30 ms        |
+      | a negative capacity       |
+      | a number as image         |
+      | an unpaired surrogate     |
+      | a list as job             |
 
   Scenario Outline: requests that match no queue or job are refused
     When a client requests <path> of <host>
