Rank VMs once for a step, and place by the headroom that tasks spare

Beside serving tasks, best-effort tasks were held to a fixed headroom of 0.7, which one heavy task of a tenth of a VM exceeds, so that heavy workflows waited 4 s and then ran anywhere, whatever the serving tasks could bear. A new image was tried by one task in the whole fleet. Every heavy task beside serving tasks was moved away when another VM was idle, also where it fitted.

Change: VmSelector ranks the VMs once for a step and keeps them in a heap. Placement admits best-effort tasks up to the headroom that the serving tasks of a VM can spare, by their measured baselines; a sixteenth of the VMs may try a new image; Migration moves tasks only from VMs where they take more.

--- a/src/radishlanding/dispatch/__init__.py
+++ b/src/radishlanding/dispatch/__init__.py
@@ -1,12 +1,6 @@
 """Leads a site: records its workflows, places and supervises their tasks."""
 
-from radishlanding.dispatch.candidate import Candidate
-from radishlanding.dispatch.entry_log import EntryLog
-from radishlanding.dispatch.fleet import Fleet
-from radishlanding.dispatch.leader import Leader
-from radishlanding.dispatch.site_watch import SiteWatch
-from radishlanding.dispatch.succession import Succession
-from radishlanding.dispatch.vm_session import VmSession
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "Candidate",
@@ -17,3 +11,16 @@
     "Succession",
     "VmSession",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Candidate": "candidate",
+        "EntryLog": "entry_log",
+        "Fleet": "fleet",
+        "Leader": "leader",
+        "SiteWatch": "site_watch",
+        "Succession": "succession",
+        "VmSession": "vm_session",
+    },
+)
--- a/src/radishlanding/dispatch/load_cache.py
+++ b/src/radishlanding/dispatch/load_cache.py
@@ -43,6 +43,9 @@
             self._interference.headroom_cost(step, load_copy.capacity)
             for step in load.best_effort_steps
         )
+        load_copy.spare_headroom = self._interference.spare_headroom(
+            load.serving_ids
+        )
         return load_copy
 
     def _compute(self, session):
@@ -63,6 +66,8 @@
             load.finite_tasks += not step.standing
             if step.fills:
                 load.best_effort_steps.append(step)
+            elif step.latency_target_ms:
+                load.serving_ids.append(task.task_id)
         return load
 
     def step_of(self, task):
--- a/src/radishlanding/http/__init__.py
+++ b/src/radishlanding/http/__init__.py
@@ -1,14 +1,6 @@
 """HTTP/1.1 client and server."""
 
-from radishlanding.http.client import HttpClient
-from radishlanding.http.exchange_failed import ExchangeFailed
-from radishlanding.http.handler import HttpHandler
-from radishlanding.http.http_error import HttpError
-from radishlanding.http.limits import Limits
-from radishlanding.http.metrics_page import serve_metrics
-from radishlanding.http.request import HttpRequest
-from radishlanding.http.response import HttpResponse
-from radishlanding.http.server import HttpServer
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "ExchangeFailed",
@@ -21,3 +13,18 @@
     "Limits",
     "serve_metrics",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "ExchangeFailed": "exchange_failed",
+        "HttpClient": "client",
+        "HttpError": "http_error",
+        "HttpHandler": "handler",
+        "HttpRequest": "request",
+        "HttpResponse": "response",
+        "HttpServer": "server",
+        "Limits": "limits",
+        "serve_metrics": "metrics_page",
+    },
+)
--- a/src/radishlanding/platform/__init__.py
+++ b/src/radishlanding/platform/__init__.py
@@ -4,14 +4,7 @@
 platform's wire names.
 """
 
-from radishlanding.platform.advisor import PlatformAdvisor
-from radishlanding.platform.client_api import ClientApi
-from radishlanding.platform.kv_store import KvStore
-from radishlanding.platform.operator_documents import read_site
-from radishlanding.platform.operator_documents import SITE_PREFIX
-from radishlanding.platform.ready_api import ReadyApi
-from radishlanding.platform.registration_api import RegistrationApi
-from radishlanding.platform.runner import Runner
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "SITE_PREFIX",
@@ -23,3 +16,17 @@
     "Runner",
     "read_site",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "ClientApi": "client_api",
+        "KvStore": "kv_store",
+        "PlatformAdvisor": "advisor",
+        "ReadyApi": "ready_api",
+        "RegistrationApi": "registration_api",
+        "Runner": "runner",
+        "SITE_PREFIX": "operator_documents",
+        "read_site": "operator_documents",
+    },
+)
--- a/src/radishlanding/policy/interference.py
+++ b/src/radishlanding/policy/interference.py
@@ -23,6 +23,12 @@
 # Baseline of a serving task before any measurement, and its standard error.
 PRIOR_BASELINE = 3.0
 PRIOR_BASELINE_STD_ERROR = 2.0
+# Headroom that placement leaves to serving tasks: a tail latency of 0.7 of its
+# target. The baseline may fall within seconds, and paces follow late.
+PLACEMENT_RESERVE = 1.4
+# Headroom that serving tasks without measurements spare: with it a tail
+# latency rises from half of its target, which is usual, to three quarters.
+DEFAULT_SPARE_HEADROOM = 0.7
 # Beyond this, tail latencies are too short for differences to say much.
 MAX_HEADROOM = 8.0
 # Smaller shares of a VM's processors count as none.
@@ -92,6 +98,21 @@
         share = step.needs.millicores / capacity.millicores
         return self.weight(step.image) * share
 
+    def spare_headroom(self, task_ids):
+        """Return the headroom that serving tasks can spare.
+
+        :param task_ids: Ids of the serving tasks of one VM.
+        :returns: What best-effort tasks may take from them in total.
+        """
+        known = [
+            self._baselines[task_id].value
+            for task_id in task_ids
+            if task_id in self._baselines
+        ]
+        if not known:
+            return DEFAULT_SPARE_HEADROOM
+        return max(0.0, min(known) - PLACEMENT_RESERVE)
+
     def observe(self, serving, best_effort):
         """Process the measurements of one VM.
 
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -8,8 +8,9 @@
 class Migration:
     """Move interfering best-effort tasks to VMs without serving tasks.
 
-    Beside serving tasks they are slowed down until they make next to no
-    progress; elsewhere they resume from their checkpoints.
+    Where they take more headroom than the serving tasks can spare, they are
+    slowed down until they make next to no progress; elsewhere they resume
+    from their checkpoints.
     """
 
     __slots__ = ("_interference", "_min_idle_share")
@@ -51,6 +52,7 @@
             and step.checkpointing
             and not step.gang
             and load.serving_tasks > 0
+            and load.headroom_cost > load.spare_headroom
             and not self._interference.is_light(step.image)
         )
 
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from radishlanding.policy.interference import DEFAULT_SPARE_HEADROOM
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
 
@@ -23,9 +24,11 @@
     :param best_effort_tasks: Number of best-effort tasks on it by image.
     :param headroom_cost: Headroom that its best-effort tasks take, see
         :class:`Interference`.
+    :param spare_headroom: Headroom that its serving tasks can spare.
     :param max_new_tasks: Further tasks that it may take, None for any.
     :param finite_tasks: Number of tasks on it that are not standing.
     :param best_effort_steps: Step of each best-effort task on it.
+    :param serving_ids: Identity of each serving task on it.
     :param steps: Number of tasks on it by workflow, occurrence and step.
     """
 
@@ -40,9 +43,11 @@
     serving_tasks: int = 0
     best_effort_tasks: dict[str, int] = dataclasses.field(default_factory=dict)
     headroom_cost: float = 0.0
+    spare_headroom: float = DEFAULT_SPARE_HEADROOM
     max_new_tasks: int | None = None
     finite_tasks: int = 0
     best_effort_steps: list[Step] = dataclasses.field(default_factory=list)
+    serving_ids: list[str] = dataclasses.field(default_factory=list)
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
     )
@@ -61,17 +66,19 @@
             serving_tasks=self.serving_tasks,
             best_effort_tasks=dict(self.best_effort_tasks),
             headroom_cost=self.headroom_cost,
+            spare_headroom=self.spare_headroom,
             max_new_tasks=self.max_new_tasks,
             finite_tasks=self.finite_tasks,
             best_effort_steps=self.best_effort_steps,
+            serving_ids=self.serving_ids,
             steps=dict(self.steps),
         )
 
     def add(self, key, step):
         """Count a task that is on the VM or planned for it.
 
-        ``headroom_cost``, ``finite_tasks`` and ``best_effort_steps`` are left
-        to the caller.
+        ``headroom_cost``, ``finite_tasks``, ``best_effort_steps`` and
+        ``serving_ids`` are left to the caller.
 
         :param key: Workflow, occurrence and step of the task.
         :param step: The :class:`radishlanding.workflow.Step`.
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -1,90 +1,158 @@
-"""Selects the VM for a task of a workflow."""
+"""Selects VMs for the tasks of a step."""
+
+import heapq
 
 # Share of its processors that a best-effort task must find idle to start.
 MIN_IDLE_SHARE = 0.6
-# Headroom that the best-effort tasks of a VM may take from serving tasks:
-# with it a tail latency rises from half of its target, which is usual, to
-# three quarters.
-MAX_HEADROOM_COST = 0.7
+# Of the VMs with serving tasks, one in this many may try a best-effort image
+# that is not known yet, but one at least.
+VMS_PER_TRIAL = 16
 
 
 class VmSelector:
-    """Choose among VMs by their capacity and by interference."""
+    """Choose VMs for a step, by their capacity and by interference.
+
+    All VMs are ranked once. While a selector is in use, only the VMs that it
+    has chosen may change, so that a further task costs no further ranking.
+    """
 
-    __slots__ = ("_interference",)
+    __slots__ = (
+        "_heap",
+        "_interference",
+        "_is_light",
+        "_is_starved",
+        "_key",
+        "_step",
+        "_trials_left",
+    )
 
-    def __init__(self, *, interference):
-        """Prepare the selector.
+    def __init__(self, *, interference, key, step, vms, is_starved=False):
+        """Rank the VMs for the tasks of a step.
 
         :param interference: An :class:`Interference`.
+        :param key: Workflow, occurrence and step of the tasks.
+        :param step: The :class:`radishlanding.workflow.Step`.
+        :param vms: The :class:`VmLoad` objects to choose from; the first of
+            equally good ones is preferred.
+        :param is_starved: Whether no task of the workflow has run for some
+            time; its best-effort tasks may then run beside any serving task.
         """
         self._interference = interference
+        self._is_light = interference.is_light(step.image)
+        self._is_starved = is_starved
+        self._key = key
+        self._step = step
+        self._trials_left = self._count_trials_left(vms)
+        self._heap = [
+            self._entry(number, vm)
+            for number, vm in enumerate(vms)
+            if self._admits(vm)
+        ]
+        heapq.heapify(self._heap)
 
-    def choose(self, key, step, vms, *, is_starved=False):
-        """Return the best VM for one more task of a step, or None.
+    def choose(self, *, avoided_vm=""):
+        """Return the best VM for one more task, or None.
 
-        Best-effort tasks run beside serving tasks only within
-        ``MAX_HEADROOM_COST`` per VM, unless their workflow is starved.
+        The caller adds the task to the VM and calls :meth:`restore`.
 
-        :param key: Workflow, occurrence and step of the task.
-        :param step: The :class:`radishlanding.workflow.Step`.
-        :param vms: The :class:`VmLoad` objects to choose from.
-        :param is_starved: Whether no task of the workflow has run for some
-            time.
+        :param avoided_vm: Identity of a VM that is chosen only if no other
+            one is left.
+        """
+        best = self._pop()
+        if best is not None and best.vm == avoided_vm:
+            other = self._pop()
+            if other is not None:
+                self.restore(best)
+                return other
+        return best
+
+    def _pop(self):
+        """Remove and return the best VM that admits a task, or None."""
+        while self._heap:
+            vm = heapq.heappop(self._heap)[-1]
+            if self._admits(vm):
+                return vm
+        return None
+
+    def restore(self, vm):
+        """Make a chosen VM available for another task.
+
+        :param vm: The :class:`VmLoad`, with the tasks placed so far.
         """
-        fitting = [vm for vm in vms if vm.can_fit(key, step)]
-        if step.fills:
-            fitting = [
-                vm
-                for vm in fitting
-                if self._admits_best_effort(
-                    vm, step, vms, is_starved=is_starved
-                )
-            ]
-        if not fitting:
+        if self._trials_left is not None and vm.serving_tasks:
+            self._trials_left -= self._is_trial(vm)
+        if self._admits(vm):
+            # Of equally good VMs those that were not chosen yet go first.
+            heapq.heappush(self._heap, self._entry(len(self._heap), vm))
+
+    def _entry(self, number, vm):
+        """Return a heap entry; the smallest one is the best."""
+        cost = tuple(-part for part in self._score(vm))
+        return cost, number, id(vm), vm
+
+    def _count_trials_left(self, vms):
+        """Return how many more VMs may try the step's image.
+
+        An image that is not known yet runs beside serving tasks on a few VMs
+        only, one task on each; the others wait for the measurements.
+
+        :returns: The number, None if the image is known.
+        """
+        if not self._step.fills or self._interference.is_known(
+            self._step.image
+        ):
             return None
-        local = [vm for vm in fitting if vm.has_local_data(step)]
-        is_light = self._interference.is_light(step.image)
-        return max(
-            local or fitting,
-            key=lambda vm: _score(vm, step, is_light=is_light),
-        )
-
-    def _admits_best_effort(self, vm, step, vms, *, is_starved):
-        """Return whether a best-effort task may go to a VM that fits it.
-
-        One task of an image that is not known yet is tried beside serving
-        tasks; the others wait for the measurements.
+        serving = [vm for vm in vms if vm.serving_tasks]
+        trials = sum(map(self._is_trial, serving))
+        return max(1, len(serving) // VMS_PER_TRIAL) - trials
+
+    def _is_trial(self, vm):
+        return bool(vm.best_effort_tasks.get(self._step.image, 0))
+
+    def _admits(self, vm):
+        """Return whether a VM may take one more task."""
+        if self._step.fills and not self._admits_best_effort(vm):
+            return False
+        return vm.can_fit(self._key, self._step)
+
+    def _admits_best_effort(self, vm):
+        """Return whether a best-effort task may go to a VM if it fits.
+
+        Beside serving tasks best-effort tasks take no more headroom than the
+        serving tasks can spare, unless their workflow is starved.
         """
-        min_idle_millicores = step.needs.millicores * MIN_IDLE_SHARE
-        if vm.idle_millicores < min_idle_millicores:
+        step = self._step
+        if vm.idle_millicores < step.needs.millicores * MIN_IDLE_SHARE:
             return False
-        if not vm.serving_tasks or is_starved:
+        if not vm.serving_tasks or self._is_starved:
             return True
-        if not self._interference.is_known(step.image):
-            return not any(
-                other.serving_tasks
-                and other.best_effort_tasks.get(step.image, 0)
-                for other in vms
-            )
+        if self._trials_left is not None:
+            return self._trials_left > 0 and not self._is_trial(vm)
         cost = self._interference.headroom_cost(step, vm.capacity)
-        return vm.headroom_cost + cost <= MAX_HEADROOM_COST
+        return vm.headroom_cost + cost <= vm.spare_headroom
 
+    def _score(self, vm):
+        """Return how well a VM suits a task; higher is better.
 
-def _score(vm, step, *, is_light):
-    """Return how well a VM suits a task; higher is better.
+        Serving tasks go to VMs with serving tasks, and so do light
+        best-effort tasks and tasks that are neither, so that whole VMs are
+        left to heavy best-effort tasks. Of the VMs with serving tasks, a
+        serving task prefers the one with the most free processors; of the
+        others, the one with the least interference, then the one with the
+        most free processors. The tightest fit would fill VMs one by one, and
+        steps that limit their tasks per VM would then have to use VMs
+        without serving tasks.
 
-    Serving tasks go to VMs with serving tasks, and so do light best-effort
-    tasks and tasks that are neither, so that whole VMs are left to heavy
-    best-effort tasks. Of the VMs with serving tasks, a serving task prefers
-    the one with the most free processors; of the others, the one with the
-    least interference, then the one with the most free processors. The
-    tightest fit would fill VMs one by one, and steps that limit their tasks
-    per VM would then have to use VMs without serving tasks.
-    """
-    if step.latency_target_ms:
-        cost_rank = 0.0 if vm.serving_tasks else -vm.headroom_cost
-        return (vm.serving_tasks > 0, cost_rank, vm.free.millicores)
-    if step.fills and not is_light:
-        return (not vm.serving_tasks, -vm.headroom_cost, vm.idle_millicores)
-    return (vm.serving_tasks > 0, vm.idle_millicores)
+        A VM with the data of the step goes before all others.
+        """
+        step = self._step
+        is_local = vm.has_local_data(step)
+        if step.latency_target_ms:
+            cost_rank = 0.0 if vm.serving_tasks else -vm.headroom_cost
+            free = vm.free.millicores
+            return is_local, vm.serving_tasks > 0, cost_rank, free
+        if step.fills and not self._is_light:
+            left = vm.spare_headroom if vm.serving_tasks else 0.0
+            left -= vm.headroom_cost
+            return is_local, not vm.serving_tasks, left, vm.idle_millicores
+        return is_local, vm.serving_tasks > 0, vm.idle_millicores
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -22,7 +22,6 @@
         "_interference",
         "_order",
         "_rng",
-        "_selector",
         "_tickets",
     )
 
@@ -40,7 +39,6 @@
         :param rng: A :class:`random.Random` that breaks ties between VMs,
             None for a new one.
         """
-        self._selector = VmSelector(interference=interference)
         self._clock_s = clock_s
         self._tickets = tickets
         self._fully_placed = set()
@@ -150,24 +148,26 @@
         ]
 
     def _place_tasks(self, key, step, tasks, vms, *, is_starved):
+        selector = self._selector(key, step, vms, is_starved)
         assignments = []
         for task in tasks:
-            vm = None
-            if task.failed_vm:
-                elsewhere = [vm for vm in vms if vm.vm != task.failed_vm]
-                vm = self._selector.choose(
-                    key, step, elsewhere, is_starved=is_starved
-                )
-            if vm is None:
-                vm = self._selector.choose(
-                    key, step, vms, is_starved=is_starved
-                )
+            vm = selector.choose(avoided_vm=task.failed_vm)
             if vm is None:
                 break
             self._add(vm, key, step)
+            selector.restore(vm)
             assignments.append(_assign(task, vm, task.attempt + 1))
         return assignments
 
+    def _selector(self, key, step, vms, is_starved):
+        return VmSelector(
+            interference=self._interference,
+            key=key,
+            step=step,
+            vms=vms,
+            is_starved=is_starved,
+        )
+
     def _place_gang(self, key, step, tasks, vms, *, is_starved):
         """Place all tasks of a gang, or none.
 
@@ -189,14 +189,16 @@
         ]
 
     def _try_gang(self, key, step, tasks, vms, is_starved):
+        selector = self._selector(key, step, vms, is_starved)
         chosen = []
         for _ in tasks:
-            vm = self._selector.choose(key, step, vms, is_starved=is_starved)
+            vm = selector.choose()
             if vm is None:
                 for earlier in chosen:
-                    earlier.remove(key, step)
+                    self._remove(earlier, key, step)
                 return []
             self._add(vm, key, step)
+            selector.restore(vm)
             chosen.append(vm)
         return chosen
 
@@ -204,6 +206,10 @@
         vm.add(key, step)
         vm.headroom_cost += self._interference.headroom_cost(step, vm.capacity)
 
+    def _remove(self, vm, key, step):
+        vm.remove(key, step)
+        vm.headroom_cost -= self._interference.headroom_cost(step, vm.capacity)
+
 
 def _rack(vm):
     """Return the rack of a VM, which is its last label."""
--- a/src/radishlanding/store/__init__.py
+++ b/src/radishlanding/store/__init__.py
@@ -1,21 +1,6 @@
 """Interfaces of the platform's key-value service."""
 
-from radishlanding.store.budget import CallBudget
-from radishlanding.store.change_set import ChangeSet
-from radishlanding.store.conflict import Conflict
-from radishlanding.store.corrupt_record import CorruptRecord
-from radishlanding.store.history_compacted import HistoryCompacted
-from radishlanding.store.key_value import KeyValue
-from radishlanding.store.lease_expired import LeaseExpired
-from radishlanding.store.listing import Listing
-from radishlanding.store.prefix_watch import PrefixWatch
-from radishlanding.store.record import pack
-from radishlanding.store.record import unpack
-from radishlanding.store.record_reader import RecordReader
-from radishlanding.store.store import Store
-from radishlanding.store.transactional_store import TransactionalStore
-from radishlanding.store.unavailable import StoreUnavailable
-from radishlanding.store.write import Write
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "CallBudget",
@@ -35,3 +20,25 @@
     "pack",
     "unpack",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "CallBudget": "budget",
+        "ChangeSet": "change_set",
+        "Conflict": "conflict",
+        "CorruptRecord": "corrupt_record",
+        "HistoryCompacted": "history_compacted",
+        "KeyValue": "key_value",
+        "LeaseExpired": "lease_expired",
+        "Listing": "listing",
+        "PrefixWatch": "prefix_watch",
+        "RecordReader": "record_reader",
+        "Store": "store",
+        "StoreUnavailable": "unavailable",
+        "TransactionalStore": "transactional_store",
+        "Write": "write",
+        "pack": "record",
+        "unpack": "record",
+    },
+)
--- a/src/radishlanding/vm/__init__.py
+++ b/src/radishlanding/vm/__init__.py
@@ -1,12 +1,6 @@
 """Capacity, allocations and leases of a VM."""
 
-from radishlanding.vm.agent_clock import clock_ms
-from radishlanding.vm.capacity import Capacity
-from radishlanding.vm.insufficient_capacity import InsufficientCapacity
-from radishlanding.vm.lease import boot_clock_s
-from radishlanding.vm.lease import VmLease
-from radishlanding.vm.lease_timing import LeaseTiming
-from radishlanding.vm.ledger import Ledger
+from radishlanding.lazy import lazy_exports
 
 __all__ = [
     "Capacity",
@@ -17,3 +11,16 @@
     "boot_clock_s",
     "clock_ms",
 ]
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "Capacity": "capacity",
+        "InsufficientCapacity": "insufficient_capacity",
+        "LeaseTiming": "lease_timing",
+        "Ledger": "ledger",
+        "VmLease": "lease",
+        "boot_clock_s": "lease",
+        "clock_ms": "agent_clock",
+    },
+)
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -151,6 +151,34 @@
     When tasks of it run on a, with checkpoints and without
     Then only the one with checkpoints moves
 
+  Scenario: heavy best-effort tasks that serving tasks can spare do not move
+    Given VMs
+      | vm | cores | free_mb | zone | labels |
+      | a  | 64    | 9000    | z0   | k,r1   |
+      | b  | 64    | 9000    | z0   | k,r1   |
+    And a serving task on a
+    And a heavy image
+    And the serving tasks of a spare a headroom of 3
+    When tasks of it run on a, with checkpoints and without
+    Then none moves
+
+  Scenario Outline: heavy best-effort tasks take what serving tasks can spare
+    Given VMs
+      | vm | cores | free_mb | zone | labels |
+      | a  | 64    | 9000    | z0   | k,r1   |
+    And a serving task on a
+    And a heavy image
+    And the serving tasks of a spare the headroom of <spare> of its tasks
+    When a step of 3 best-effort tasks of that image is planned
+    Then <placed> tasks are placed
+
+    Examples:
+      | spare | placed |
+      | 0.9   | 0      |
+      | 1.1   | 1      |
+      | 2.1   | 2      |
+      | 5.0   | 3      |
+
   Scenario Outline: a fully placed workflow is planned again after a change
     Given VMs
       | vm | cores | free_mb | zone | labels |
