Hold back calls from a leader that answers nothing

Test: with a leader that is silent for 4 s, 50 submissions over 3 s were all uncertain; now at most 14 are, the others are refused within 0.8 s, none of the refused ones has reached the leader, and the next one after the silence is accepted.

--- a/src/radishlanding/dispatcher/leader_client.py
+++ b/src/radishlanding/dispatcher/leader_client.py
@@ -12,6 +12,7 @@
 from radishlanding.peer import CallRefused
 from radishlanding.peer import ConnectionLost
 from radishlanding.policy import OutageBackoff
+from radishlanding.policy import SilenceBreaker
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import WorkflowOutcome
 
@@ -40,7 +41,13 @@
     because the workflow's identity makes them idempotent.
     """
 
-    __slots__ = ("_candidate", "_counters", "_has_advisor", "_outage_backoff")
+    __slots__ = (
+        "_breaker",
+        "_candidate",
+        "_counters",
+        "_has_advisor",
+        "_outage_backoff",
+    )
 
     def __init__(self, *, candidate, counters, has_advisor=False):
         """Prepare the client.
@@ -49,6 +56,7 @@
         :param counters: Counters of the process.
         :param has_advisor: Whether the site has an advisor.
         """
+        self._breaker = SilenceBreaker()
         self._has_advisor = has_advisor
         self._candidate = candidate
         self._outage_backoff = OutageBackoff()
@@ -134,7 +142,7 @@
             deadline_s, started_s + self._leader_timeout_s(started_s)
         )
         was_sent = False
-        reason = "no leader is known"
+        reason = "no leader is known, or it does not answer"
         while await self._wait_leader(
             max(uncertain_deadline_s, leader_deadline_s)
             if was_sent
@@ -187,8 +195,10 @@
             leader = self._candidate.leader
             if leader is not None and not leader.is_store_unreachable:
                 return True
-            if leader is None and self._candidate.leader_conn is not None:
-                return True
+            conn = self._candidate.leader_conn
+            if leader is None and conn is not None:
+                if not self._breaker.is_open(conn, boot_clock_s()):
+                    return True
             await trio.sleep(POLL_INTERVAL_S)
         return False
 
@@ -197,9 +207,21 @@
         if leader is not None:
             return await handle_locally(leader, message)
         timeout_s = max(0.01, deadline_s - boot_clock_s())
-        return await self._candidate.leader_conn.call(
-            message, timeout_s=timeout_s
-        )
+        return await self._call_remotely(message, timeout_s)
+
+    async def _call_remotely(self, message, timeout_s):
+        conn = self._candidate.leader_conn
+        self._breaker.record_call(conn, boot_clock_s())
+        try:
+            answer = await conn.call(message, timeout_s=timeout_s)
+        except CallRefused:
+            self._breaker.record_answer(conn, boot_clock_s())
+            raise
+        except (ConnectionLost, trio.Cancelled):
+            self._breaker.record_timeout(conn)
+            raise
+        self._breaker.record_answer(conn, boot_clock_s())
+        return answer
 
 
 def _is_uncertain(answer):
--- a/tests/dispatcher/leader_client.feature
+++ b/tests/dispatcher/leader_client.feature
@@ -36,6 +36,14 @@
     When a workflow is submitted to it
     Then it is refused within 1.0 s, with a retry after 1 or 2 s
 
+  Scenario: while the leader is silent callers are refused, not left in doubt
+    Given a dispatcher whose leader does not answer for 4 s
+    When 50 workflows are submitted to it over 3 s with a timeout of 3 s
+    Then at most 14 of them are uncertain, and the others are refused within 0.8 s
+    And no refused workflow has reached the leader
+    When the leader answers again and a workflow is submitted
+    Then it is found
+
   Scenario: without an advisor a queue that requires one is refused at once
     Given a dispatcher whose leader answers
     When a workflow of a queue with an advisor is submitted to it
--- a/tests/dispatcher/leader_client_steps.py
+++ b/tests/dispatcher/leader_client_steps.py
@@ -45,6 +45,25 @@
         return WorkflowAnswer(outcome=WorkflowOutcome.FOUND, phase="queued")
 
 
+class _SilentConn:
+    """A connection on which calls get no answer until some time."""
+
+    __slots__ = ("_silent_until_s", "calls")
+
+    def __init__(self, silent_s):
+        self._silent_until_s = time.monotonic() + silent_s
+        self.calls = []
+
+    async def call(self, message, *, timeout_s):
+        """Answer once the silence is over, or time out."""
+        self.calls.append(message)
+        with trio.move_on_after(timeout_s):
+            left_s = self._silent_until_s - time.monotonic()
+            await trio.sleep(max(0.0, left_s))
+            return WorkflowAnswer(outcome=WorkflowOutcome.FOUND)
+        raise ConnectionLost("no reply")
+
+
 class _Candidate:
     """A candidate that does not lead."""
 
@@ -104,6 +123,75 @@
     context.took_s = time.monotonic() - started_s
 
 
+@given("a dispatcher whose leader does not answer for {silent_s:g} s")
+def _silent(context, silent_s):
+    context.silent_s = silent_s
+    _connect(context, _SilentConn(silent_s))
+
+
+@when(
+    "{count:d} workflows are submitted to it over {span_s:g} s with a timeout "
+    "of 3 s"
+)
+def _submitted_over(context, count, span_s):
+    context.answers = []
+
+    async def submit(number):
+        started_s = time.monotonic()
+        answer = await context.leader_client.submit(
+            make_workflow([Step(count=1, needs=NEEDS)], name=f"{number:016x}"),
+            Queue(name="q", host="h", prefix="/", pool="p"),
+            request_id="r",
+            timeout_s=3.0,
+        )
+        took_s = time.monotonic() - started_s
+        context.answers.append((f"{number:016x}", answer.outcome, took_s))
+
+    async def submit_all():
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(submit, number)
+                await trio.sleep(span_s / count)
+
+    context.bridge.call(submit_all)
+
+
+@then(
+    "at most {count:d} of them are uncertain, and the others are refused "
+    "within {within_s:g} s"
+)
+def _few_uncertain(context, count, within_s):
+    refused = [
+        item
+        for item in context.answers
+        if item[1] == WorkflowOutcome.REFUSED and item[2] < within_s
+    ]
+    uncertain = [
+        item
+        for item in context.answers
+        if item[1] == WorkflowOutcome.UNCERTAIN
+    ]
+    assert len(uncertain) <= count, uncertain
+    assert len(refused) + len(uncertain) == len(context.answers)
+
+
+@then("no refused workflow has reached the leader")
+def _none_reached(context):
+    reached = {item.workflow.workflow_id for item in context.conn.calls}
+    refused = {
+        name
+        for name, outcome, _ in context.answers
+        if outcome == WorkflowOutcome.REFUSED
+    }
+    assert not reached & refused, reached & refused
+
+
+@when("the leader answers again and a workflow is submitted")
+def _answers_again(context):
+    context.bridge.call(trio.sleep, 1.5)
+    _submit(context)
+
+
 @when("a workflow is submitted to it")
 def _submitted(context):
     _submit(context)
