--- a/src/radishlanding/findings/__init__.py
+++ b/src/radishlanding/findings/__init__.py
@@ -1,6 +1,12 @@
 """Findings about invalid input."""
 
-from radishlanding.lazy import lazy_exports
+from radishlanding.findings.address import find_address_problem
+from radishlanding.findings.collector import Collector
+from radishlanding.findings.finding import Finding
+from radishlanding.findings.invalid_input import InvalidInput
+from radishlanding.findings.json_value import decode_json
+from radishlanding.findings.structure import read_toml
+from radishlanding.findings.structure import structure
 
 __all__ = [
     "Collector",
@@ -11,16 +17,3 @@
     "read_toml",
     "structure",
 ]
-
-__getattr__ = lazy_exports(
-    __name__,
-    {
-        "Collector": "collector",
-        "Finding": "finding",
-        "InvalidInput": "invalid_input",
-        "decode_json": "json_value",
-        "find_address_problem": "address",
-        "read_toml": "structure",
-        "structure": "structure",
-    },
-)
--- a/src/radishlanding/lazy.py
+++ b/src/radishlanding/lazy.py
@@ -12,7 +12,12 @@
     :param modules: Name of the module that defines each name, relative to
         the package.
     :returns: The function to assign to the package's ``__getattr__``.
+    :raises ValueError: A name is also a module's, which the import of that
+        module would put in the name's place.
     """
+    shadowed = modules.keys() & set(modules.values())
+    if shadowed:
+        raise ValueError(f"{package}: {sorted(shadowed)} are modules as well")
 
     def load(name):
         module = modules.get(name)
--- a/src/radishlanding/settings/__init__.py
+++ b/src/radishlanding/settings/__init__.py
@@ -1,6 +1,15 @@
 """Settings of a process, loaded from a TOML file."""
 
-from radishlanding.lazy import lazy_exports
+from radishlanding.settings.agent import AgentSettings
+from radishlanding.settings.dispatcher import DispatcherSettings
+from radishlanding.settings.entry import EntrySettings
+from radishlanding.settings.load import check_settings
+from radishlanding.settings.load import load_settings
+from radishlanding.settings.load import SETTINGS_BY_PROGRAM
+from radishlanding.settings.operator import OperatorSettings
+from radishlanding.settings.run_program import run_program
+from radishlanding.settings.scheduler import SchedulerSettings
+from radishlanding.settings.vm_agent import VmAgentSettings
 
 __all__ = [
     "SETTINGS_BY_PROGRAM",
@@ -14,19 +23,3 @@
     "load_settings",
     "run_program",
 ]
-
-__getattr__ = lazy_exports(
-    __name__,
-    {
-        "AgentSettings": "agent",
-        "DispatcherSettings": "dispatcher",
-        "EntrySettings": "entry",
-        "OperatorSettings": "operator",
-        "SETTINGS_BY_PROGRAM": "load",
-        "SchedulerSettings": "scheduler",
-        "VmAgentSettings": "vm_agent",
-        "check_settings": "load",
-        "load_settings": "load",
-        "run_program": "run_program",
-    },
-)
--- a/src/radishlanding/workflow/__init__.py
+++ b/src/radishlanding/workflow/__init__.py
@@ -1,6 +1,18 @@
 """Workflows of batch tasks, and their state as the log records it."""
 
-from radishlanding.lazy import lazy_exports
+from radishlanding.workflow.assignment import Assignment
+from radishlanding.workflow.end import EndKind
+from radishlanding.workflow.log_entry import LogEntry
+from radishlanding.workflow.outcome import WorkflowOutcome
+from radishlanding.workflow.phase import WorkflowPhase
+from radishlanding.workflow.record import WorkflowRecord
+from radishlanding.workflow.registry import WorkflowRegistry
+from radishlanding.workflow.step import Step
+from radishlanding.workflow.task_end import TaskEnd
+from radishlanding.workflow.task_id import task_id
+from radishlanding.workflow.task_id import TaskId
+from radishlanding.workflow.task_record import TaskRecord
+from radishlanding.workflow.workflow import Workflow
 
 __all__ = [
     "Assignment",
@@ -17,22 +29,3 @@
     "WorkflowRegistry",
     "task_id",
 ]
-
-__getattr__ = lazy_exports(
-    __name__,
-    {
-        "Assignment": "assignment",
-        "EndKind": "end",
-        "LogEntry": "log_entry",
-        "Step": "step",
-        "TaskEnd": "task_end",
-        "TaskId": "task_id",
-        "TaskRecord": "task_record",
-        "Workflow": "workflow",
-        "WorkflowOutcome": "outcome",
-        "WorkflowPhase": "phase",
-        "WorkflowRecord": "record",
-        "WorkflowRegistry": "registry",
-        "task_id": "task_id",
-    },
-)
