Search for the next leader by its name instead of dialling every dispatcher

Cause: an agent that lost its leader dialled every dispatcher at once: 5,600 connections and as many calls at 160 agents and 35 dispatchers, most of them to VMs with 0.3 of a core, while the next leader has to claim the log and take 160 introductions.

Change: an agent stays with its three standbys, reads the leader's key with the members, and asks the standbys, which name the leader they know (VmWelcome.leader). Rounds are spread at random.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -94,6 +94,12 @@
         )
         self.leader = None
 
+    @property
+    def known_leader(self):
+        """Return the address of the process that leads, empty if unknown."""
+        member = self._leader_watch.leader_member()
+        return "" if member is None else member.address
+
     @property
     def leader_conn(self):
         """Return the connection to the leader, or None."""
--- a/src/radishlanding/dispatcher/handler.py
+++ b/src/radishlanding/dispatcher/handler.py
@@ -8,6 +8,7 @@
 from radishlanding.message import StatusAnswer
 from radishlanding.message import VmHello
 from radishlanding.message import VmReport
+from radishlanding.message import VmWelcome
 from radishlanding.peer import CallRefused
 
 
@@ -52,6 +53,8 @@
             return Accepted()
         leader = self._candidate.leader
         if leader is None:
+            if isinstance(message, VmHello):
+                return self._redirect()
             raise CallRefused("not the leader")
         if isinstance(message, VmHello):
             if message.epoch > leader.epoch:
@@ -64,6 +67,16 @@
             return leader.report(session, message)
         return await handle_locally(leader, message)
 
+    def _redirect(self):
+        """Return the reply to a VM that has to follow another process."""
+        leader = self._candidate.known_leader
+        return VmWelcome(
+            accepted=False,
+            epoch=0,
+            fence=0,
+            leader="" if leader == self._member.address else leader,
+        )
+
     def _status(self):
         leader = self._candidate.leader
         return StatusAnswer(
--- a/src/radishlanding/message/vm_welcome.py
+++ b/src/radishlanding/message/vm_welcome.py
@@ -12,8 +12,11 @@
     :param accepted: Whether the sender leads and follows the VM.
     :param epoch: Epoch of the sender's leadership.
     :param fence: Fencing token for the agent's calls to the worker.
+    :param leader: Address of the dispatcher that leads as far as the sender
+        knows, empty if it leads itself or knows none.
     """
 
     accepted: bool
     epoch: int
     fence: int
+    leader: str = ""
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -8,6 +8,7 @@
     "FairQueue",
     "ImageProfile",
     "Interference",
+    "LeaderSearch",
     "LeastOutstanding",
     "MIN_IDLE_SHARE",
     "Migration",
@@ -34,7 +35,6 @@
     "VmView",
     "WorkflowOrder",
     "WorkflowPlanner",
-    "choose_standby",
     "headroom_of",
 ]
 
@@ -46,6 +46,7 @@
         "FairQueue": "fair_queue",
         "ImageProfile": "image_profile",
         "Interference": "interference",
+        "LeaderSearch": "leader_search",
         "LeastOutstanding": "least_outstanding",
         "MIN_IDLE_SHARE": "vm_selector",
         "Migration": "migration",
@@ -72,7 +73,6 @@
         "VmView": "vm_view",
         "WorkflowOrder": "workflow_order",
         "WorkflowPlanner": "workflow_planner",
-        "choose_standby": "standby",
         "headroom_of": "interference",
     },
 )
--- a/src/radishlanding/vmagent/dispatcher_links.py
+++ b/src/radishlanding/vmagent/dispatcher_links.py
@@ -45,6 +45,7 @@
         "_nursery",
         "_supervisors",
         "epoch",
+        "hints",
         "leader_conn",
     )
 
@@ -62,6 +63,8 @@
         self._supervisors = supervisors
         self.leader_conn = None
         self.epoch = 0
+        # Addresses that other dispatchers have named as the leader's.
+        self.hints = set()
 
     def open(self, nursery):
         """Set the nursery that links and calls run in."""
@@ -159,7 +162,10 @@
         except ConnectionLost as exc:
             _log.info("hello_unanswered", peer=conn.peer, reason=exc)
             return
-        if not welcome.accepted or welcome.epoch < self.epoch:
+        if not welcome.accepted:
+            self._handle_redirect(conn, welcome.leader)
+            return
+        if welcome.epoch < self.epoch:
             return
         if conn is not self.leader_conn:
             _log.info(
@@ -170,8 +176,26 @@
             )
         self.leader_conn = conn
         self.epoch = welcome.epoch
+        self.hints.clear()
         supervisor.use_fence(welcome.fence)
 
+    def _handle_redirect(self, conn, leader):
+        """Dial the dispatcher that leads according to another one."""
+        if conn is self.leader_conn:
+            self.disconnected(conn)
+        if leader and not self.has_leader:
+            self.hints.add(leader)
+            self.dial({leader})
+
+    def ask_leader(self):
+        """Introduce the VMs again to all connected dispatchers.
+
+        Those that do not lead name the one that does.
+        """
+        for link in self._links.values():
+            if link.conn is not None:
+                self._nursery.start_soon(self._send_hellos, link.conn)
+
     async def run_reports(self, supervisor):
         """Report a VM to the leader until cancelled.
 
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -1,11 +1,13 @@
 """Program of the workflow agent."""
 
 import functools
+import random
 import signal
 
 import trio
 
-from radishlanding.dispatch.keys import MEMBERS
+from radishlanding.dispatch.keys import LEADER
+from radishlanding.dispatch.keys import SITE
 from radishlanding.http import HttpServer
 from radishlanding.http import serve_metrics
 from radishlanding.membership import Member
@@ -14,10 +16,11 @@
 from radishlanding.platform import KvStore
 from radishlanding.platform import RegistrationApi
 from radishlanding.platform import Runner
-from radishlanding.policy import choose_standby
+from radishlanding.policy import LeaderSearch
 from radishlanding.store import CallBudget
 from radishlanding.store import RecordReader
 from radishlanding.store import StoreUnavailable
+from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.dispatcher_links import DispatcherLinks
 from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
 
@@ -99,27 +102,31 @@
         )
 
     async def _maintain_links(self):
-        """Link to every dispatcher until a leader is found.
-
-        While one is connected, a few others stay linked as standbys.
-        """
-        self._links.dial(self._seed_addresses())
-        known = self._seed_addresses()
+        """Keep linked to the leader and a few standbys; see LeaderSearch."""
+        search = LeaderSearch(own_id=self._cfg.id)
+        known, named = self._seed_addresses(), set()
+        self._links.dial(known)
         while True:
             try:
-                known = await self._read_members() or known
+                known, named = await self._read_site(known)
             except StoreUnavailable as exc:
                 _log.info("members_unread", reason=exc)
             leader = self._links.leader_address
-            needed = choose_standby(self._cfg.id, known, leader=leader)
+            needed = search.addresses(
+                known,
+                leader=leader,
+                hints=named | self._links.hints,
+                now_s=boot_clock_s(),
+            )
             self._links.dial(needed)
             if leader is not None:
                 self._links.close_others(needed)
                 with trio.move_on_after(LEADER_CHECK_INTERVAL_S):
                     await self._links.wait_leader_lost()
-                if not self._links.has_leader:
-                    self._links.dial(known)
-            await trio.sleep(DISCOVERY_INTERVAL_S)
+            if not self._links.has_leader:
+                self._links.ask_leader()
+            interval_s = DISCOVERY_INTERVAL_S * random.uniform(0.6, 1.0)
+            await trio.sleep(interval_s)
 
     def _seed_addresses(self):
         return {
@@ -127,19 +134,26 @@
             for seed in self._cfg.seeds
         }
 
-    async def _read_members(self):
-        """Return the addresses of all registered dispatchers.
+    async def _read_site(self, known):
+        """Return the addresses of all dispatchers, and those of the leader.
 
         Links to others are closed unless they are connected.
 
+        :param known: Addresses to return if no dispatcher is registered.
         :raises StoreUnavailable: The store gave no answer.
         """
-        listing = await self._store.list(MEMBERS, is_stale_ok=True)
+        listing = await self._store.list(SITE, is_stale_ok=True)
+        named = {
+            member.address
+            for member in self._member_reader.read_all(
+                item for item in listing.items if item.key == LEADER
+            )
+        }
         members = self._member_reader.read_all(listing.items)
         addresses = {member.address for member in members}
         if addresses:
             self._links.close_disconnected(self._links.addresses - addresses)
-        return addresses
+        return addresses or known, named
 
     def worker_reported(self, report):
         """Start or update the supervisor of a worker that has reported.
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -344,6 +344,7 @@
   accepted @0 :Bool;
   epoch @1 :Int64;
   fence @2 :Int64;
+  leader @3 :Text;
 }
 
 struct VmReport {
