--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -1,6 +1,7 @@
 """The log of workflow changes in the store."""
 
 import dataclasses
+import functools
 import random
 import uuid
 
@@ -9,7 +10,8 @@
 from radishlanding.dispatch import keys
 from radishlanding.dispatch.chunks import make_chunks
 from radishlanding.dispatch.head import Head
-from radishlanding.dispatch.log_reader import read_registry
+from radishlanding.dispatch.log_reader import read_log
+from radishlanding.dispatch.parallel import run_parallel
 from radishlanding.journal import Fenced
 from radishlanding.observe import EventLog
 from radishlanding.store import Conflict
@@ -22,10 +24,13 @@
 
 MIN_RETRY_DELAY_S = 0.03
 MAX_RETRY_DELAY_S = 0.5
-# Bounds how many entries a new leader has to replay.
-ENTRIES_PER_SNAPSHOT = 150
-# The store accepts 32 operations in a transaction.
-MAX_REMOVES_PER_TRANSACTION = 30
+# A snapshot costs as much as the state is large, so the entries since the last
+# one have to be as large as it, and this many at least. A new leader then
+# reads twice the state at most.
+MIN_ENTRIES_PER_SNAPSHOT = 150
+MAX_ENTRIES_PER_SNAPSHOT = 3000
+# The store accepts 32 operations in a transaction, and an append has three.
+MAX_REMOVES_PER_APPEND = 28
 # Ended workflows have to stay known for 120 s; doubled as a margin.
 ENDED_RETENTION_MS = 240_000
 
@@ -48,10 +53,13 @@
     """
 
     __slots__ = (
+        "_bytes_since_snapshot",
         "_entries_since_snapshot",
         "_head",
         "_head_version",
         "_last_number",
+        "_obsolete",
+        "_snapshot_bytes",
         "_store",
         "confirmed_s",
         "failing_since_s",
@@ -69,7 +77,11 @@
         self._head = Head()
         self._head_version = 0
         self._last_number = 0
+        self._bytes_since_snapshot = 0
         self._entries_since_snapshot = 0
+        # Keys that the snapshot replaces; appends remove them.
+        self._obsolete = []
+        self._snapshot_bytes = 0
         self._store = store
         self.confirmed_s = 0.0
         self.failures = 0
@@ -124,9 +136,13 @@
         self.predecessor = old.process_id
         self.inherited_leases_s = old.leases_s if old.has_resigned else None
         self.confirmed_s = sent_s
-        registry, self._last_number = await read_registry(self._store, head)
-        self._entries_since_snapshot = self._last_number - head.number
-        return registry
+        contents = await read_log(self._store, head)
+        self._last_number = contents.last_number
+        self._entries_since_snapshot = contents.last_number - head.number
+        self._bytes_since_snapshot = contents.entry_bytes
+        self._snapshot_bytes = contents.snapshot_bytes
+        self._obsolete = contents.obsolete
+        return contents.registry
 
     async def append(self, entry):
         """Write an entry and return once it is known to be committed.
@@ -154,6 +170,7 @@
         self._record_answer()
         self._last_number = number
         self._entries_since_snapshot += 1
+        self._bytes_since_snapshot += len(write.value)
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
     async def _write(self, write, entry):
@@ -162,11 +179,14 @@
         After a conflict the entry is read back, as an earlier attempt may
         have been committed without its answer.
         """
+        removes = self._obsolete[:MAX_REMOVES_PER_APPEND]
         try:
             await self._store.transact(
                 expected={keys.HEAD: self._head_version, write.key: 0},
                 writes=[write],
+                removes=removes,
             )
+            del self._obsolete[: len(removes)]
             return True
         except Conflict:
             kv = await self._store.get(write.key)
@@ -256,7 +276,11 @@
 
     def needs_snapshot(self):
         """Return whether enough entries were written since the snapshot."""
-        return self._entries_since_snapshot >= ENTRIES_PER_SNAPSHOT
+        count = self._entries_since_snapshot
+        is_due = self._bytes_since_snapshot >= self._snapshot_bytes
+        return count >= MAX_ENTRIES_PER_SNAPSHOT or (
+            count >= MIN_ENTRIES_PER_SNAPSHOT and is_due
+        )
 
     async def snapshot(self, registry, *, now_ms):
         """Replace the entries so far by a snapshot.
@@ -273,11 +297,16 @@
         chunks = make_chunks(registry.workflows.values())
         expected = {keys.HEAD: self._head_version}
         try:
-            for index, value in enumerate(chunks):
-                key = keys.chunk(head.number, head.snapshot_epoch, index)
-                await self._store.transact(
-                    expected=expected, writes=[Write(key=key, value=value)]
-                )
+            await run_parallel(
+                [
+                    functools.partial(
+                        self._store.transact,
+                        expected=expected,
+                        writes=[Write(key=key, value=value)],
+                    )
+                    for key, value in self._chunk_items(head, chunks)
+                ]
+            )
             head.chunks = len(chunks)
             self._head_version = await self._store.transact(
                 expected=expected,
@@ -286,9 +315,22 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
         old, self._head = self._head, head
-        self._entries_since_snapshot = 0
-        await self._remove_obsolete(old)
-        _log.info("snapshot_made", number=head.number, chunks=head.chunks)
+        self._entries_since_snapshot = self._bytes_since_snapshot = 0
+        self._snapshot_bytes = sum(map(len, chunks))
+        self._obsolete += self._replaced_keys(old)
+        _log.info(
+            "snapshot_made",
+            number=head.number,
+            chunks=head.chunks,
+            bytes=self._snapshot_bytes,
+        )
+
+    def _chunk_items(self, head, chunks):
+        """Return pairs of key and value of a snapshot's chunks."""
+        return [
+            (keys.chunk(head.number, head.snapshot_epoch, index), value)
+            for index, value in enumerate(chunks)
+        ]
 
     def _next_head(self):
         return Head(
@@ -299,17 +341,16 @@
             snapshot_epoch=self._head.epoch,
         )
 
-    async def _remove_obsolete(self, old):
-        obsolete = [
+    def _replaced_keys(self, old):
+        """Return the keys that the snapshot of this head replaces.
+
+        :param old: The :class:`Head` before it.
+        """
+        entries = [
             keys.entry(number)
             for number in range(old.number + 1, self._head.number + 1)
         ]
-        obsolete += [
+        return entries + [
             keys.chunk(old.number, old.snapshot_epoch, index)
             for index in range(old.chunks)
         ]
-        for start in range(0, len(obsolete), MAX_REMOVES_PER_TRANSACTION):
-            await self._store.transact(
-                expected={keys.HEAD: self._head_version},
-                removes=obsolete[start : start + MAX_REMOVES_PER_TRANSACTION],
-            )
--- a/src/radishlanding/dispatch/log_reader.py
+++ b/src/radishlanding/dispatch/log_reader.py
@@ -1,6 +1,10 @@
 """Recovers the state of workflows from the log."""
 
+import functools
+
 from radishlanding.dispatch import keys
+from radishlanding.dispatch.log_contents import LogContents
+from radishlanding.dispatch.parallel import run_parallel
 from radishlanding.journal import Fenced
 from radishlanding.observe import EventLog
 from radishlanding.store import unpack
@@ -14,37 +18,53 @@
 _log = EventLog("radishlanding.dispatch")
 
 
-async def read_registry(store, head):
-    """Return the recorded state and the number of the last entry.
+async def read_log(store, head):
+    """Return the recorded state.
 
     :param store: A :class:`radishlanding.store.TransactionalStore`.
     :param head: The :class:`Head` that this process has written, so that
         no other process can append.
-    :returns: A :class:`radishlanding.workflow.WorkflowRegistry` and a number.
+    :returns: A :class:`LogContents`.
     :raises Fenced: Keys are missing, as another process replaced them.
     :raises StoreUnavailable: The store did not answer.
     :raises CorruptRecord: A chunk or an entry is malformed.
     """
-    registry = WorkflowRegistry()
-    for index in range(head.chunks):
+    contents = LogContents(
+        registry=WorkflowRegistry(), last_number=head.number
+    )
+    await _read_snapshot(store, head, contents)
+    await _read_entries(store, contents)
+    for record in contents.registry.workflows.values():
+        record.shown = record.phase
+    return contents
+
+
+async def _read_snapshot(store, head, contents):
+    async def read(index):
         key = keys.chunk(head.number, head.snapshot_epoch, index)
-        kv = await store.get(key)
+        return await store.get(key)
+
+    for kv in await run_parallel(
+        [functools.partial(read, index) for index in range(head.chunks)]
+    ):
         if kv is None:
             raise Fenced("the snapshot was replaced while it was read")
-        registry.load(unpack(list[WorkflowRecord], kv.value))
-    last = head.number
+        contents.registry.load(unpack(list[WorkflowRecord], kv.value))
+        contents.snapshot_bytes += len(kv.value)
+
+
+async def _read_entries(store, contents):
     listing = await store.list(keys.LOG, timeout_s=LOG_TIMEOUT_S)
     for item in listing.items:
         if not keys.is_entry(item.key):
             _log.error("log_key_foreign", key=item.key, version=item.version)
             continue
-        if item.key <= keys.entry(last):
-            # In the snapshot, but not removed yet.
+        if item.key <= keys.entry(contents.last_number):
+            contents.obsolete.append(item.key)
             continue
-        if item.key != keys.entry(last + 1):
-            raise Fenced(f"entry {last + 1} is missing")
-        registry.apply(unpack(LogEntry, item.value))
-        last += 1
-    for record in registry.workflows.values():
-        record.shown = record.phase
-    return registry, last
+        next_number = contents.last_number + 1
+        if item.key != keys.entry(next_number):
+            raise Fenced(f"entry {next_number} is missing")
+        contents.registry.apply(unpack(LogEntry, item.value))
+        contents.entry_bytes += len(item.value)
+        contents.last_number = next_number
