Do not queue best-effort tasks up where they are paused

They left only for VMs without serving tasks, four a second in the whole fleet.

Change: one task of a starved workflow may go anywhere, the others where no best-effort task runs yet; the rest waits for headroom. A task that uses less than 0.4 of what it needs, on a VM where more is taken than can be spared, moves to the VM that spares the most, also beside serving tasks; an eighth as many moves a second as there are VMs.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -13,6 +13,8 @@
 
 # Fencing tokens of one epoch; more would collide with those of the next.
 FENCES_PER_EPOCH = 1 << 20
+# A best-effort task that uses less of the processors it needs is worth a move.
+SLOWED_SHARE = 0.4
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -244,19 +246,24 @@
             ends += [self.interrupted_end(task) for task in tasks]
         return ends
 
-    def running_tasks(self, loads):
+    def running_tasks(self, loads, *, slowed_only=False):
         """Return the tasks that run on some VMs.
 
         :param loads: :class:`radishlanding.policy.VmLoad` objects.
+        :param slowed_only: Whether to leave out all but the best-effort tasks
+            that use less than ``SLOWED_SHARE`` of the processors they need.
         :returns: Tuples of workflow record, task record, step and load.
         """
         found = []
         for load in loads:
             running = self.sessions[load.vm].running
             for task in self._registry.tasks_on(load.vm):
-                if task.task_id in running:
-                    record, step = self._loads.step_of(task)
-                    found.append((record, task, step, load))
+                if task.task_id not in running:
+                    continue
+                record, step = self._loads.step_of(task)
+                if slowed_only and not _is_slowed(step, running[task.task_id]):
+                    continue
+                found.append((record, task, step, load))
         return found
 
     def image_weights(self, session):
@@ -300,3 +307,11 @@
             session.vm, running=load.finite_tasks
         )
         return load
+
+
+def _is_slowed(step, item):
+    """Return whether a best-effort task uses far less than it could.
+
+    :param item: Its :class:`radishlanding.message.RunningTask`.
+    """
+    return step.fills and item.gauge < SLOWED_SHARE * step.needs.millicores
--- a/src/radishlanding/dispatch/task_mover.py
+++ b/src/radishlanding/dispatch/task_mover.py
@@ -53,14 +53,18 @@
             self._move(
                 self._straggler_mitigation.choose(tasks, loads, stuck), "stuck"
             )
-        moves = self._migration.choose(self._by_urgency(loads), loads)
-        self._move(moves, "disturbs")
+        slowed = self._by_urgency(loads, slowed_only=True)
+        self._move(self._migration.choose(slowed, loads), "slowed")
 
-    def _by_urgency(self, loads):
-        """Return triples of running task, step and load by urgency."""
+    def _by_urgency(self, loads, *, slowed_only=False):
+        """Return triples of running task, step and load by urgency.
+
+        :param slowed_only: Whether to leave out all but the best-effort tasks
+            that use far less than they could.
+        """
         at_ms = now_ms()
         tasks = sorted(
-            self._fleet.running_tasks(loads),
+            self._fleet.running_tasks(loads, slowed_only=slowed_only),
             key=lambda item: self._planner.rank(item[0], now_ms=at_ms),
         )
         return [item[1:] for item in tasks]
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -1,16 +1,18 @@
 """Chooses best-effort tasks to move away from latency-critical ones."""
 
-# Moves in one round. Each loses the work since the last checkpoint, and the
-# next measurements should show its effect first.
-MAX_MOVES = 4
+# Moves in one round: one for so many VMs, and this many at least. Each loses
+# the work since the last checkpoint, and the next measurements should show
+# its effect first.
+VMS_PER_MOVE = 8
+MIN_MOVES = 4
 
 
 class Migration:
-    """Move interfering best-effort tasks to VMs without serving tasks.
+    """Move best-effort tasks that are slowed down to VMs that can spare more.
 
-    Where they take more headroom than the serving tasks can spare, they are
-    slowed down until they make next to no progress; elsewhere they resume
-    from their checkpoints.
+    Where best-effort tasks take more headroom than the serving tasks can
+    spare, some are slowed down until they make next to no progress; elsewhere
+    they resume from their checkpoints.
     """
 
     __slots__ = ("_interference", "_min_idle_share")
@@ -29,41 +31,64 @@
         """Return the tasks to move, the most urgent first.
 
         :param tasks: Triples of a task's record, its step and the
-            :class:`VmLoad` of its VM, the most urgent first.
-        :param loads: :class:`VmLoad` objects; the capacity that a move will
-            use is subtracted.
+            :class:`VmLoad` of its VM, the most urgent first; tasks that run
+            at full speed are left out.
+        :param loads: :class:`VmLoad` objects; the capacity and headroom that
+            a move will use are subtracted.
         """
         moves = []
+        limit = max(MIN_MOVES, len(loads) // VMS_PER_MOVE)
         for task, step, load in tasks:
-            if len(moves) >= MAX_MOVES:
+            if len(moves) >= limit:
                 break
-            if not self._should_move(step, load):
+            if not _should_move(step, load):
                 continue
-            destination = self._find_destination(task, step, loads, load.pool)
+            destination = self._find_destination(task, step, loads, load)
             if destination is not None:
                 # A key of its own: max_per_vm is left to the planner.
                 destination.add((task.task_id, 0, 0), step)
+                destination.headroom_cost += self._cost(step, destination)
+                load.headroom_cost -= self._cost(step, load)
                 moves.append(task)
         return moves
 
-    def _should_move(self, step, load):
+    def _cost(self, step, load):
+        return self._interference.headroom_cost(step, load.capacity)
+
+    def _find_destination(self, task, step, loads, source):
+        """Return the VM that can spare the most, None if none can."""
+        min_idle_millicores = step.needs.millicores * self._min_idle_share
+        fitting = [
+            load
+            for load in loads
+            if load.pool == source.pool
+            and load.vm != source.vm
+            and load.idle_millicores >= min_idle_millicores
+            and self._spares(load, step)
+            and load.can_fit((task.task_id, 0, 0), step)
+        ]
+        return max(
+            fitting,
+            key=lambda load: (
+                not load.serving_tasks,
+                load.spare_headroom - load.headroom_cost,
+            ),
+            default=None,
+        )
+
+    def _spares(self, load, step):
         return (
-            step.fills
-            and step.checkpointing
-            and not step.gang
-            and load.serving_tasks > 0
-            and load.headroom_cost > load.spare_headroom
-            and not self._interference.is_light(step.image)
+            not load.serving_tasks
+            or load.headroom_cost + self._cost(step, load)
+            <= load.spare_headroom
         )
 
-    def _find_destination(self, task, step, loads, pool):
-        min_idle_millicores = step.needs.millicores * self._min_idle_share
-        for load in loads:
-            if (
-                load.pool == pool
-                and not load.serving_tasks
-                and load.idle_millicores >= min_idle_millicores
-                and load.can_fit((task.task_id, 0, 0), step)
-            ):
-                return load
-        return None
+
+def _should_move(step, load):
+    return (
+        step.fills
+        and step.checkpointing
+        and not step.gang
+        and load.serving_tasks > 0
+        and load.headroom_cost > load.spare_headroom
+    )
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -20,6 +20,7 @@
         "_heap",
         "_interference",
         "_is_light",
+        "_forced_left",
         "_is_starved",
         "_key",
         "_step",
@@ -35,11 +36,13 @@
         :param vms: The :class:`VmLoad` objects to choose from; the first of
             equally good ones is preferred.
         :param is_starved: Whether no task of the workflow has run for some
-            time; its best-effort tasks may then run beside any serving task.
+            time. One of its best-effort tasks may then run beside any serving
+            tasks, the others where no best-effort task runs yet.
         """
         self._interference = interference
         self._is_light = interference.is_light(step.image)
         self._is_starved = is_starved
+        self._forced_left = int(is_starved)
         self._key = key
         self._step = step
         self._trials_left = self._count_trials_left(vms)
@@ -81,6 +84,8 @@
         """
         if self._trials_left is not None and vm.serving_tasks:
             self._trials_left -= self._is_trial(vm)
+        if self._is_starved and self._has_best_effort(vm):
+            self._forced_left = 0
         if self._admits(vm):
             # Of equally good VMs those that were not chosen yet go first.
             heapq.heappush(self._heap, self._entry(len(self._heap), vm))
@@ -109,6 +114,9 @@
     def _is_trial(self, vm):
         return bool(vm.best_effort_tasks.get(self._step.image, 0))
 
+    def _has_best_effort(self, vm):
+        return any(vm.best_effort_tasks.values())
+
     def _admits(self, vm):
         """Return whether a VM may take one more task."""
         if self._step.fills and not self._admits_best_effort(vm):
@@ -124,7 +132,9 @@
         step = self._step
         if vm.idle_millicores < step.needs.millicores * MIN_IDLE_SHARE:
             return False
-        if not vm.serving_tasks or self._is_starved:
+        if not vm.serving_tasks or self._forced_left:
+            return True
+        if self._is_starved and not self._has_best_effort(vm):
             return True
         if self._trials_left is not None:
             return self._trials_left > 0 and not self._is_trial(vm)
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -402,6 +402,11 @@
     assert len(context.assignments) == count, context.assignments
 
 
+@then("no VM gets more than {count:d} task")
+def _at_most_each(context, count):
+    assert max(_by_vm(context).values()) <= count, _by_vm(context)
+
+
 @then("none moves")
 def _none_moves(context):
     assert not context.moves, context.moves
