Judge stuck tasks by the others of their step

Change: if more than half of a step's running tasks are stuck, on three VMs or more, its estimate is taken for wrong: they stay, and say nothing about their VMs. A slow or faulty worker slows few tasks of a step.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -145,6 +145,13 @@
             ends += self._missing_ends(session, {end.task_id for end in ends})
         return ends
 
+    def ignore_stuck(self, steps):
+        """Take no stuck task of these steps as a sign of a slow VM.
+
+        :param steps: Names of steps, see :func:`step_name`.
+        """
+        self._vm_health.misestimated = steps
+
     def stuck_progress(self):
         """Return the progress of each stuck task, in percent by task id."""
         return {
--- a/src/radishlanding/dispatch/task_mover.py
+++ b/src/radishlanding/dispatch/task_mover.py
@@ -53,6 +53,7 @@
             self._move(
                 self._straggler_mitigation.choose(tasks, loads, stuck), "stuck"
             )
+            self._fleet.ignore_stuck(self._straggler_mitigation.misestimated)
         slowed = self._by_urgency(loads, slowed_only=True)
         self._move(self._migration.choose(slowed, loads), "slowed")
 
--- a/src/radishlanding/dispatch/vm_health_tracker.py
+++ b/src/radishlanding/dispatch/vm_health_tracker.py
@@ -2,6 +2,7 @@
 
 from radishlanding.observe import EventLog
 from radishlanding.policy import Quarantine
+from radishlanding.policy import step_name
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import TaskId
@@ -25,13 +26,15 @@
 class VmHealthTracker:
     """Keep tasks away from VMs that fail, refuse or stall them."""
 
-    __slots__ = ("_failed_vms", "_quarantines")
+    __slots__ = ("_failed_vms", "_quarantines", "misestimated")
 
     def __init__(self):
         """Initialise the tracker with all VMs healthy."""
         # VMs on which a workflow has failed, by its identity.
         self._failed_vms = {}
         self._quarantines = {}
+        # Names of steps whose tasks say nothing about the speed of a VM.
+        self.misestimated = frozenset()
 
     def record_end(self, end, session):
         """Update the health of a VM from the end of a task on it.
@@ -85,6 +88,7 @@
             task.task_id.partition(".")[0]
             for task in session.running.values()
             if task.is_stuck
+            and step_name(task.task_id) not in self.misestimated
         }
         if len(workflow_ids) < STUCK_WORKFLOWS:
             return
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -36,6 +36,7 @@
     "WorkflowOrder",
     "WorkflowPlanner",
     "headroom_of",
+    "step_name",
 ]
 
 __getattr__ = lazy_exports(
@@ -74,5 +75,6 @@
         "WorkflowOrder": "workflow_order",
         "WorkflowPlanner": "workflow_planner",
         "headroom_of": "interference",
+        "step_name": "straggler_mitigation",
     },
 )
--- a/tests/policy/straggler_mitigation.feature
+++ b/tests/policy/straggler_mitigation.feature
@@ -33,6 +33,18 @@
     When the stuck tasks to move are chosen
     Then the moved tasks are none
 
+  Scenario Outline: tasks that are as slow as the others of their step stay
+    Given a step of 10 tasks on 10 VMs, <stuck> of which are stuck, and a free VM
+    When the stuck tasks to move are chosen
+    Then <moved> tasks move
+
+    Examples: few are stuck on slow workers, most where the estimate is wrong
+      | stuck | moved |
+      | 2     | 2     |
+      | 5     | 5     |
+      | 6     | 0     |
+      | 10    | 0     |
+
   Scenario: a retry avoids the VM on which the task failed
     Given a task that failed on v1, and free VMs v1 and v2
     When it is placed 20 times
--- a/tests/policy/straggler_mitigation_steps.py
+++ b/tests/policy/straggler_mitigation_steps.py
@@ -92,6 +92,27 @@
         context.tasks.append((record, step, unhealthy))
 
 
+@given(
+    "a step of {count:d} tasks on {vms:d} VMs, {stuck:d} of which are stuck, "
+    "and a free VM"
+)
+def _step_on_vms(context, count, vms, stuck):
+    busy = [_load(f"v{number}") for number in range(vms)]
+    context.loads = [*busy, _load("free")]
+    context.mitigation = StragglerMitigation()
+    step = Step(count=count, needs=NEEDS, checkpointing=True)
+    context.tasks = [
+        (TaskRecord(task_id=f"{NAME}.0.0.{number}", vm=load.vm), step, load)
+        for number, load in enumerate(busy)
+    ]
+    context.stuck = {f"{NAME}.0.0.{number}": 10 for number in range(stuck)}
+
+
+@then("{count:d} tasks move")
+def _count_moves(context, count):
+    assert len(context.moved) == count, context.moved
+
+
 @when("the stuck tasks to move are chosen")
 def _choose_moves(context):
     context.moved = context.mitigation.choose(
