Drop what the leader holds of ended tasks

Cause: the clocks at which agents accepted orders, checkpoints of tasks, times of stop orders and the VMs on which workflows failed were kept for as long as a leader led.

Change: each is dropped once nothing can ask for it: an accepted order when the agent's clock has passed it, checkpoints when the task is not assigned, failures when the workflow has ended, stop orders beyond 1,000 once they may be sent again. The tasks that were moved as stuck are still kept.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -132,7 +132,7 @@
         """
         session.state = report.state
         self._leases.record_boot(session.vm, report.state.boot)
-        session.clock_ms = max(session.clock_ms, report.clock_ms)
+        session.advance_clock(report.clock_ms)
         session.has_full_report = session.has_full_report or report.is_full
         session.running = {task.task_id: task for task in report.running}
         for task in report.running:
@@ -278,8 +278,14 @@
         return self._interference_monitor.image_weights(session)
 
     def prune_ended(self):
-        """Drop the baselines of latency-critical tasks that have ended."""
+        """Drop what is held of tasks and workflows that have ended."""
         self._interference_monitor.prune_ended(self.sessions.values())
+        self._vm_health.prune_ended(self._registry)
+        self._checkpoints = {
+            task_id: checkpoint
+            for task_id, checkpoint in self._checkpoints.items()
+            if self._registry.is_assigned(task_id)
+        }
 
     def record_end(self, end, vm):
         """Update the health of a VM from the end of a task on it."""
--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -18,6 +18,8 @@
 CALL_TIMEOUT_S = 2.0
 # A stop takes up to a second and shows in the next report; resent until then.
 STOP_RESEND_INTERVAL_S = 0.6
+# Older ones are dropped beyond this number.
+MAX_STOPS_REMEMBERED = 1000
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -179,6 +181,12 @@
         :param items: Objects with a ``task_id`` and an ``attempt``.
         """
         now_s = boot_clock_s()
+        if len(self._stop_sent_s) > MAX_STOPS_REMEMBERED:
+            self._stop_sent_s = {
+                key: sent_s
+                for key, sent_s in self._stop_sent_s.items()
+                if now_s - sent_s <= STOP_RESEND_INTERVAL_S
+            }
         keys = []
         for item in items:
             key = (session.vm, item.task_id, item.attempt)
--- a/src/radishlanding/dispatch/vm_health_tracker.py
+++ b/src/radishlanding/dispatch/vm_health_tracker.py
@@ -36,6 +36,11 @@
         # Names of steps whose tasks say nothing about the speed of a VM.
         self.misestimated = frozenset()
 
+    @property
+    def failed_workflows(self):
+        """Return the number of workflows with failures on record."""
+        return len(self._failed_vms)
+
     def record_end(self, end, session):
         """Update the health of a VM from the end of a task on it.
 
@@ -71,6 +76,17 @@
         if self.max_new_tasks(vm, running=0) == 0:
             _log.warning("vm_quarantined", vm=vm)
 
+    def prune_ended(self, registry):
+        """Drop the failures of workflows that have ended.
+
+        :param registry: The :class:`radishlanding.workflow.WorkflowRegistry`.
+        """
+        self._failed_vms = {
+            workflow_id: vms
+            for workflow_id, vms in self._failed_vms.items()
+            if registry.is_open(workflow_id)
+        }
+
     def max_new_tasks(self, vm, *, running):
         """Return how many new tasks a VM may take, None for no limit.
 
--- a/src/radishlanding/dispatch/vm_session.py
+++ b/src/radishlanding/dispatch/vm_session.py
@@ -35,6 +35,19 @@
     accepted_clock_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     backoff_until_s: float = 0.0
 
+    def advance_clock(self, clock_ms):
+        """Record a newer clock of the agent.
+
+        :param clock_ms: The clock, in milliseconds.
+        """
+        self.clock_ms = max(self.clock_ms, clock_ms)
+        # Orders that were accepted earlier are in every later report.
+        self.accepted_clock_ms = {
+            task_id: accepted_ms
+            for task_id, accepted_ms in self.accepted_clock_ms.items()
+            if accepted_ms >= self.clock_ms
+        }
+
     def may_be_missing(self, task_id):
         """Return whether a full report that lacks a task shows its absence.
 
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -90,6 +90,16 @@
             and task.attempt == end.attempt
         )
 
+    def is_assigned(self, task_id):
+        """Return whether a task is assigned to a VM."""
+        _, task = self.find(task_id)
+        return task is not None and task.is_assigned
+
+    def is_open(self, workflow_id):
+        """Return whether a workflow is known and has not ended."""
+        record = self.workflows.get(workflow_id)
+        return record is not None and not record.phase.has_ended
+
     def prune(self, *, before_ms):
         """Reduce ended workflows to their phases, and drop old ones.
 
--- /dev/null
+++ b/tests/dispatch/bookkeeping_steps.py
@@ -0,0 +1,84 @@
+"""Steps about what a leader holds of tasks and workflows."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.dispatch import VmSession
+from radishlanding.dispatch.vm_health_tracker import VmHealthTracker
+from radishlanding.message import VmState
+from radishlanding.vm import Capacity
+from radishlanding.workflow import EndKind
+from radishlanding.workflow import LogEntry
+from radishlanding.workflow import Step
+from radishlanding.workflow import TaskEnd
+from radishlanding.workflow import WorkflowRegistry
+from tests.workflow.workflow_steps import make_workflow
+from tests.workflow.workflow_steps import NEEDS
+
+STATE = VmState(
+    boot="b",
+    zone="z0",
+    pool="p",
+    labels=[],
+    capacity=Capacity(millicores=1000),
+    is_draining=False,
+    remaining_ms=0,
+)
+
+
+@given("a session whose agent accepted {count:d} orders at {clock_ms:d} ms")
+def _session(context, count, clock_ms):
+    context.session = VmSession(vm="vm1", conn=None, state=STATE, clock_ms=0)
+    for number in range(count):
+        context.session.accepted_clock_ms[f"t{number}"] = clock_ms
+
+
+@when("the agent's clock is {clock_ms:d} ms")
+def _clock(context, clock_ms):
+    context.session.advance_clock(clock_ms)
+
+
+@then("it holds {count:d} orders, and a report {may} lack them")
+def _holds_orders(context, count, may):
+    assert len(context.session.accepted_clock_ms) == count
+    shows_absence = context.session.may_be_missing("t0")
+    assert shows_absence == (may == "may not"), may
+
+
+@given("a tracker of VMs with failures of {count:d} workflows")
+def _tracker(context, count):
+    context.registry = WorkflowRegistry()
+    context.tracker = VmHealthTracker()
+    context.names = [f"{number:016x}" for number in range(count)]
+    context.registry.apply(
+        LogEntry(
+            commit_id="c",
+            made_ms=1,
+            accepted=[
+                make_workflow([Step(count=1, needs=NEEDS)], name=name)
+                for name in context.names
+            ],
+        )
+    )
+    session = VmSession(vm="vm1", conn=None, state=STATE, clock_ms=0)
+    for name in context.names:
+        end = TaskEnd(
+            task_id=f"{name}.0.0.0",
+            attempt=1,
+            kind=EndKind.FAILED,
+            checkpoint="",
+        )
+        context.tracker.record_end(end, session)
+
+
+@when("all but {count:d} of them end")
+def _most_end(context, count):
+    entry = LogEntry(commit_id="d", made_ms=2, cancelled=context.names[count:])
+    context.registry.apply(entry)
+    context.tracker.prune_ended(context.registry)
+
+
+@then("it holds failures of {count:d} workflows")
+def _holds_failures(context, count):
+    assert context.tracker.failed_workflows == count
