--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -11,6 +11,7 @@
 from radishlanding.dispatch.chunks import make_chunks
 from radishlanding.dispatch.head import Head
 from radishlanding.dispatch.log_reader import read_log
+from radishlanding.dispatch.log_size import LogSize
 from radishlanding.dispatch.parallel import run_parallel
 from radishlanding.journal import Fenced
 from radishlanding.observe import EventLog
@@ -24,11 +25,6 @@
 
 MIN_RETRY_DELAY_S = 0.03
 MAX_RETRY_DELAY_S = 0.5
-# A snapshot costs as much as the state is large, so the entries since the last
-# one have to be as large as it, and this many at least. A new leader then
-# reads twice the state at most.
-MIN_ENTRIES_PER_SNAPSHOT = 150
-MAX_ENTRIES_PER_SNAPSHOT = 3000
 # The store accepts 32 operations in a transaction, and an append has three.
 MAX_REMOVES_PER_APPEND = 28
 # Ended workflows have to stay known for 120 s; doubled as a margin.
@@ -53,13 +49,11 @@
     """
 
     __slots__ = (
-        "_bytes_since_snapshot",
-        "_entries_since_snapshot",
         "_head",
         "_head_version",
         "_last_number",
         "_obsolete",
-        "_snapshot_bytes",
+        "_size",
         "_store",
         "confirmed_s",
         "failing_since_s",
@@ -77,11 +71,9 @@
         self._head = Head()
         self._head_version = 0
         self._last_number = 0
-        self._bytes_since_snapshot = 0
-        self._entries_since_snapshot = 0
         # Keys that the snapshot replaces; appends remove them.
         self._obsolete = []
-        self._snapshot_bytes = 0
+        self._size = LogSize()
         self._store = store
         self.confirmed_s = 0.0
         self.failures = 0
@@ -138,9 +130,11 @@
         self.confirmed_s = sent_s
         contents = await read_log(self._store, head)
         self._last_number = contents.last_number
-        self._entries_since_snapshot = contents.last_number - head.number
-        self._bytes_since_snapshot = contents.entry_bytes
-        self._snapshot_bytes = contents.snapshot_bytes
+        self._size = LogSize(
+            snapshot_bytes=contents.snapshot_bytes,
+            entries=contents.last_number - head.number,
+            entry_bytes=contents.entry_bytes,
+        )
         self._obsolete = contents.obsolete
         return contents.registry
 
@@ -169,8 +163,7 @@
         self.is_stuck = False
         self._record_answer()
         self._last_number = number
-        self._entries_since_snapshot += 1
-        self._bytes_since_snapshot += len(write.value)
+        self._size.add_entry(len(write.value))
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
     async def _write(self, write, entry):
@@ -276,11 +269,7 @@
 
     def needs_snapshot(self):
         """Return whether enough entries were written since the snapshot."""
-        count = self._entries_since_snapshot
-        is_due = self._bytes_since_snapshot >= self._snapshot_bytes
-        return count >= MAX_ENTRIES_PER_SNAPSHOT or (
-            count >= MIN_ENTRIES_PER_SNAPSHOT and is_due
-        )
+        return self._size.needs_snapshot()
 
     async def snapshot(self, registry, *, now_ms):
         """Replace the entries so far by a snapshot.
@@ -315,14 +304,13 @@
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
         old, self._head = self._head, head
-        self._entries_since_snapshot = self._bytes_since_snapshot = 0
-        self._snapshot_bytes = sum(map(len, chunks))
+        self._size = LogSize(snapshot_bytes=sum(map(len, chunks)))
         self._obsolete += self._replaced_keys(old)
         _log.info(
             "snapshot_made",
             number=head.number,
             chunks=head.chunks,
-            bytes=self._snapshot_bytes,
+            bytes=self._size.snapshot_bytes,
         )
 
     def _chunk_items(self, head, chunks):
--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -10,19 +10,12 @@
 
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
-from radishlanding.platform.fields import check_int
-from radishlanding.platform.fields import check_number
-from radishlanding.platform.fields import check_text
 from radishlanding.platform.fields import MAX_NUMBER
 from radishlanding.platform.fields import read_int
-from radishlanding.platform.fields import read_list
-from radishlanding.worker import AttemptListing
-from radishlanding.worker import EndedAttempt
-from radishlanding.worker import RunningAttempt
+from radishlanding.platform.listing import decode_listing
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerReplaced
 from radishlanding.worker import WorkerUnavailable
-from radishlanding.workflow import EndKind
 
 # The runner is on the same VM, but a stop takes time, and a slow runner
 # answers late.
@@ -40,14 +33,6 @@
     "room": StartResult.NO_ROOM,
     "ticket": StartResult.NO_TICKET,
 }
-_KIND_BY_END = {
-    "done": EndKind.DONE,
-    "failed": EndKind.FAILED,
-    "stopped": EndKind.INTERRUPTED,
-    "lapsed": EndKind.INTERRUPTED,
-    "broken": EndKind.INTERRUPTED,
-    "alone": EndKind.INTERRUPTED,
-}
 
 
 class Runner:
@@ -205,7 +190,7 @@
         if status != 200:
             raise WorkerUnavailable(f"hold: status {status}")
         try:
-            listing = _decode_listing(answer)
+            listing = decode_listing(answer)
         except (TypeError, ValueError) as exc:
             raise WorkerUnavailable(f"hold: {exc}") from exc
         self._listed_born_ms = listing.born_ms or born_ms
@@ -232,47 +217,3 @@
         """Close the connections."""
         await self._client.close()
         await self._list_client.close()
-
-
-def _decode_listing(answer):
-    return AttemptListing(
-        clock_ms=read_int(answer, "clockMs", maximum=MAX_NUMBER),
-        born_ms=read_int(answer, "born", default=0, maximum=MAX_NUMBER),
-        running=[_decode_running(row) for row in read_list(answer, "running")],
-        ended=[_decode_ended(row) for row in read_list(answer, "ended")],
-    )
-
-
-def _decode_running(row):
-    """Decode a row of a running attempt.
-
-    Its columns are task, attempt, checkpoint, progress in percent and,
-    optionally, the gauge: over the last half second, the tail latency of a
-    serving task in milliseconds, or the millicores that another task used.
-    """
-    task_id, attempt, checkpoint, progress, *gauges = row
-    return RunningAttempt(
-        task_id=check_text(task_id, "task"),
-        attempt=check_int(attempt, "attempt"),
-        checkpoint=check_text(checkpoint, "checkpoint"),
-        progress=int(check_number(progress, "progress")),
-        gauge=check_number(gauges[0], "gauge") if gauges else 0.0,
-    )
-
-
-def _decode_ended(row):
-    """Decode a row of an ended attempt.
-
-    Its columns are the number of the end, task, attempt, reason and
-    checkpoint.
-    """
-    number, task_id, attempt, how, checkpoint, *_ = row
-    reason = check_text(how, "reason")
-    return EndedAttempt(
-        number=check_int(number, "number"),
-        task_id=check_text(task_id, "task"),
-        attempt=check_int(attempt, "attempt"),
-        kind=_KIND_BY_END.get(reason, EndKind.INTERRUPTED),
-        reason=reason,
-        checkpoint=check_text(checkpoint, "checkpoint"),
-    )
