Record checkpoints of running tasks every 2 s

Cause: a leader knew the checkpoints of running tasks from reports alone.

Change: every 2 s the next entry contains the checkpoints that have changed (LogEntry.checkpoints, 2,000 at most).

Test: a next leader that reads the log resumes both tasks of a workflow from their newest checkpoint, within 3 s; it had none before. At most eight entries are written meanwhile.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -9,10 +9,13 @@
 from radishlanding.observe import EventLog
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
+from radishlanding.workflow import TaskCheckpoint
 from radishlanding.workflow import TaskEnd
 
 # Fencing tokens of one epoch; more would collide with those of the next.
 FENCES_PER_EPOCH = 1 << 20
+# Checkpoints in one entry of the log; each takes some 100 bytes.
+MAX_CHECKPOINTS = 2000
 # A best-effort task that uses less of the processors it needs is worth a move.
 SLOWED_SHARE = 0.4
 
@@ -213,6 +216,31 @@
             checkpoint=self._checkpoints.get(task.task_id, ""),
         )
 
+    def unrecorded_checkpoints(self):
+        """Return the checkpoints of running attempts that are not on record.
+
+        :returns: :class:`radishlanding.workflow.TaskCheckpoint` objects, at
+            most ``MAX_CHECKPOINTS``.
+        """
+        found = []
+        for session in self.sessions.values():
+            for task in self._registry.tasks_on(session.vm):
+                item = session.running.get(task.task_id)
+                if (
+                    item is not None
+                    and item.attempt == task.attempt
+                    and item.checkpoint
+                    and item.checkpoint != task.checkpoint
+                ):
+                    found.append(
+                        TaskCheckpoint(
+                            task_id=task.task_id,
+                            attempt=task.attempt,
+                            checkpoint=item.checkpoint,
+                        )
+                    )
+        return found[:MAX_CHECKPOINTS]
+
     def unwanted_attempts(self, session):
         """Return running attempts that the log does not assign to the VM."""
         return [
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -7,9 +7,14 @@
 from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.observe import EventLog
 from radishlanding.store import StoreUnavailable
+from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import LogEntry
 
+# A loss of power costs this much work of a task and half a report interval;
+# each time costs an entry.
+CHECKPOINT_INTERVAL_S = 2.0
+
 _log = EventLog("radishlanding.dispatch")
 
 
@@ -21,6 +26,7 @@
     """
 
     __slots__ = (
+        "_checkpoints_due_s",
         "_committing",
         "_counters",
         "_ends",
@@ -57,6 +63,7 @@
         :param counters: Metrics counters of the process.
         """
         self._registry = registry
+        self._checkpoints_due_s = 0.0
         self._committing = {}
         self._counters = counters
         self._ends = {}
@@ -107,6 +114,7 @@
             accepted=accepted,
             cancelled=cancelled,
             ends=[end for end, _ in self._ends.values()],
+            checkpoints=self._collect_checkpoints(),
         )
         self._process_ends()
         self._committing = self._ends
@@ -127,6 +135,18 @@
             )
         return entry
 
+    def _collect_checkpoints(self):
+        """Return checkpoints of running attempts every few seconds.
+
+        Reports keep this process informed. The record is for the case that it
+        loses power together with the workers.
+        """
+        now_s = boot_clock_s()
+        if now_s < self._checkpoints_due_s:
+            return []
+        self._checkpoints_due_s = now_s + CHECKPOINT_INTERVAL_S
+        return self._fleet.unrecorded_checkpoints()
+
     def _process_ends(self):
         for end, vm in self._ends.values():
             if vm:
--- a/src/radishlanding/workflow/__init__.py
+++ b/src/radishlanding/workflow/__init__.py
@@ -8,6 +8,7 @@
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.registry import WorkflowRegistry
 from radishlanding.workflow.step import Step
+from radishlanding.workflow.task_checkpoint import TaskCheckpoint
 from radishlanding.workflow.task_end import TaskEnd
 from radishlanding.workflow.task_id import task_id
 from radishlanding.workflow.task_id import TaskId
@@ -19,6 +20,7 @@
     "EndKind",
     "LogEntry",
     "Step",
+    "TaskCheckpoint",
     "TaskEnd",
     "TaskId",
     "TaskRecord",
--- a/src/radishlanding/workflow/log_entry.py
+++ b/src/radishlanding/workflow/log_entry.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from radishlanding.workflow.assignment import Assignment
+from radishlanding.workflow.task_checkpoint import TaskCheckpoint
 from radishlanding.workflow.task_end import TaskEnd
 from radishlanding.workflow.workflow import Workflow
 
@@ -17,6 +18,7 @@
     :param cancelled: Ids of workflows that were cancelled.
     :param ends: Ends of attempts.
     :param assignments: Attempts that may start from now on.
+    :param checkpoints: Progress of running attempts.
     """
 
     commit_id: str
@@ -25,6 +27,7 @@
     cancelled: list[str] = dataclasses.field(default_factory=list)
     ends: list[TaskEnd] = dataclasses.field(default_factory=list)
     assignments: list[Assignment] = dataclasses.field(default_factory=list)
+    checkpoints: list[TaskCheckpoint] = dataclasses.field(default_factory=list)
 
     def size(self):
         """Return the number of changes."""
@@ -33,4 +36,5 @@
             + len(self.cancelled)
             + len(self.ends)
             + len(self.assignments)
+            + len(self.checkpoints)
         )
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -40,6 +40,9 @@
             record = self._apply_end(end, entry.made_ms)
             if record is not None:
                 changed[record.workflow.workflow_id] = record
+        for item in entry.checkpoints:
+            if self.is_current(item):
+                self._set_checkpoint(*self.find(item.task_id), item.checkpoint)
         for assignment in entry.assignments:
             record = self._apply_assignment(assignment)
             if record is not None:
@@ -78,16 +81,16 @@
         """Return the VMs that tasks are assigned to."""
         return [vm for vm, tasks in self._by_vm.items() if tasks]
 
-    def is_current(self, end):
-        """Return whether an end belongs to a task's current attempt.
+    def is_current(self, item):
+        """Return whether something belongs to a task's current attempt.
 
-        :param end: A :class:`TaskEnd`.
+        :param item: A :class:`TaskEnd` or :class:`TaskCheckpoint`.
         """
-        _, task = self.find(end.task_id)
+        _, task = self.find(item.task_id)
         return (
             task is not None
             and task.is_assigned
-            and task.attempt == end.attempt
+            and task.attempt == item.attempt
         )
 
     def is_assigned(self, task_id):
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -15,8 +15,10 @@
 from radishlanding.dispatch import EntryLog
 from radishlanding.dispatch import keys
 from radishlanding.dispatch import Leader
+from radishlanding.dispatch.head import Head
 from radishlanding.dispatch.interference_store import InterferenceStore
 from radishlanding.dispatch.lease_table import LeaseTable
+from radishlanding.dispatch.log_reader import read_log
 from radishlanding.message import EndsRecorded
 from radishlanding.message import RunningTask
 from radishlanding.message import StartOrders
@@ -32,6 +34,7 @@
 from radishlanding.policy import Interference
 from radishlanding.policy import TicketCache
 from radishlanding.policy import WorkflowPlanner
+from radishlanding.store import unpack
 from radishlanding.store import Write
 from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Capacity
@@ -366,6 +369,43 @@
     _report(context, "vm1", running=_running(context))
 
 
+@when("the VM reports them as running, with checkpoints {checkpoint:w}")
+def _reports_checkpoints(context, checkpoint):
+    running = [
+        dataclasses.replace(item, checkpoint=checkpoint)
+        for item in _running(context)
+    ]
+    context.with_checkpoints = running
+    _report(context, "vm1", running=running)
+
+
+@then(
+    "within {wait_s:d} s the next leader would resume both from {checkpoint:w}"
+)
+def _would_resume(context, wait_s, checkpoint):
+    async def read():
+        store = make_store(context.store_address)
+        kv = await store.get(keys.HEAD)
+        contents = await read_log(store, unpack(Head, kv.value))
+        (record,) = contents.registry.workflows.values()
+        return {task.checkpoint for task in record.tasks.values()}
+
+    found = set()
+    for _ in range(wait_s * 10):
+        found = context.bridge.call(read)
+        if found == {checkpoint}:
+            return
+        context.bridge.call(trio.sleep, 0.1)
+        _report(context, "vm1", running=context.with_checkpoints)
+    raise AssertionError(found)
+
+
+@then("at most {count:d} entries are in the log")
+def _few_entries(context, count):
+    found = context.platform_store.keys(keys.LOG)
+    assert len(found) <= count, found
+
+
 @when("the workflow is cancelled")
 def _cancelled(context):
     answer = context.bridge.call(
