Record the first checkpoints that a leader learns at once

The last leader had led for 0.6 s; its first look for checkpoints, before any report, put the next one off by 2 s. The one before it had been without the store for 2 s.

Change: a look that finds nothing does not count. The test asks for the first checkpoints within 1 s, which fails before.

--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -144,8 +144,10 @@
         now_s = boot_clock_s()
         if now_s < self._checkpoints_due_s:
             return []
-        self._checkpoints_due_s = now_s + CHECKPOINT_INTERVAL_S
-        return self._fleet.unrecorded_checkpoints()
+        checkpoints = self._fleet.unrecorded_checkpoints()
+        if checkpoints:
+            self._checkpoints_due_s = now_s + CHECKPOINT_INTERVAL_S
+        return checkpoints
 
     def _process_ends(self):
         for end, vm in self._ends.values():
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -40,7 +40,7 @@
     When a workflow of 2 tasks is submitted
     And within 2 s the VM is ordered to start 2 tasks
     And the VM reports them as running, with checkpoints c1
-    Then within 3 s the next leader would resume both from c1
+    Then within 1 s the next leader would resume both from c1
     When the VM reports them as running, with checkpoints c2
     Then within 3 s the next leader would resume both from c2
     And at most 8 entries are in the log
