Refuse VMs that still follow a dispatcher which has stopped leading

Cause: since the search for leaders a dispatcher that does not lead answers an introduction with the leader's address. An agent of an earlier build takes only a refusal as the end of a leadership; beside a new dispatcher it would have gone on reporting to a leader that resigned, until the next one announced itself. Found by reading.

Change: a VM that has followed this process's last epoch is refused, as before; others are sent on. tests/dispatcher/handler.feature has the cases; the one of a VM of its own fails before.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -42,6 +42,7 @@
         "_succession",
         "_superseded",
         "leader",
+        "led_epoch",
     )
 
     def __init__(
@@ -93,6 +94,8 @@
             counters=counters,
         )
         self.leader = None
+        # Epoch of the last leadership of this process, 0 for none.
+        self.led_epoch = 0
 
     @property
     def known_leader(self):
@@ -166,6 +169,7 @@
                 await self._yield_leadership(log)
             raise
         self.leader = leader
+        self.led_epoch = log.epoch
         try:
             with trio.CancelScope() as self._scope:
                 async with trio.open_nursery() as nursery:
--- a/src/radishlanding/dispatcher/handler.py
+++ b/src/radishlanding/dispatcher/handler.py
@@ -54,7 +54,7 @@
         leader = self._candidate.leader
         if leader is None:
             if isinstance(message, VmHello):
-                return self._redirect()
+                return self._redirect(message)
             raise CallRefused("not the leader")
         if isinstance(message, VmHello):
             if message.epoch > leader.epoch:
@@ -67,8 +67,14 @@
             return leader.report(session, message)
         return await handle_locally(leader, message)
 
-    def _redirect(self):
-        """Return the reply to a VM that has to follow another process."""
+    def _redirect(self, hello):
+        """Return the reply to a VM that has to follow another process.
+
+        :raises CallRefused: The VM still follows this process, and has to be
+            told in a way that earlier agents understand.
+        """
+        if hello.epoch and hello.epoch == self._candidate.led_epoch:
+            raise CallRefused("no longer the leader")
         leader = self._candidate.known_leader
         return VmWelcome(
             accepted=False,
