Confirm a cancellation only by an end that is on record

Cause: SubmissionQueue.cancel answered at once if the phase of the workflow had ended. The phase runs ahead of the log by the entry that is being appended; the end of the only task was in such an entry, which never landed.

Evidence: the leader's log of the case has task_ended kind=done, then cancelled outcome=found phase=running, and no entry; the next leader logs task_missing and task_assigned attempt=2.

The queue answers from the committed phase alone. Another cancellation waits for its entry, which follows the one with the end; without an answer of the store its caller gets 503 or 504. A repeated submission is answered from the committed phase, too.

--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -58,7 +58,7 @@
         item = self._submissions.get(workflow_id)
         if item is None:
             record = self._registry.workflows.get(workflow_id)
-            if record is not None:
+            if record is not None and record.shown:
                 return found_answer(record)
             if self._is_too_large(workflow):
                 return refused_answer(
@@ -86,7 +86,8 @@
         item = self._cancellations.get(workflow_id)
         if item is None:
             record = self._registry.workflows.get(workflow_id)
-            if record is not None and record.phase.has_ended and record.shown:
+            # An end that is not committed may be lost with this leader.
+            if record is not None and record.has_committed_end:
                 return found_answer(record)
             item = self._cancellations[workflow_id] = Submission()
             self._wake()
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -30,6 +30,11 @@
     tasks: dict[str, TaskRecord] = dataclasses.field(default_factory=dict)
     done: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def has_committed_end(self):
+        """Return whether the workflow has ended and its end is committed."""
+        return bool(self.shown) and WorkflowPhase(self.shown).has_ended
+
     def is_step_done(self, occurrence, number):
         """Return whether all tasks of a step are done.
 
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -29,6 +29,23 @@
     And the workflow is cancelled
     Then within 2 s the VM is ordered to stop 2 tasks
 
+  # An acknowledged cancel was lost with the leader: the end that answered it
+  # was on no record, and the next leader ran the task again.
+  Scenario: an end that is not on record answers no cancellation
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports both as done while the store answers nothing
+    And the cancellation of the workflow is sent
+    Then within 4 s the caller is not told that it has ended
+
+  Scenario: a cancellation is answered once the end is on record
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports both as done while the store answers nothing
+    And the cancellation of the workflow is sent
+    And the store answers again
+    Then within 4 s the caller is told that it is completed
+
   Scenario: a workflow is absent only on a recent proof of leadership
     When an unknown workflow is looked up
     Then the caller gets the outcome absent
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -152,6 +152,7 @@
 def _a_leader(context):
     context.agents = {}
     context.fences = {}
+    context.vm_labels = {}
     context.interference = Interference()
     context.bridge.call(_open_leader, context)
     _follow(context, "vm1")
@@ -192,12 +193,12 @@
     nursery.start_soon(context.leader.run)
 
 
-def _state(vm, *, boot=1):
+def _state(context, vm, *, boot=1):
     return VmState(
         boot=f"{vm}/{boot}",
         zone="z0",
         pool="order-desk",
-        labels=["a", "r1"],
+        labels=context.vm_labels.get(vm, ["a", "r1"]),
         capacity=Capacity(millicores=64_000, memory_mb=64_000),
     )
 
@@ -208,7 +209,7 @@
             vm=vm,
             epoch=0,
             clock_ms=clock_ms(),
-            state=_state(vm),
+            state=_state(context, vm),
             reads_specs=reads_specs,
         )
         welcome = context.leader.hello(hello, context.agents[vm])
@@ -242,7 +243,7 @@
             vm=vm,
             is_full=True,
             clock_ms=clock_ms() if made_ms is None else made_ms,
-            state=_state(vm, boot=boot),
+            state=_state(context, vm, boot=boot),
             running=list(running),
             ended=list(ended),
             fence=context.fences[vm] if fence is None else fence,
@@ -590,6 +591,84 @@
     context.bridge.call(trio.sleep, 0.1)
 
 
+@when("the VM reports both as done while the store answers nothing")
+def _done_in_outage(context):
+    context.platform_store.mode = "silent"
+    _both_done(context)
+    context.bridge.call(trio.sleep, 0.1)
+
+
+@when("the cancellation of the workflow is sent")
+def _cancellation_sent(context):
+    context.outcomes = []
+
+    async def cancel():
+        try:
+            answer = await context.leader.cancel(NAME, request_id="r")
+            context.outcomes.append(answer.phase or answer.outcome)
+        except CallRefused:
+            context.outcomes.append("other leader")
+
+    context.bridge.spawn(cancel)
+    context.bridge.call(trio.sleep, 0.1)
+
+
+@then("within {wait_s:d} s the caller is not told that it has ended")
+def _not_told_end(context, wait_s):
+    _wait(context, lambda: context.outcomes, wait_s)
+    told = context.outcomes in (["uncertain"], ["refused"], ["other leader"])
+    assert told, context.outcomes
+
+
+@then("within {wait_s:d} s the caller is told that it is {phase:w}")
+def _told_phase(context, wait_s, phase):
+    _wait(context, lambda: context.outcomes, wait_s)
+    assert context.outcomes == [phase], context.outcomes
+
+
+@when("the store answers nothing while the workflow is cancelled")
+def _cancelled_in_outage(context):
+    context.platform_store.mode = "silent"
+    _cancellation_sent(context)
+
+
+@when("the VM reports that it runs none, while the store answers nothing")
+def _runs_none_in_outage(context):
+    context.platform_store.mode = "silent"
+    _report(context, "vm1")
+    context.bridge.call(trio.sleep, 0.1)
+
+
+@when("a workflow is submitted that needs a VM which does not follow yet")
+def _submitted_for_other(context):
+    _submit(context, count=1, label="later")
+
+
+@when("the store answers nothing once that VM follows")
+def _follows_in_outage(context):
+    context.platform_store.mode = "silent"
+    context.vm_labels["vm2"] = ["later"]
+    _follow(context, "vm2")
+    context.bridge.call(trio.sleep, 0.5)
+
+
+def _count_waiting(context):
+    async def count():
+        return context.leader.backlog("q")
+
+    return context.bridge.call(count)
+
+
+@then("{count:d} workflow waits")
+def _waits(context, count):
+    assert _count_waiting(context) == count, _count_waiting(context)
+
+
+@then("within {wait_s:d} s no workflow waits")
+def _none_waits(context, wait_s):
+    assert _wait(context, lambda: context.leader.backlog("q") == 0, wait_s)
+
+
 @when("the store answers again")
 def _store_answers(context):
     context.platform_store.mode = ""
@@ -1160,6 +1239,7 @@
 def _leader_on_link(context, mbps):
     context.agents = {}
     context.fences = {}
+    context.vm_labels = {}
     context.interference = Interference()
     context.bridge.call(
         functools.partial(_open_leader, context, link_mbps=float(mbps))
