Stop attempts only for changes that are on record

While an entry was being appended, a report of a VM made the leader stop attempts because of it: those of a workflow whose cancellation, failure or completion was not committed yet, and those whose interruption was not. If the leader is replaced before the entry lands, the next one does not know the change, and the work of the stopped attempts is lost for nothing.

Fleet.unwanted_attempts compares reports with the registry, which is ahead of the log by one entry.

Attempts with a change that is being appended are left alone until it is committed; the report after that stops them.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -76,8 +76,9 @@
             vm_health=self._vm_health,
         )
         self.sessions = {}
-        # Tasks whose assignment is not committed yet; no VM knows of them, so
-        # that a report without them does not mean that they are missing.
+        # Tasks whose end or assignment is not committed yet. No VM knows of
+        # these assignments, so that a report without them does not mean that
+        # they are missing.
         self.uncommitted = set()
 
     def open_session(self, hello, conn):
@@ -244,13 +245,26 @@
         return found[:MAX_CHECKPOINTS]
 
     def unwanted_attempts(self, session):
-        """Return running attempts that the log does not assign to the VM."""
+        """Return running attempts that the log does not assign to the VM.
+
+        Changes that are not committed do not count, as the next leader may
+        not know them.
+        """
         return [
             item
             for item in session.running.values()
             if not self.is_wanted(session, item)
+            and not self._is_changing(item.task_id)
         ]
 
+    def _is_changing(self, task_id):
+        """Return whether a change of a task is not committed yet."""
+        record, task = self._registry.find(task_id)
+        if task is None:
+            return False
+        has_new_end = record.phase.has_ended and not record.has_committed_end
+        return has_new_end or task_id in self.uncommitted
+
     def is_wanted(self, session, item):
         """Return whether the log assigns a running attempt to a VM.
 
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -153,9 +153,9 @@
             )
             self._registry.apply(planned)
             entry.assignments = assignments
-            self._fleet.uncommitted.update(
-                item.task_id for item in assignments
-            )
+        self._fleet.uncommitted.update(
+            item.task_id for item in entry.ends + entry.assignments
+        )
         return entry
 
     def _collect_ends(self, room):
@@ -231,6 +231,7 @@
                     age_ms=entry.made_ms - record.workflow.accepted_ms,
                 )
                 record.shown = record.phase
+        self._fleet.uncommitted.clear()
         self._submissions.settle(entry)
         self._order_sender.acknowledge(self._committing.values())
         self._committing = {}
@@ -244,9 +245,6 @@
         The VM may have been lost, and have come back, since the entry was
         made; the next entry may assign the task to another one.
         """
-        self._fleet.uncommitted.difference_update(
-            item.task_id for item in assignments
-        )
         self._order_sender.start(
             item
             for item in assignments
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -46,6 +46,24 @@
     And the store answers again
     Then within 4 s the caller is told that it is completed
 
+  # Tasks lost their work to a cancellation that the next leader did not know.
+  Scenario: a cancellation that is not on record stops no task
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the store answers nothing while the workflow is cancelled
+    And the VM reports them as running
+    Then no task gets another attempt and none is stopped
+    When the store answers again
+    Then within 4 s the VM is ordered to stop 2 tasks
+
+  # The next leader expects the tasks where the last recorded assignment is.
+  Scenario: an interruption that is not on record stops no task
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM reports that it runs none, while the store answers nothing
+    And the VM reports them as running
+    Then no task gets another attempt and none is stopped
+
   Scenario: a workflow is absent only on a recent proof of leadership
     When an unknown workflow is looked up
     Then the caller gets the outcome absent
