Count workflows as waiting until their assignment is on record

WorkflowRegistry.backlog looked at the phase, which is ahead of the log by one entry, so that `waiting` left out workflows whose first assignment a change of leader could still undo.

Test, failing before (0 for 1): leader.feature, "a workflow waits until its assignment is on record".

--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -122,13 +122,14 @@
     def backlog(self, queue):
         """Return how many workflows of a queue have not started.
 
-        Repeated workflows do not count.
+        Workflows whose first assignment is not committed yet count; repeated
+        ones do not.
 
         :param queue: Name of the queue.
         """
         return sum(
             record.workflow.queue == queue
-            and record.phase == WorkflowPhase.QUEUED
+            and record.shown == WorkflowPhase.QUEUED
             and not record.workflow.repeats
             for record in self.workflows.values()
         )
