Take an attempt for interrupted only if a complete list lacks it

Cause: a runner lists 500 ends at a time. With more open ends the agent took those that the full list left out for interruptions, and the leader placed their tasks again.

Evidence: 150 lines reason="unknown to the worker" on each agent, 650 ends less 500; the same attempts are found again as done, with numbers over 500, once the first ones are settled.

A list of 500 ends counts as incomplete and ends nothing. An agent that has not seen a complete list under its newest token reports the ends that it has and does not claim that this is all, which a restarted agent did.

--- a/src/radishlanding/platform/listing.py
+++ b/src/radishlanding/platform/listing.py
@@ -15,6 +15,9 @@
 from radishlanding.worker import RunningAttempt
 from radishlanding.workflow import EndKind
 
+# A runner lists this many ends at a time, the oldest first.
+MAX_ENDS = 500
+
 _KIND_BY_END = {
     "done": EndKind.DONE,
     "failed": EndKind.FAILED,
@@ -32,11 +35,13 @@
     :raises TypeError: A row is not a list.
     :raises ValueError: A field is missing or malformed.
     """
+    ended = [_decode_ended(row) for row in read_list(answer, "ended")]
     return AttemptListing(
         clock_ms=read_int(answer, "clockMs", maximum=MAX_NUMBER),
         born_ms=read_int(answer, "born", default=0, maximum=MAX_NUMBER),
         running=[_decode_running(row) for row in read_list(answer, "running")],
-        ended=[_decode_ended(row) for row in read_list(answer, "ended")],
+        ended=ended,
+        is_complete=len(ended) < MAX_ENDS,
     )
 
 
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -188,6 +188,8 @@
                 number=row.number,
                 checkpoint=row.checkpoint,
             )
+        if not listing.is_complete:
+            return
         for task in self.active():
             if (
                 task.key not in listed
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -49,6 +49,7 @@
         "has_left",
         "has_synced",
         "is_leaving",
+        "is_partly_listed",
         "is_responsive",
         "lease",
         "pacer",
@@ -91,6 +92,8 @@
         self.has_left = False
         self.is_leaving = False
         self.has_synced = False
+        # Whether lists under the newest token have left out ends so far.
+        self.is_partly_listed = False
         self.lease = VmLease(duration_s=vm_lease_s)
         self.report = report
         self.scope = trio.CancelScope()
@@ -175,6 +178,7 @@
         self.is_leaving = False
         self.has_left = False
         self.has_synced = False
+        self.is_partly_listed = False
         if is_replaced:
             self.worker = self._make_worker(self.report)
         for task in self.table.active():
@@ -197,17 +201,19 @@
         self.fence = fence
         # Nothing can start any more on a worker that has left.
         self.has_synced = self.has_left
+        self.is_partly_listed = False
         self.table.notify()
 
     @property
     def can_report(self):
         """Return whether there is something reliable to report.
 
-        That is a list under the newest token or, as a worker that does not
-        answer cannot be listed, the ends of its attempts.
+        That is a complete list under the newest token. Without one it is the
+        ends of attempts, if the worker does not answer or has more ends than
+        it lists at a time: it lists the others once these are settled.
         """
-        has_ends = bool(self.table.ended())
-        return self.has_synced or (has_ends and not self.is_responsive)
+        cannot_sync = self.is_partly_listed or not self.is_responsive
+        return self.has_synced or (cannot_sync and bool(self.table.ended()))
 
     @property
     def is_sole_witness(self):
@@ -314,19 +320,27 @@
         self.clock.update(listing.clock_ms)
         self.table.apply_listing(listing, sent_s=sent_s, now_s=boot_clock_s())
         if fence == self.fence and not self.has_synced:
-            self.has_synced = True
-            _log.info(
-                "worker_listed",
-                vm=self.vm,
-                fence=fence,
-                running=len(listing.running),
-                ended=len(listing.ended),
-            )
-            self.table.notify()
+            self._record_listing(listing)
         if remaining_s <= 0:
             with trio.move_on_after(RETRY_DELAY_S):
                 await self.table.wait_changed()
 
+    def _record_listing(self, listing):
+        """Record a list under the newest token, until one is complete."""
+        if self.is_partly_listed and not listing.is_complete:
+            return
+        self.has_synced = listing.is_complete
+        self.is_partly_listed = not listing.is_complete
+        _log.info(
+            "worker_listed",
+            vm=self.vm,
+            fence=self.fence,
+            running=len(listing.running),
+            ended=len(listing.ended),
+            complete=listing.is_complete,
+        )
+        self.table.notify()
+
     def start(self, message, *, clock_ms):
         """Take start orders; see :meth:`OrderHandler.start`."""
         return self._order_handler.start(message, clock_ms=clock_ms)
--- a/tests/platform/listings.feature
+++ b/tests/platform/listings.feature
@@ -27,3 +27,15 @@
       | infinite numbers       |
       | negative numbers       |
       | unpaired surrogates    |
+
+  # The platform lists 500 ends at a time; the others follow once these are
+  # settled.
+  Scenario Outline: a listing of <count> ends
+    Given a worker of the platform that lists <count> ends
+    Then the listing is <extent>
+
+    Examples:
+      | count | extent     |
+      | 0     | complete   |
+      | 499   | complete   |
+      | 500   | incomplete |
--- a/tests/platform/listings_steps.py
+++ b/tests/platform/listings_steps.py
@@ -181,3 +181,16 @@
         raise AssertionError("the listing was decoded")
 
     context.bridge.call(call)
+
+
+@given("a worker of the platform that lists {count:d} ends")
+def _lists_ends(context, count):
+    rows = [[n, TASK, n, "done", ""] for n in range(1, count + 1)]
+    body = json.dumps({"clockMs": 1, "running": [], "ended": rows})
+    context.bridge.call(_open, context, body.encode())
+
+
+@then("the listing is {extent:w}")
+def _extent(context, extent):
+    listing = context.bridge.call(_list_attempts, context)
+    assert listing.is_complete == (extent == "complete"), len(listing.ended)
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -26,6 +26,7 @@
         "_has_capacity",
         "_lost_starts",
         "born_ms",
+        "ends_per_list",
         "forbidden",
         "gauges",
         "is_replaced",
@@ -53,6 +54,8 @@
         self._has_capacity = has_capacity
         self._lost_starts = lost_starts
         self.born_ms = 1000
+        # Longest list of ends, None for no limit.
+        self.ends_per_list = None
         self.gauges = {}
         self.forbidden = set()
         # Whether another worker answers polls in its place.
@@ -167,7 +170,11 @@
                 )
                 for key, checkpoint in self.running.items()
             ],
-            ended=list(self._ended),
+            ended=self._ended[: self.ends_per_list],
+            is_complete=(
+                self.ends_per_list is None
+                or len(self._ended) < self.ends_per_list
+            ),
         )
 
     async def pace(self, task_id, attempt, *, percent, fence):
--- a/tests/vmagent/worker_supervisor.feature
+++ b/tests/vmagent/worker_supervisor.feature
@@ -137,3 +137,26 @@
     Given a supervisor whose worker runs nothing
     When it is given its token again
     Then it has still listed its worker
+
+  # Done tasks ran again: a full list of ends left out some of them, which the
+  # agent took for interruptions.
+  Scenario: ends that a full list leaves out are no interruptions
+    Given a supervisor of 5 attempts whose worker lists 2 ends at a time
+    When all 5 are done before an end is on record
+    Then no end but done is reported within 1 s
+    When each reported end is put on record
+    Then within 3 s all 5 were reported as done
+
+  # After a restart of the agent, ends beyond the list are known to nobody else.
+  Scenario Outline: a full list does not show all attempts to a new agent
+    Given a worker with <count> ends of an earlier agent that lists 2 at a time
+    When a supervisor follows a leader and may not know all ends
+    Then it reports ends, and not that this is all
+    When each reported end is put on record
+    Then within 3 s all <count> were reported as done
+    And it reports that this is all
+
+    Examples:
+      | count |
+      | 2     |
+      | 5     |
--- a/tests/vmagent/worker_supervisor_steps.py
+++ b/tests/vmagent/worker_supervisor_steps.py
@@ -51,6 +51,17 @@
 
 async def _open_supervisor(
     context, *, has_lease=True, number=1, capacity=REPORT.capacity
+):
+    await _create_supervisor(
+        context, has_lease=has_lease, number=number, capacity=capacity
+    )
+    with trio.fail_after(2):
+        while not context.supervisor.has_synced:
+            await trio.sleep(0.01)
+
+
+async def _create_supervisor(
+    context, *, has_lease=True, number=1, capacity=REPORT.capacity
 ):
     nursery = context.bridge.nursery
     context.supervisor = WorkerSupervisor(
@@ -65,9 +76,6 @@
         context.supervisor.lease.extend(sent_s=boot_clock_s())
     context.supervisor.use_fence(7)
     nursery.start_soon(context.supervisor.run)
-    with trio.fail_after(2):
-        while not context.supervisor.has_synced:
-            await trio.sleep(0.01)
 
 
 @given("a supervisor whose worker loses the answers to {count:d} starts")
@@ -539,3 +547,115 @@
 @then("it has still listed its worker")
 def _still_listed(context):
     assert context.is_listed
+
+
+@given(
+    "a supervisor of {count:d} attempts whose worker lists {limit:d} ends at "
+    "a time"
+)
+def _lists_few_ends(context, count, limit):
+    worker = FakeLeasedWorker()
+    worker.ends_per_list = limit
+    open_supervisor(context, worker)
+    context.reported = {}
+
+    async def start():
+        for attempt in range(1, count + 1):
+            _start_attempt(context, attempt)
+        with trio.fail_after(2):
+            while not all(
+                context.supervisor.table.get(TASK, attempt).is_listed
+                for attempt in range(1, count + 1)
+            ):
+                await trio.sleep(0.01)
+
+    context.bridge.call(start)
+
+
+def _collect_reports(context):
+    for end in context.supervisor.end_reports():
+        context.reported[end.attempt] = end.kind
+
+
+@when("all {count:d} are done before an end is on record")
+def _all_done(context, count):
+    async def finish():
+        for attempt in range(1, count + 1):
+            await context.worker.finish(TASK, attempt, "done")
+
+    context.bridge.call(finish)
+
+
+@then("no end but done is reported within {wait_s:d} s")
+def _only_done(context, wait_s):
+    context.bridge.call(trio.sleep, wait_s)
+    _collect_reports(context)
+    assert set(context.reported.values()) == {"done"}, context.reported
+
+
+@when("each reported end is put on record")
+def _put_on_record(context):
+    async def put():
+        while True:
+            _collect_reports(context)
+            context.supervisor.table.settle(
+                [(TASK, attempt) for attempt in context.reported]
+            )
+            await trio.sleep(0.02)
+
+    context.bridge.spawn(put)
+
+
+@then("within {wait_s:d} s all {count:d} were reported as done")
+def _all_reported(context, wait_s, count):
+    expected = dict.fromkeys(range(1, count + 1), "done")
+
+    async def wait():
+        with trio.move_on_after(wait_s):
+            while context.reported != expected:
+                await trio.sleep(0.01)
+
+    context.bridge.call(wait)
+    assert context.reported == expected, context.reported
+
+
+@given(
+    "a worker with {count:d} ends of an earlier agent that lists {limit:d} at "
+    "a time"
+)
+def _has_open_ends(context, count, limit):
+    context.worker = FakeLeasedWorker()
+    context.worker.ends_per_list = limit
+    context.reported = {}
+
+    async def finish():
+        for attempt in range(1, count + 1):
+            context.worker.running[(TASK, attempt)] = ""
+            await context.worker.finish(TASK, attempt, "done")
+
+    context.bridge.call(finish)
+
+
+@when("a supervisor follows a leader and may not know all ends")
+def _follows_partly(context):
+    context.counters = Counters()
+    context.bridge.call(_create_supervisor, context)
+    context.bridge.call(trio.sleep, 0.3)
+
+
+@then("it reports ends, and not that this is all")
+def _reports_part(context):
+    assert context.supervisor.can_report
+    assert context.supervisor.end_reports()
+    assert not context.supervisor.has_synced
+
+
+@then("it reports that this is all")
+def _reports_all(context):
+    async def wait():
+        with trio.move_on_after(1):
+            while not context.supervisor.has_synced:
+                await trio.sleep(0.01)
+
+    context.bridge.call(wait)
+    assert context.supervisor.has_synced
