Follow a boot of a worker only once the worker confirms it

Cause: the agent took address, id and born of a ping for the identity of the worker. A ping with a later born ended the boot before, and the worker's own pings were then taken for late ones, for good.

Evidence: worker_reborn boot=i-other before=i-m1 at the ping, worker_ended reason="another runner answers at this address" 0.6 s later, and attempt 2 of the tasks on other VMs while attempt 1 ran until its lease lapsed.

A ping that names another boot than the supervised one makes the agent ask the worker at the address; only a boot that the worker confirms is followed. The born of a list counts more than that of a ping. Within a boot, a ping with another pool, zone or labels has to come three times in a row, and a drain is taken note of whatever its number. An address that nobody confirms gets no supervisor, so that it takes no place and no VM.

WorkerRegistry is what VmAgentProgram held of this before.

--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -13,6 +13,7 @@
 from radishlanding.platform.fields import MAX_NUMBER
 from radishlanding.platform.fields import read_int
 from radishlanding.platform.listing import decode_listing
+from radishlanding.worker import BootCheck
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerReplaced
 from radishlanding.worker import WorkerUnavailable
@@ -43,6 +44,7 @@
     """
 
     __slots__ = (
+        "_address",
         "_client",
         "_headers",
         "_limiter",
@@ -57,6 +59,7 @@
         :param worker_id: Identity of the runner; another one at this address
             refuses the calls.
         """
+        self._address = address
         self._client = HttpClient(
             address=address, max_body_bytes=MAX_ANSWER_BYTES
         )
@@ -91,6 +94,40 @@
             raise WorkerUnavailable(f"{path}: {exc}") from exc
         return response.status, answer
 
+    async def check_boot(self, *, fence, born_ms):
+        """Ask the runner at the address whether it is a certain boot.
+
+        The call has a connection of its own, which the boot accepts that is
+        there now. It settles no end and sets no deadline.
+
+        :param fence: Highest known fencing token of the runner, 0 for none.
+        :param born_ms: Unix time of the boot's start, in milliseconds.
+        :returns: A :class:`radishlanding.worker.BootCheck`.
+        """
+        client = HttpClient(
+            address=self._address, max_body_bytes=MAX_ANSWER_BYTES
+        )
+        try:
+            status, answer = await self._send(
+                client,
+                "hold",
+                {"fencingToken": fence, "ackedUpto": 0},
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        finally:
+            await client.close()
+        if status == 421:
+            return BootCheck.OTHER
+        if status not in (200, 409):
+            raise WorkerUnavailable(f"hold: status {status}")
+        try:
+            found_ms = read_int(answer, "born", default=0, maximum=MAX_NUMBER)
+        except ValueError as exc:
+            raise WorkerUnavailable(f"hold: {exc}") from exc
+        if not found_ms:
+            return BootCheck.UNDATED
+        return BootCheck.CONFIRMED if found_ms == born_ms else BootCheck.OTHER
+
     async def start(self, order, *, fence, deadline_ms):
         """Start an attempt.
 
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -23,14 +23,12 @@
 from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.departure import Departure
 from radishlanding.vmagent.dispatcher_links import DispatcherLinks
-from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
+from radishlanding.vmagent.worker_registry import WorkerRegistry
 
 # Between reads of the members while no leader is connected.
 DISCOVERY_INTERVAL_S = 0.5
 # Added to that while one is connected.
 LEADER_CHECK_INTERVAL_S = 5.0
-# Workers on one VM: the running one, and those whose ends are not settled.
-MAX_WORKERS = 16
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -43,9 +41,8 @@
         "_counters",
         "_links",
         "_member_reader",
-        "_nursery",
         "_store",
-        "_supervisors",
+        "_workers",
     )
 
     def __init__(self, *, cfg):
@@ -56,10 +53,14 @@
         self._cfg = cfg
         self._counters = Counters()
         self._member_reader = RecordReader(Member, counters=self._counters)
-        self._nursery = None
-        self._supervisors = {}
+        self._workers = WorkerRegistry(
+            make_worker=_make_runner,
+            vm_lease_s=cfg.vm_lease_s,
+            hold_max_s=cfg.hold_max_ms / 1000,
+            counters=self._counters,
+        )
         self._links = DispatcherLinks(
-            supervisors=self._supervisors, counters=self._counters
+            supervisors=self._workers.supervisors, counters=self._counters
         )
         self._store = KvStore(
             address=cfg.store,
@@ -75,20 +76,22 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with trio.open_nursery() as nursery:
-                self._nursery = nursery
                 await self._start(nursery)
                 async for number in signals:
                     _log.info("signal", number=number)
                     if number != signal.SIGHUP:
                         break
-                await Departure(supervisors=self._supervisors).wait()
+                await Departure(supervisors=self._workers.supervisors).wait()
                 nursery.cancel_scope.cancel()
         _log.info("stopped")
 
     async def _start(self, nursery):
         self._links.open(nursery)
+        self._workers.open(nursery, run_supervisor=self._run_supervisor)
         server = HttpServer(
-            handler=RegistrationApi(handler=self, counters=self._counters)
+            handler=RegistrationApi(
+                handler=self._workers, counters=self._counters
+            )
         )
         host, _, port = self._cfg.report_listen.rpartition(":")
         port = await nursery.start(
@@ -157,64 +160,6 @@
             self._links.close_disconnected(self._links.addresses - addresses)
         return addresses or known, named
 
-    def worker_reported(self, report):
-        """Start or update the supervisor of a worker that has reported.
-
-        :param report: A :class:`radishlanding.worker.WorkerReport`; an
-            outdated one is ignored.
-        """
-        supervisor = self._supervisors.get(report.address)
-        if supervisor is None:
-            if self._has_room():
-                self._add_supervisor(report)
-            else:
-                self._counters.add("workers_refused")
-                _log.warning(
-                    "worker_refused",
-                    vm=report.address,
-                    worker=report.worker_id,
-                    supervised=len(self._supervisors),
-                )
-        elif self._is_newer(report, supervisor.report):
-            supervisor.update(report)
-
-    def _has_room(self):
-        """Return whether another worker can be supervised.
-
-        Supervisors whose worker has left with all ends settled are removed.
-        """
-        for vm, supervisor in list(self._supervisors.items()):
-            if len(self._supervisors) < MAX_WORKERS:
-                break
-            if supervisor.has_left and not supervisor.table.has_attempts():
-                del self._supervisors[vm]
-                supervisor.close()
-                _log.info("worker_removed", vm=vm)
-        return len(self._supervisors) < MAX_WORKERS
-
-    def _is_newer(self, report, known):
-        return (report.born_ms, report.number) > (known.born_ms, known.number)
-
-    def _add_supervisor(self, report):
-        supervisor = WorkerSupervisor(
-            report=report,
-            make_worker=_make_runner,
-            vm_lease_s=self._cfg.vm_lease_s,
-            hold_max_s=self._cfg.hold_max_ms / 1000,
-            nursery=self._nursery,
-            counters=self._counters,
-        )
-        self._supervisors[supervisor.vm] = supervisor
-        _log.info(
-            "worker_found",
-            vm=supervisor.vm,
-            boot=report.boot,
-            pool=report.pool,
-            millicores=report.capacity.millicores,
-            memory_mb=report.capacity.memory_mb,
-        )
-        self._nursery.start_soon(self._run_supervisor, supervisor)
-
     async def _run_supervisor(self, supervisor):
         self._links.introduce(supervisor)
         with supervisor.scope:
@@ -222,17 +167,6 @@
                 nursery.start_soon(self._links.run_reports, supervisor)
                 nursery.start_soon(supervisor.run)
 
-    def worker_left(self, worker_id):
-        """Mark a worker as leaving after it has deregistered.
-
-        :param worker_id: Identity of the worker.
-        """
-        for supervisor in self._supervisors.values():
-            if supervisor.report.worker_id == worker_id:
-                _log.info("worker_leaves", vm=supervisor.vm, worker=worker_id)
-                supervisor.is_leaving = True
-                supervisor.table.notify()
-
 
 def _make_runner(report):
     return Runner(address=report.address, worker_id=report.worker_id)
--- /dev/null
+++ b/src/radishlanding/vmagent/report_filter.py
@@ -0,0 +1,48 @@
+"""Selects the reports of one boot that are applied."""
+
+import operator
+
+# An odd report is outvoted by the next ones of the worker itself.
+MIN_REPEATS = 3
+
+# Number of a boot that is known from a list of its attempts only.
+NO_REPORT = 0
+
+# What a worker does not change before it starts again.
+_description = operator.attrgetter("pool", "zone", "labels")
+
+
+class ReportFilter:
+    """Select newer reports of a boot, and ignore odd ones.
+
+    Another writer may send reports under the identity of a worker. Without
+    a reason to prefer one of two descriptions, the one is used that came
+    several times in a row.
+    """
+
+    __slots__ = ("_repeats", "_rival")
+
+    def __init__(self):
+        """Start without a rival description."""
+        self._repeats = 0
+        self._rival = None
+
+    def accepts(self, report, known):
+        """Return whether a report replaces the known one of the same boot.
+
+        :param report: A :class:`radishlanding.worker.WorkerReport`.
+        :param known: The report that is used now.
+        """
+        description = _description(report)
+        if known.number == NO_REPORT:
+            return True
+        if description != _description(known):
+            if description != self._rival:
+                self._rival, self._repeats = description, 0
+            self._repeats += 1
+            return self._repeats >= MIN_REPEATS
+        self._rival = None
+        # No worker goes back from draining, so that a number that another
+        # writer set too high delays no drain.
+        starts_to_drain = report.is_draining and not known.is_draining
+        return report.number > known.number or starts_to_drain
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -10,6 +10,8 @@
 from radishlanding.vm import VmLease
 from radishlanding.vmagent.attempt_table import AttemptTable
 from radishlanding.vmagent.order_handler import OrderHandler
+from radishlanding.vmagent.report_filter import NO_REPORT
+from radishlanding.vmagent.report_filter import ReportFilter
 from radishlanding.vmagent.task_pacer import TaskPacer
 from radishlanding.vmagent.worker_clock import WorkerClock
 from radishlanding.worker import WorkerReplaced
@@ -44,6 +46,7 @@
         "_hold_s",
         "_make_worker",
         "_order_handler",
+        "_report_filter",
         "clock",
         "fence",
         "has_left",
@@ -96,6 +99,7 @@
         self.is_partly_listed = False
         self.lease = VmLease(duration_s=vm_lease_s)
         self.report = report
+        self._report_filter = ReportFilter()
         self.scope = trio.CancelScope()
         self.table = AttemptTable()
         self.worker = make_worker(report)
@@ -125,6 +129,14 @@
             remaining_ms=self.report.remaining_ms,
         )
 
+    def apply_report(self, report):
+        """Store a report of the present boot, unless it is late or odd.
+
+        :param report: A :class:`radishlanding.worker.WorkerReport`.
+        """
+        if self._report_filter.accepts(report, self.report):
+            self.update(report)
+
     def update(self, report):
         """Store a newer report of the worker, and handle a new boot.
 
@@ -308,12 +320,12 @@
             _log.info("poll_refused", vm=self.vm, fence=fence, boot=boot)
             await trio.sleep(RETRY_DELAY_S)
             return
-        if listing.born_ms > self.report.born_ms:
+        if listing.born_ms and listing.born_ms != self.report.born_ms:
             # Each boot numbers its ends from 1: what was settled in the
             # previous boot must not settle ends of this one.
             self.update(
                 dataclasses.replace(
-                    self.report, born_ms=listing.born_ms, number=0
+                    self.report, born_ms=listing.born_ms, number=NO_REPORT
                 )
             )
             return
--- a/src/radishlanding/worker/__init__.py
+++ b/src/radishlanding/worker/__init__.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Advisor",
     "AdvisorUnavailable",
+    "BootCheck",
     "EndedAttempt",
     "HttpWorker",
     "LeasedWorker",
@@ -25,6 +26,7 @@
         "Advisor": "advisor",
         "AdvisorUnavailable": "advisor_unavailable",
         "AttemptListing": "attempt_listing",
+        "BootCheck": "boot_check",
         "EndedAttempt": "ended_attempt",
         "HttpWorker": "http_worker",
         "LeasedWorker": "leased_worker",
--- a/src/radishlanding/worker/leased_worker.py
+++ b/src/radishlanding/worker/leased_worker.py
@@ -12,6 +12,16 @@
     worker has seen has no effect.
     """
 
+    async def check_boot(self, *, fence, born_ms):
+        """Ask the worker at the address whether it is a certain boot.
+
+        It has no effect on attempts, deadlines and ends.
+
+        :param fence: Highest known fencing token of that worker, 0 for none.
+        :param born_ms: Unix time of the boot's start, in milliseconds.
+        :returns: A :class:`BootCheck`.
+        """
+
     async def start(self, order, *, fence, deadline_ms):
         """Start an attempt; idempotent for the same attempt.
 
--- a/tests/standin/platform_runner.py
+++ b/tests/standin/platform_runner.py
@@ -80,12 +80,15 @@
         self._sequence = 0
         self.boot()
 
-    def boot(self):
-        """Reboot: lose all runs and reset the clock, lease and fence."""
+    def boot(self, *, set_back_s=0):
+        """Reboot: lose all runs and reset the clock, lease and fence.
+
+        :param set_back_s: How far its time of day is set back, in seconds.
+        """
         for run in getattr(self, "runs", {}).values():
             run.finish("lost")
         self._boot_s = time.monotonic()
-        self._boot_ms = int(time.time() * 1000)
+        self._boot_ms = int((time.time() - set_back_s) * 1000)
         self._lease_deadline_ms = 0
         self._ended = []
         self._fence = 0
@@ -109,10 +112,15 @@
                 await self.ping_once(machine.reports_address)
             await trio.sleep(PING_INTERVAL_S)
 
-    async def ping_once(self, address):
-        """Send one ping; ignore a failure."""
-        client = HttpClient(address=address)
-        self._sequence += 1
+    async def ping_once(self, agent, *, worker_id=None, **changes):
+        """Send one ping; ignore a failure.
+
+        :param agent: ``ip:port`` that the agent takes pings at.
+        :param worker_id: ID that the ping is sent under, its own by default.
+        :param changes: Fields of the ping that differ from its own.
+        """
+        client = HttpClient(address=agent)
+        self._sequence += not changes
         body = HttpResponse.of_json(
             {
                 "service": self.pool,
@@ -127,13 +135,14 @@
                 "clockMs": self.clock_ms(),
                 "sequence": self._sequence,
                 "born": self._boot_ms,
+                **changes,
             }
         ).body
         # The agent may be down; the next ping tries again.
         with contextlib.suppress(ExchangeFailed):
             await client.send(
                 "PUT",
-                f"/-/instances/{self.worker_id}",
+                f"/-/instances/{worker_id or self.worker_id}",
                 body=body,
                 timeout_s=1.0,
             )
--- a/tests/vmagent/departure_steps.py
+++ b/tests/vmagent/departure_steps.py
@@ -29,6 +29,12 @@
 
 @given("an agent process whose worker runs a task, and its leader")
 def _an_agent(context):
+    open_agent(context)
+    context.bridge.call(_ping, context)
+
+
+def open_agent(context):
+    """Start an agent, and a worker that has not reported to it yet."""
     folder = tempfile.TemporaryDirectory(prefix="radishlanding-")
     context.add_cleanup(folder.cleanup)
     context.agent = Process(
@@ -73,6 +79,9 @@
             "vm_lease_s": VM_LEASE_S,
         },
     )
+
+
+async def _ping(context):
     await context.runner.ping_once(context.agent.ports["reports"])
     with trio.fail_after(START_TIMEOUT_S):
         while not _running(context):
--- /dev/null
+++ b/tests/vmagent/worker_registry.feature
@@ -0,0 +1,41 @@
+Feature: An agent learns from a worker itself which boot of it runs
+
+  # Running tasks were started again elsewhere: a ping of another writer named
+  # the address of their worker and was taken for a new boot.
+  Scenario Outline: a ping of another writer with <oddity> changes nothing
+    Given an agent process whose worker runs a task, and its leader
+    When the agent gets a ping of another writer with <oddity>
+    Then for 3 s the same boot, pool and attempt are reported
+    When the worker reports that it drains
+    Then within 2 s the leader knows that it drains
+
+    Examples:
+      | oddity                                    |
+      | another id and a later start              |
+      | the worker's id and a later start         |
+      | the worker's id and an earlier start      |
+      | the worker's id and start in another pool |
+      | the worker's id and start, far ahead      |
+
+  Scenario Outline: a worker that starts again is followed although <what>
+    Given an agent process whose worker runs a task, and its leader
+    When the worker starts again and <what>
+    Then within 2 s the leader knows its new boot, and that the task has ended
+
+    Examples:
+      | what                       |
+      | its clock is set back 60 s |
+      | has another id             |
+
+  # Other writers' addresses took the places of a machine's own workers.
+  Scenario: pings of other writers take no place of a worker
+    Given an agent process, its leader, and a worker that has not reported
+    When the agent gets pings of 40 other writers with addresses of their own
+    And the worker reports
+    Then within 2 s the leader knows its boot
+
+  # An odd report that came first made an agent ignore its own worker for good.
+  Scenario: a worker is followed although an odd report came before its first
+    Given an agent process, its leader, and a worker that has not reported
+    When another writer reports it in another pool, and then it reports 3 times
+    Then within 2 s the leader knows its pool
--- /dev/null
+++ b/tests/vmagent/worker_registry_steps.py
@@ -0,0 +1,170 @@
+"""Steps for pings that name a worker."""
+
+import contextlib
+import time
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from tests.vmagent.departure_steps import open_agent
+from tests.vmagent.departure_steps import TASK
+
+ODDITIES = {
+    "another id and a later start": ("i-other", {"later_s": 1}),
+    "the worker's id and a later start": (None, {"later_s": 1}),
+    "the worker's id and an earlier start": (None, {"later_s": -60}),
+    "the worker's id and start in another pool": (None, {"service": "other"}),
+    "the worker's id and start, far ahead": (None, {"sequence": 10**9}),
+}
+
+
+def _reports_address(context):
+    return context.agent.ports["reports"]
+
+
+@given("an agent process, its leader, and a worker that has not reported")
+def _an_unknown_worker(context):
+    open_agent(context)
+
+
+@when("the agent gets a ping of another writer with {oddity}")
+def _odd_ping(context, oddity):
+    worker_id, changes = ODDITIES[oddity]
+    changes = {"sequence": 1000, **changes}
+    if "later_s" in changes:
+        changes["born"] = int((time.time() + changes.pop("later_s")) * 1000)
+    context.boot = context.dispatcher.reports[-1].state.boot
+    context.bridge.call(
+        context.runner.ping_once,
+        _reports_address(context),
+        worker_id=worker_id,
+        **changes,
+    )
+
+
+@then("for {wait_s:d} s the same boot, pool and attempt are reported")
+def _nothing_changes(context, wait_s):
+    context.dispatcher.reports.clear()
+    context.bridge.call(trio.sleep, wait_s)
+    reports = context.dispatcher.reports
+    assert len(reports) > 1, reports
+    assert {report.state.boot for report in reports} == {context.boot}
+    assert {report.state.pool for report in reports} == {context.runner.pool}
+    assert not any(report.ended for report in reports), reports
+    assert TASK in {task.task_id for task in reports[-1].running}
+
+
+@when("the worker reports that it drains")
+def _drains(context):
+    context.runner.is_draining = True
+    _reports_itself(context)
+
+
+@when("the worker reports")
+def _reports_itself(context):
+    context.bridge.call(context.runner.ping_once, _reports_address(context))
+
+
+async def _until(condition, wait_s):
+    with trio.move_on_after(wait_s):
+        while not condition():
+            await trio.sleep(0.01)
+    return condition()
+
+
+@then("within {wait_s:d} s the leader knows that it drains")
+def _known_to_drain(context, wait_s):
+    def is_known():
+        return context.dispatcher.reports[-1].state.is_draining
+
+    assert context.bridge.call(_until, is_known, wait_s)
+
+
+@when("the worker starts again and its clock is set back 60 s")
+def _set_back(context):
+    _start_again(context, set_back_s=60)
+
+
+@when("the worker starts again and has another id")
+def _other_id(context):
+    context.runner.worker_id = "i-1"
+    _start_again(context)
+
+
+def _start_again(context, **options):
+    async def boot():
+        context.runner.boot(**options)
+        await context.runner.ping_once(_reports_address(context))
+
+    context.boot = context.dispatcher.reports[-1].state.boot
+    context.bridge.call(boot)
+
+
+@then(
+    "within {wait_s:d} s the leader knows its new boot, and that the task has "
+    "ended"
+)
+def _new_boot_known(context, wait_s):
+    def is_known():
+        report = context.dispatcher.reports[-1]
+        ended = {item.task_id for item in report.ended}
+        return report.state.boot != context.boot and TASK in ended
+
+    assert context.bridge.call(_until, is_known, wait_s), (
+        context.dispatcher.reports[-1]
+    )
+
+
+@when(
+    "the agent gets pings of {count:d} other writers with addresses of their "
+    "own"
+)
+def _fill(context, count):
+    async def ping():
+        for index in range(count):
+            await context.runner.ping_once(
+                _reports_address(context),
+                worker_id=f"i-odd-{index}",
+                address=f"127.0.0.1:{1 + index}",
+            )
+
+    context.bridge.call(ping)
+
+
+@then("within {wait_s:d} s the leader knows its boot")
+def _boot_known(context, wait_s):
+    def is_known():
+        with contextlib.suppress(IndexError):
+            boot = context.dispatcher.reports[-1].state.boot
+            return boot.startswith(f"{context.runner.worker_id}/")
+        return False
+
+    assert context.bridge.call(_until, is_known, wait_s)
+
+
+@when(
+    "another writer reports it in another pool, and then it reports {count:d} "
+    "times"
+)
+def _odd_report_first(context, count):
+    async def ping():
+        agent = _reports_address(context)
+        await context.runner.ping_once(agent, sequence=10**9, service="other")
+        with trio.fail_after(2):
+            while not context.dispatcher.hellos:
+                await trio.sleep(0.01)
+        for _ in range(count):
+            await context.runner.ping_once(agent)
+
+    context.bridge.call(ping)
+
+
+@then("within {wait_s:d} s the leader knows its pool")
+def _pool_known(context, wait_s):
+    def is_known():
+        reports = context.dispatcher.reports
+        return reports and reports[-1].state.pool == context.runner.pool
+
+    assert context.bridge.call(_until, is_known, wait_s)
--- a/tests/vmagent/worker_supervisor_steps.py
+++ b/tests/vmagent/worker_supervisor_steps.py
@@ -317,7 +317,7 @@
 
 @when("a new boot of the worker reports")
 def _new_boot(context):
-    context.worker.running.clear()
+    context.worker.boot(born_ms=2000)
     _update(context, born_ms=2000)
 
 
