Keep a worker that another writer deregisters

A deregistration under the id of a worker, which anyone can send, kept new tasks from it for good; and one call without an answer was then enough to take its running tasks for ended, so that they were started elsewhere while they ran on.

A newer report of the same boot keeps the worker. Without a drain that it announced, a worker that has deregistered counts as ended only if the connection is refused; otherwise its tasks end with its deadline.

Test, failing before ("the worker has deregistered and does not answer", 1.5 s after the call): worker_registry.feature, "a worker that another writer deregisters runs on". In dispatcher_links.feature the worker that "deregisters, ends" refuses connections now, as one that has ended does; it was one that gives no answer. departure.feature has the same with a real agent and is unchanged.

--- a/src/radishlanding/peer/link.py
+++ b/src/radishlanding/peer/link.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from radishlanding.connection_refused import is_refused
 from radishlanding.peer.connection import Connection
 from radishlanding.peer.connection import PING_INTERVAL_S
 from radishlanding.peer.connection_lost import ConnectionLost
@@ -32,22 +33,10 @@
         raise ConnectionLost(
             f"{address}: {exc!r}",
             was_sent=False,
-            was_refused=_is_refused(exc),
+            was_refused=is_refused(exc),
         ) from exc
 
 
-def _is_refused(exc):
-    """Return whether the host refused the connection.
-
-    trio raises the failures of all tried addresses as an exception group.
-    """
-    if isinstance(exc, BaseExceptionGroup):
-        return all(_is_refused(inner) for inner in exc.exceptions)
-    if isinstance(exc, ConnectionRefusedError):
-        return True
-    return exc.__cause__ is not None and _is_refused(exc.__cause__)
-
-
 class Link:
     """Keep a connection to one address, reconnecting with backoff."""
 
--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from radishlanding.connection_refused import is_refused
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
 from radishlanding.platform.fields import MAX_NUMBER
@@ -91,7 +92,9 @@
             )
             answer = response.json()
         except (ExchangeFailed, ValueError) as exc:
-            raise WorkerUnavailable(f"{path}: {exc}") from exc
+            raise WorkerUnavailable(
+                f"{path}: {exc}", was_refused=is_refused(exc)
+            ) from exc
         return response.status, answer
 
     async def check_boot(self, *, fence, born_ms):
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -134,8 +134,13 @@
 
         :param report: A :class:`radishlanding.worker.WorkerReport`.
         """
-        if self._report_filter.accepts(report, self.report):
-            self.update(report)
+        if not self._report_filter.accepts(report, self.report):
+            return
+        if self.is_leaving and report.number > self.report.number:
+            _log.info("worker_stays", vm=self.vm, boot=report.boot)
+            self.is_leaving = False
+            self.table.notify()
+        self.update(report)
 
     def update(self, report):
         """Store a newer report of the worker, and handle a new boot.
@@ -276,7 +281,8 @@
 
     def _handle_unavailable(self, exc):
         _log.info("poll_failed", vm=self.vm, reason=exc)
-        if self.is_leaving:
+        # Another writer may have deregistered a worker that is only slow.
+        if self.is_leaving and (self.report.is_draining or exc.was_refused):
             self._mark_left("the worker has deregistered and does not answer")
         elif self.table.active() and self.clock.has_expired():
             self.table.end_all(
--- a/tests/vmagent/dispatcher_links_steps.py
+++ b/tests/vmagent/dispatcher_links_steps.py
@@ -319,6 +319,7 @@
 
 def _end_worker(context, is_gone):
     context.supervisor.is_leaving = is_gone == "deregisters, ends"
+    context.worker.has_ended = context.supervisor.is_leaving
     context.worker.is_unreachable = True
 
 
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -29,6 +29,7 @@
         "ends_per_list",
         "forbidden",
         "gauges",
+        "has_ended",
         "is_replaced",
         "is_unreachable",
         "loses_polls",
@@ -57,6 +58,8 @@
         # Longest list of ends, None for no limit.
         self.ends_per_list = None
         self.gauges = {}
+        # Whether nobody listens at its address any more.
+        self.has_ended = False
         self.forbidden = set()
         # Whether another worker answers polls in its place.
         self.is_replaced = False
@@ -73,6 +76,8 @@
         self.unpaceable_task = None
 
     def _check(self):
+        if self.has_ended:
+            raise WorkerUnavailable("refused", was_refused=True)
         if self.is_unreachable:
             raise WorkerUnavailable("unreachable")
 
--- a/tests/vmagent/worker_registry.feature
+++ b/tests/vmagent/worker_registry.feature
@@ -39,3 +39,12 @@
     Given an agent process, its leader, and a worker that has not reported
     When another writer reports it in another pool, and then it reports 3 times
     Then within 2 s the leader knows its pool
+
+  # A deregistration of another writer ended running tasks at the first poll
+  # without an answer, and kept new ones from the worker for good.
+  Scenario: a worker that another writer deregisters runs on
+    Given an agent process whose worker runs a task, and its leader
+    When another writer deregisters it, and it does not answer
+    Then for 3 s the same boot, pool and attempt are reported
+    When the worker answers again and reports
+    Then within 2 s the leader knows that it does not drain
