Use advisor tickets whatever their validity

Cause: TicketCache gave out a ticket only while 3 s were left of it, a constant against a setting of the operator's. The prefetcher took it for expired and asked again, about the first job alone.

Evidence: advised asked=2 permitted=2 each 33 ms for the first job, no question about the others, and workflow_waits refused=ticket:2.

A ticket is used while 3 s or half of its time are left. A question names as many VMs as the advisor answers within a quarter of the validity, its timeout follows from the advisor's timing, and a slow answer does not use up the validity. Steps that wait go first and expired tickets are asked for in turn, so that a step without a VM keeps no other from its tickets.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -159,6 +159,7 @@
                 tickets=tickets,
                 planner=planner,
                 site_watch=site_watch,
+                counters=counters,
                 wake=self._recorder.wake,
             )
 
--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -226,6 +226,7 @@
         record, _ = self._registry.find(end.task_id)
         session = self._fleet.sessions.get(vm)
         if record is not None and record.workflow.is_advised and session:
+            self._counters.add("tickets_refused")
             parsed_id = TaskId.parse(end.task_id)
             self._tickets.invalidate(parsed_id[:3], session.state.boot)
 
--- a/src/radishlanding/platform/advisor.py
+++ b/src/radishlanding/platform/advisor.py
@@ -12,9 +12,6 @@
 from radishlanding.platform.fields import read_list
 from radishlanding.worker import AdvisorUnavailable
 
-# A call about 100 workers may take seconds once the calls queued before it
-# are answered.
-CALL_TIMEOUT_S = 10.0
 HEADERS = (("content-type", "application/json"),)
 
 
@@ -30,11 +27,12 @@
         """
         self._client = HttpClient(address=address)
 
-    async def advise(self, step, worker_ids):
+    async def advise(self, step, worker_ids, *, timeout_s):
         """Return the tickets of the workers that may run a step.
 
         :param step: Name of the step, as ``workflow.occurrence.step``.
         :param worker_ids: Identities of workers, 100 at most.
+        :param timeout_s: How long to wait for the answer, in seconds.
         :returns: Ticket by worker identity.
         :raises AdvisorUnavailable: There was no usable answer.
         """
@@ -45,7 +43,7 @@
                 "/-/advise",
                 body=body,
                 headers=HEADERS,
-                timeout_s=CALL_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
             answer = response.json()
         except (ExchangeFailed, ValueError) as exc:
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -3,6 +3,8 @@
 from radishlanding.lazy import lazy_exports
 
 __all__ = [
+    "AdviceSchedule",
+    "AdvisedStep",
     "DEFAULT_LINK_MBPS",
     "EarliestDeadline",
     "FULL_PERCENT",
@@ -12,6 +14,7 @@
     "Interference",
     "LeaderSearch",
     "LeastOutstanding",
+    "MAX_ANSWER_SHARE",
     "MAX_IN_FLIGHT_S",
     "MIN_IDLE_SHARE",
     "Migration",
@@ -47,6 +50,8 @@
 __getattr__ = lazy_exports(
     __name__,
     {
+        "AdviceSchedule": "advice_schedule",
+        "AdvisedStep": "advised_step",
         "DEFAULT_LINK_MBPS": "send_window",
         "EarliestDeadline": "earliest_deadline",
         "FULL_PERCENT": "pace_controller",
@@ -56,6 +61,7 @@
         "Interference": "interference",
         "LeaderSearch": "leader_search",
         "LeastOutstanding": "least_outstanding",
+        "MAX_ANSWER_SHARE": "advice_schedule",
         "MAX_IN_FLIGHT_S": "send_window",
         "MIN_IDLE_SHARE": "vm_selector",
         "Migration": "migration",
--- /dev/null
+++ b/src/radishlanding/policy/advice_schedule.py
@@ -0,0 +1,90 @@
+"""Chooses what to ask an advisor next."""
+
+from radishlanding.policy.advice_query import AdviceQuery
+
+# Limit of an advisor's API.
+MAX_BOOTS_PER_QUERY = 100
+# Leaves most of a ticket's time after the answer.
+MAX_ANSWER_SHARE = 0.25
+# Bounds how long an urgent step waits for the answer about another one.
+MAX_ANSWER_MS = 2000
+
+
+class AdviceSchedule:
+    """Order the questions about steps by what they gain.
+
+    An advisor answers one question of a process at a time. Steps with waiting
+    tasks go first, and among them boots that nothing is known of. Tickets of
+    such steps that have expired are asked for again in turn, so that a step
+    which finds no VM keeps none of the others from their tickets. Tickets of
+    other steps come last.
+    """
+
+    __slots__ = ("_asked_s", "_tickets")
+
+    def __init__(self, *, tickets):
+        """Start without questions.
+
+        :param tickets: The :class:`TicketCache` that the answers go to.
+        """
+        # When each step was asked about last, on the boot clock.
+        self._asked_s = {}
+        self._tickets = tickets
+
+    def choose(self, steps, *, now_s):
+        """Return the next question, None if there is none.
+
+        :param steps: :class:`AdvisedStep` objects, the most urgent first.
+        :param now_s: Time on the boot clock, in seconds.
+        :returns: An :class:`AdviceQuery`.
+        """
+        best, best_key = None, None
+        for item in steps:
+            boots = self._tickets.unasked_boots(
+                item.step, item.boots, now_s=now_s
+            )
+            if not boots:
+                continue
+            key = self._key(item, boots)
+            if best is None or key < best_key:
+                best, best_key = (item, boots), key
+        if best is None:
+            return None
+        item, boots = best
+        self._asked_s[item.step] = now_s
+        return AdviceQuery(
+            step=item.step,
+            boots=boots[: _max_boots(item.timing)],
+            timing=item.timing,
+        )
+
+    def _key(self, item, boots):
+        """Return the sort key of a question; the order of steps breaks ties.
+
+        :param boots: The boots to be asked about.
+        """
+        if not item.is_waiting:
+            return 2, 0.0
+        if self._tickets.has_unknown(item.step, boots):
+            return 0, 0.0
+        return 1, self._asked_s.get(item.step, 0.0)
+
+    def retain(self, steps):
+        """Drop all other steps.
+
+        :param steps: Identities of steps.
+        """
+        for step in self._asked_s.keys() - steps:
+            del self._asked_s[step]
+
+
+def _max_boots(timing):
+    """Return how many boots a question names, so that its tickets are of use.
+
+    :param timing: A :class:`radishlanding.config.AdvisorTiming`.
+    """
+    if not timing.each_ms:
+        return MAX_BOOTS_PER_QUERY
+    answer_ms = min(MAX_ANSWER_SHARE * timing.valid_ms, MAX_ANSWER_MS)
+    count = int((answer_ms - timing.decide_ms) // timing.each_ms)
+    return min(max(count, 1), MAX_BOOTS_PER_QUERY)
--- a/src/radishlanding/policy/ticket_cache.py
+++ b/src/radishlanding/policy/ticket_cache.py
@@ -1,8 +1,6 @@
 """Caches an advisor's answers about which VMs may run a step."""
 
-# An order takes up to 2.5 s to be carried out; by then a ticket with less
-# time left may have expired, and the worker refuses it.
-MIN_REMAINING_S = 3.0
+from radishlanding.policy.ticket import Ticket
 
 
 class TicketCache:
@@ -22,28 +20,32 @@
         self._asked = {}
         self._tickets = {}
 
-    def add(self, step, boots, tickets, *, until_s):
+    def add(self, step, boots, tickets, *, issued_s, valid_s):
         """Add an advisor's answer.
 
         :param step: Identity of the step.
         :param boots: Boots that the question named.
         :param tickets: Ticket by boot for those that may run the step.
-        :param until_s: Expiry of the tickets on the boot clock, in seconds.
+        :param issued_s: When the tickets became valid, on the boot clock, in
+            seconds.
+        :param valid_s: For how long they are valid, in seconds.
         """
         self._asked.setdefault(step, set()).update(boots)
         known = self._tickets.setdefault(step, {})
-        for boot, ticket in tickets.items():
-            known[boot] = (ticket, until_s)
+        for boot, text in tickets.items():
+            known[boot] = Ticket(text=text, issued_s=issued_s, valid_s=valid_s)
 
     def ticket(self, step, boot, *, now_s):
-        """Return the ticket of a boot for a step, empty for none.
+        """Return a ticket that an order may still use, empty for none.
 
         :param step: Identity of the step.
         :param boot: Boot of a worker.
         :param now_s: Time on the boot clock, in seconds.
         """
-        ticket, until_s = self._tickets.get(step, {}).get(boot, ("", 0.0))
-        return ticket if until_s - now_s >= MIN_REMAINING_S else ""
+        ticket = self._tickets.get(step, {}).get(boot)
+        if ticket is None or not ticket.is_usable(now_s):
+            return ""
+        return ticket.text
 
     def unasked_boots(self, step, boots, *, now_s):
         """Return the boots about which the advisor has to be asked.
@@ -61,6 +63,24 @@
             or (boot in tickets and not self.ticket(step, boot, now_s=now_s))
         ]
 
+    def has_unknown(self, step, boots):
+        """Return whether the advisor was never asked about one of some boots.
+
+        :param step: Identity of the step.
+        :param boots: Boots of workers.
+        """
+        asked = self._asked.get(step, ())
+        return any(boot not in asked for boot in boots)
+
+    def count_known(self, step, boots):
+        """Return how many of some boots have had a ticket, usable or not.
+
+        :param step: Identity of the step.
+        :param boots: Boots of workers.
+        """
+        known = self._tickets.get(step, {})
+        return sum(boot in known for boot in boots)
+
     def invalidate(self, step, boot):
         """Drop a ticket that a worker has refused."""
         if self._tickets.get(step, {}).pop(boot, None) is not None:
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -203,6 +203,22 @@
     And vm1 is ordered to start nothing
     And the advisor was called 2 times about the step
 
+  # Jobs never started where tickets were valid for 3 s or less.
+  Scenario Outline: tickets of <valid_ms> ms, from answers after <took_ms> ms
+    Given an advisor that permits only vm1, for <valid_ms> ms
+    And its answers take <took_ms> ms
+    When an advised workflow of 2 tasks is submitted
+    Then within 3 s vm1 is ordered to start 2 tasks, with its ticket
+
+    Examples:
+      | valid_ms | took_ms |
+      | 300      | 10      |
+      | 300      | 400     |
+      | 1500     | 10      |
+      | 3000     | 10      |
+      | 1500     | 600     |
+      | 200000   | 10      |
+
   Scenario: a ticket that a worker refuses is replaced
     Given an advisor that permits only vm1
     When an advised workflow of 2 tasks is submitted
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -131,21 +131,24 @@
 class _SiteWatch:
     """A watch that always has a site configuration."""
 
-    __slots__ = ()
+    __slots__ = ("site",)
 
     is_ready = True
-    site = Site(
-        version=1,
-        queues={
-            "q": Queue(
-                name="q",
-                host="h",
-                prefix="/",
-                pool="order-desk",
-                advisor_timing=AdvisorTiming(decide_ms=10, valid_ms=20_000),
-            )
-        },
-    )
+
+    def __init__(self, *, valid_ms=20_000):
+        """Initialise it.
+
+        :param valid_ms: Validity of the advisor's tickets, in milliseconds.
+        """
+        timing = AdvisorTiming(decide_ms=10, valid_ms=valid_ms)
+        queue = Queue(
+            name="q",
+            host="h",
+            prefix="/",
+            pool="order-desk",
+            advisor_timing=timing,
+        )
+        self.site = Site(version=1, queues={"q": queue})
 
 
 @given("a leader on a platform store and a VM that follows it")
@@ -159,7 +162,12 @@
 
 
 async def _open_leader(
-    context, *, advisor=None, timing=TIMING, link_mbps=1000.0
+    context,
+    *,
+    advisor=None,
+    timing=TIMING,
+    link_mbps=1000.0,
+    valid_ms=20_000,
 ):
     tickets = TicketCache()
     nursery = context.bridge.nursery
@@ -180,7 +188,7 @@
     context.leader = Leader(
         log=log,
         registry=registry,
-        site_watch=_SiteWatch(),
+        site_watch=_SiteWatch(valid_ms=valid_ms),
         planner=context.planner,
         interference=context.interference,
         timing=timing,
@@ -874,12 +882,14 @@
     assert other.weight("heavy") == context.interference.weight("heavy")
 
 
-def _lead_with_advisor(context, vm, *, unanswered=0):
+def _lead_with_advisor(context, vm, *, unanswered=0, valid_ms=20_000):
     context.advisor = FakeAdvisor(permitted=[vm], unanswered=unanswered)
     vms = list(context.agents)
     context.agents = {}
     context.bridge.call(
-        functools.partial(_open_leader, context, advisor=context.advisor)
+        functools.partial(
+            _open_leader, context, advisor=context.advisor, valid_ms=valid_ms
+        )
     )
     for name in vms:
         _follow(context, name)
@@ -897,6 +907,33 @@
     _lead_with_advisor(context, vm)
 
 
+@given("an advisor that permits only {vm:w}, for {valid_ms:d} ms")
+def _advisor_for(context, vm, valid_ms):
+    _lead_with_advisor(context, vm, valid_ms=valid_ms)
+
+
+@given("its answers take {took_ms:d} ms")
+def _slow_advisor(context, took_ms):
+    context.advisor.took_s = took_ms / 1000
+
+
+@when("an advised workflow of {count:d} tasks is placed by a slow store")
+def _placed_in_slow_store(context, count):
+    # Longer than half of the tickets' time.
+    context.platform_store.delay_s = 0.35
+    _advised_submitted(context, count)
+    _report(context, "vm1")
+
+
+@then(
+    "within {wait_s:d} s {vm:w} is ordered to start {count:d} tasks, "
+    "with some ticket"
+)
+def _some_ticket(context, wait_s, vm, count):
+    tickets = _tickets(context, vm, count, wait_s)
+    assert all(tickets), tickets
+
+
 @when("an advised workflow of {count:d} tasks is submitted")
 def _advised_submitted(context, count):
     workflow = make_workflow([Step(count=count, needs=NEEDS)], is_advised=True)
--- a/tests/platform/fuzz_steps.py
+++ b/tests/platform/fuzz_steps.py
@@ -190,7 +190,7 @@
     advisor = PlatformAdvisor(address="127.0.0.1:1")
     advisor._client = _FixedClient(body)
     try:
-        tickets = await advisor.advise("s", ["i-1"])
+        tickets = await advisor.advise("s", ["i-1"], timeout_s=10.0)
     except AdvisorUnavailable:
         return
     json.dumps(tickets).encode()
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -745,7 +745,10 @@
 @when("the advisor is asked about i-1, i-2 and i-3")
 def _is_asked(context):
     context.tickets = context.bridge.call(
-        context.advisors[0].advise, f"{JOB}.0.0", ["i-1", "i-2", "i-3"]
+        context.advisors[0].advise,
+        f"{JOB}.0.0",
+        ["i-1", "i-2", "i-3"],
+        timeout_s=10.0,
     )
 
 
@@ -761,7 +764,9 @@
 
     async def ask(advisor):
         try:
-            context.tickets.append(await advisor.advise(JOB, ["i-1"]))
+            context.tickets.append(
+                await advisor.advise(JOB, ["i-1"], timeout_s=10.0)
+            )
         except AdvisorUnavailable:
             context.unanswered += 1
 
--- /dev/null
+++ b/tests/policy/advice_schedule.feature
@@ -0,0 +1,32 @@
+Feature: An advisor is asked first what lets a task start
+
+  Scenario: boots that nothing is known of go before expired tickets
+    Given steps 1 and 2 that wait, the first of them more urgent
+    When the advisor's answer about step 1 has expired
+    Then the next question is about step 2
+
+  # A step without a VM kept the advisor busy with its short tickets.
+  Scenario: expired tickets are asked for in turn
+    Given steps 1 and 2 that wait, the first of them more urgent
+    When each answer is a ticket that has expired by the next question
+    Then 8 questions are about each step in turn
+
+  Scenario: steps that do not wait come last
+    Given steps 1 and 2, of which only step 2 waits
+    Then the next question is about step 2
+    When the advisor has answered about step 2
+    Then the next question is about step 1
+
+  Scenario Outline: a question leaves its tickets time
+    Given an advisor of <decide_ms> ms and <each_ms> ms a VM, for <valid_ms> ms
+    Then a question about a step with 200 boots names <count> of them
+
+    Examples:
+      | decide_ms | each_ms | valid_ms | count |
+      | 20        | 5       | 20000    | 100   |
+      | 20        | 5       | 3000     | 100   |
+      | 20        | 5       | 300      | 11    |
+      | 200       | 50      | 3000     | 11    |
+      | 200       | 50      | 200000   | 36    |
+      | 2000      | 50      | 3000     | 1     |
+      | 20        | 0       | 300      | 100   |
--- /dev/null
+++ b/tests/policy/advice_schedule_steps.py
@@ -0,0 +1,104 @@
+"""Steps about the order of questions to an advisor."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.config import AdvisorTiming
+from radishlanding.policy import AdviceSchedule
+from radishlanding.policy import AdvisedStep
+from radishlanding.policy import TicketCache
+
+VALID_S = 1.0
+TIMING = AdvisorTiming(decide_ms=10, each_ms=1, valid_ms=1000)
+
+
+def _step(number, *, is_waiting=True, boots=("a/1",), timing=TIMING):
+    return AdvisedStep(
+        step=("0" * 16, 0, number),
+        boots=list(boots),
+        timing=timing,
+        is_waiting=is_waiting,
+    )
+
+
+def _prepare(context, steps):
+    context.now_s = 100.0
+    context.steps = steps
+    context.tickets = TicketCache()
+    context.schedule = AdviceSchedule(tickets=context.tickets)
+
+
+@given("steps 1 and 2 that wait, the first of them more urgent")
+def _both_wait(context):
+    _prepare(context, [_step(1), _step(2)])
+
+
+@given("steps 1 and 2, of which only step 2 waits")
+def _one_waits(context):
+    _prepare(context, [_step(1, is_waiting=False), _step(2)])
+
+
+def _choose(context):
+    return context.schedule.choose(context.steps, now_s=context.now_s)
+
+
+def _answer(context, query):
+    context.tickets.add(
+        query.step,
+        query.boots,
+        dict.fromkeys(query.boots, "ticket"),
+        issued_s=context.now_s,
+        valid_s=VALID_S,
+    )
+
+
+@when("the advisor has answered about step {number:d}")
+def _answered(context, number):
+    query = _choose(context)
+    assert query.step[2] == number, query
+    _answer(context, query)
+
+
+@when("the advisor's answer about step {number:d} has expired")
+def _answered_and_expired(context, number):
+    _answered(context, number)
+    context.now_s += VALID_S
+
+
+@then("the next question is about step {number:d}")
+def _next_is(context, number):
+    query = _choose(context)
+    assert query.step[2] == number, query
+
+
+@when("each answer is a ticket that has expired by the next question")
+def _all_expire(context):
+    context.asked = []
+    for _ in range(8):
+        query = _choose(context)
+        context.asked.append(query.step[2])
+        _answer(context, query)
+        context.now_s += VALID_S
+
+
+@then("{count:d} questions are about each step in turn")
+def _in_turn(context, count):
+    assert context.asked == [1, 2] * (count // 2), context.asked
+
+
+@given(
+    "an advisor of {decide_ms:d} ms and {each_ms:d} ms a VM, for "
+    "{valid_ms:d} ms"
+)
+def _timing(context, decide_ms, each_ms, valid_ms):
+    context.timing = AdvisorTiming(
+        decide_ms=decide_ms, each_ms=each_ms, valid_ms=valid_ms
+    )
+
+
+@then("a question about a step with {known:d} boots names {count:d} of them")
+def _names(context, known, count):
+    boots = [f"i-{index}/1" for index in range(known)]
+    _prepare(context, [_step(1, boots=boots, timing=context.timing)])
+    assert len(_choose(context).boots) == count, _choose(context)
--- a/tests/policy/ticket_cache.feature
+++ b/tests/policy/ticket_cache.feature
@@ -21,3 +21,16 @@
     Given an advisor's answer on a, b and c that permits a and b for 20 s
     When a restarts
     Then the new boot of a has no ticket and is to be asked about
+
+  # Tickets of 3 s or less were never used, as 3 s had to be left of them.
+  Scenario Outline: a ticket of <valid_ms> ms is used in the first half of its time
+    Given an advisor's answer that permits a for <valid_ms> ms
+    Then a has a ticket until <used_ms> ms have passed, and none afterwards
+
+    Examples:
+      | valid_ms | used_ms |
+      | 100      | 50      |
+      | 3000     | 1500    |
+      | 4000     | 2000    |
+      | 20000    | 17000   |
+      | 200000   | 197000  |
--- a/tests/policy/ticket_cache_steps.py
+++ b/tests/policy/ticket_cache_steps.py
@@ -36,7 +36,8 @@
         STEP,
         _boots("a b c"),
         {boot: f"ticket-{boot}" for boot in _boots("a b")},
-        until_s=NOW_S + 20,
+        issued_s=NOW_S,
+        valid_s=20.0,
     )
 
 
@@ -82,3 +83,24 @@
     boot = context.boot
     assert not context.tickets.ticket(STEP, boot, now_s=context.now_s)
     assert _unasked(context, [boot]) == [boot]
+
+
+@given("an advisor's answer that permits a for {valid_ms:d} ms")
+def _short_answer(context, valid_ms):
+    context.now_s = NOW_S
+    context.tickets = TicketCache()
+    context.tickets.add(
+        STEP,
+        _boots("a"),
+        {"a/1": "ticket"},
+        issued_s=NOW_S,
+        valid_s=valid_ms / 1000,
+    )
+
+
+@then("a has a ticket until {used_ms:d} ms have passed, and none afterwards")
+def _used_until(context, used_ms):
+    for passed_ms, expected in ((0, True), (used_ms, True), (used_ms + 1, 0)):
+        now_s = NOW_S + passed_ms / 1000 - 1e-6
+        found = bool(context.tickets.ticket(STEP, "a/1", now_s=now_s))
+        assert found == bool(expected), (passed_ms, found)
