Order a start with the ticket that its task was placed with

A start was sent without a ticket, which the worker refuses, if the ticket's time to be used had passed between placement and order: its task had to be placed again, and the VM got nothing for a while.

Cause: the order looked its ticket up with the margin for new placements, after the entry with the assignment was committed. The order carries the newest ticket of the boot now; the worker decides whether it has expired.

Test, failing before (both orders without a ticket): leader.feature, "an order carries the ticket that its task was placed with".

--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -157,7 +157,8 @@
     def _ticket(self, record, parsed_id, boot):
         if not record.workflow.is_advised or self._tickets is None:
             return ""
-        return self._tickets.ticket(parsed_id[:3], boot, now_s=boot_clock_s())
+        # The one that the task was placed with, or a newer one.
+        return self._tickets.latest(parsed_id[:3], boot)
 
     async def _start(self, session, boot, orders):
         async with self._gate.passing(_size_bytes(orders)):
--- a/src/radishlanding/policy/ticket_cache.py
+++ b/src/radishlanding/policy/ticket_cache.py
@@ -47,6 +47,17 @@
             return ""
         return ticket.text
 
+    def latest(self, step, boot):
+        """Return the newest ticket of a boot for a step, empty for none.
+
+        It may have expired, which the worker decides.
+
+        :param step: Identity of the step.
+        :param boot: Boot of a worker.
+        """
+        ticket = self._tickets.get(step, {}).get(boot)
+        return "" if ticket is None else ticket.text
+
     def unasked_boots(self, step, boots, *, now_s):
         """Return the boots about which the advisor has to be asked.
 
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -219,6 +219,13 @@
       | 1500     | 600     |
       | 200000   | 10      |
 
+  # The ticket expired between the placement of a task and its order.
+  Scenario: an order carries the ticket that its task was placed with
+    Given an advisor that permits only vm1, for 300 ms
+    And its answers take 250 ms
+    When an advised workflow of 2 tasks is placed by a slow store
+    Then within 3 s vm1 is ordered to start 2 tasks, with some ticket
+
   Scenario: a ticket that a worker refuses is replaced
     Given an advisor that permits only vm1
     When an advised workflow of 2 tasks is submitted
