Ask the advisor as the configuration of a queue says now

A workflow that was accepted before its queue got an advisor was ordered without tickets for ever, and refused each time; one whose queue has no advisor any more waited for tickets that nobody needs.

Cause: whether a workflow needs tickets was fixed when it was accepted. It follows the configuration in force now; without its queue there, it needs what it needed last.

Test, failing before (both orders without a ticket): leader.feature, "a workflow gets tickets once its queue needs them".

--- a/src/radishlanding/dispatch/ticket_prefetcher.py
+++ b/src/radishlanding/dispatch/ticket_prefetcher.py
@@ -98,9 +98,9 @@
         records = [
             record
             for record in self._registry.workflows.values()
-            if record.workflow.is_advised
-            and record.shown
+            if record.shown
             and not record.phase.has_ended
+            and self._is_advised(record.workflow)
         ]
         records.sort(key=lambda rec: self._planner.rank(rec, now_ms=at_ms))
         loads = []
@@ -117,6 +117,17 @@
         self._schedule.retain(identities)
         return self._schedule.choose(steps, now_s=boot_clock_s())
 
+    def _is_advised(self, workflow):
+        """Return whether a workflow needs tickets now.
+
+        The configuration may have changed since it was accepted. Without its
+        queue there, it needs what it needed last.
+        """
+        queue = self._site_watch.site.queues.get(workflow.queue)
+        if queue is not None:
+            workflow.is_advised = queue.advisor_timing is not None
+        return workflow.is_advised
+
     def _advised_step(self, record, position, step, loads, at_ms):
         workflow = record.workflow
         occurrence, number = position
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -226,6 +226,14 @@
     When an advised workflow of 2 tasks is placed by a slow store
     Then within 3 s vm1 is ordered to start 2 tasks, with some ticket
 
+  # A job that was accepted before its queue got an advisor never started.
+  Scenario: a workflow gets tickets once its queue needs them
+    Given an advisor that permits only vm1
+    When a workflow of 2 tasks is submitted
+    And within 2 s the VM is ordered to start 2 tasks
+    And the VM refuses to run both for lack of a ticket
+    Then within 4 s it is ordered to start 2 tasks again, with tickets
+
   Scenario: a ticket that a worker refuses is replaced
     Given an advisor that permits only vm1
     When an advised workflow of 2 tasks is submitted
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -993,6 +993,17 @@
     assert not set(fresh) & set(context.tickets), fresh
 
 
+@then(
+    "within {wait_s:d} s it is ordered to start {count:d} tasks again, with "
+    "tickets"
+)
+def _again_with_tickets(context, wait_s, count):
+    started = context.agents["vm1"].started
+    assert _wait(context, lambda: len(started) >= 2 * count, wait_s)
+    tickets = [order.ticket for order in started[-count:]]
+    assert all(tickets), tickets
+
+
 @when("a standing workflow of 1 task is submitted")
 def _standing_submitted(context):
     _submit(context, count=1, standing=True)
