End within the time that the platform leaves before SIGKILL

Where the platform kills a process sooner than 6 s after SIGTERM, dispatchers were killed amid requests that they still accepted, and agents before they had given up waiting for their last ends.

Tests, failing before: settings.feature, "a dispatcher ends within ... s of a signal"; departure.feature, an agent that is killed after 2 s exits by then.

--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -224,11 +224,12 @@
         Requests still arrive for ``linger_s`` seconds, until the platform
         has noticed that the readiness check fails.
         """
+        linger_s, drain_s = self._cfg.stop_times_s()
         self._is_stopping = True
         self._candidate.leave()
-        await trio.sleep(self._cfg.linger_s)
+        await trio.sleep(linger_s)
         self._client_server.drain()
-        with trio.move_on_after(self._cfg.drain_s):
+        with trio.move_on_after(drain_s):
             await self._client_server.wait_drained()
         # It leads again by now if no other process has claimed the log.
         self._candidate.leave()
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+# For handing over and the exit itself.
+EXIT_S = 0.8
+# Leaves the rest of the time to requests in flight.
+MAX_LINGER_SHARE = 0.45
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DispatcherSettings:
@@ -30,12 +35,13 @@
     :param drift_s: Allowance for clock drift, in seconds.
     :param hold_max_ms: Maximum time from a call to the deadline of a worker,
         in milliseconds; set by the platform.
+    :param grace_s: Time between SIGTERM and SIGKILL, in seconds; set by the
+        platform. The two that follow are shortened to fit.
     :param linger_s: How long new requests are accepted after SIGTERM, in
         seconds; the platform needs two failed readiness checks, a second
         apart, to route requests elsewhere.
     :param drain_s: How long to wait for requests in flight after that, in
-        seconds; ``linger_s`` and ``drain_s`` together must stay below the 6 s
-        that the platform leaves between SIGTERM and SIGKILL.
+        seconds.
     :param log_level: Lowest level of log events to write.
     """
 
@@ -57,6 +63,17 @@
     owner_grace_s: float = 3.0
     drift_s: float = 0.5
     hold_max_ms: int = 10_000
+    grace_s: float = 6.0
     linger_s: float = 2.2
     drain_s: float = 3.0
     log_level: str = "info"
+
+    def stop_times_s(self):
+        """Return how long to accept requests, and to wait for open ones.
+
+        :returns: ``linger_s`` and ``drain_s``, shortened so that the process
+            ends before it is killed.
+        """
+        stop_s = max(0.0, self.grace_s - EXIT_S)
+        linger_s = min(self.linger_s, MAX_LINGER_SHARE * stop_s)
+        return linger_s, min(self.drain_s, stop_s - linger_s)
--- a/src/radishlanding/settings/vm_agent.py
+++ b/src/radishlanding/settings/vm_agent.py
@@ -20,6 +20,8 @@
         seconds; must be equal in all processes of a site.
     :param hold_max_ms: Maximum time from a call to the deadline of the worker,
         in milliseconds; set by the platform.
+    :param grace_s: Time between SIGTERM and SIGKILL, in seconds; set by the
+        platform.
     :param log_level: Lowest level of log events to write.
     """
 
@@ -33,4 +35,5 @@
     store_calls_per_s: float = 5.0
     vm_lease_s: float = 7.0
     hold_max_ms: int = 10_000
+    grace_s: float = 6.0
     log_level: str = "info"
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -81,7 +81,10 @@
                     _log.info("signal", number=number)
                     if number != signal.SIGHUP:
                         break
-                await Departure(supervisors=self._workers.supervisors).wait()
+                await Departure(
+                    supervisors=self._workers.supervisors,
+                    grace_s=self._cfg.grace_s,
+                ).wait()
                 nursery.cancel_scope.cancel()
         _log.info("stopped")
 
--- a/tests/settings/settings.feature
+++ b/tests/settings/settings.feature
@@ -22,6 +22,19 @@
     When they are loaded
     Then there are no findings
 
+  # A process that needs longer than the platform allows is killed amid requests.
+  Scenario Outline: a dispatcher ends within <grace_s> s of a signal
+    Given the settings of a dispatcher with grace_s = <grace_s>
+    When they are loaded
+    Then it accepts requests for <linger_s> s and waits <drain_s> s for them
+
+    Examples:
+      | grace_s | linger_s | drain_s |
+      | 6.0     | 2.2      | 3.0     |
+      | 60.0    | 2.2      | 3.0     |
+      | 2.8     | 0.9      | 1.1     |
+      | 0.6     | 0.0      | 0.0     |
+
   Scenario Outline: the log of a dispatcher may be written uncompressed
     Given the settings of a dispatcher with compress_log = <value>
     When they are loaded
--- a/tests/settings/settings_steps.py
+++ b/tests/settings/settings_steps.py
@@ -66,3 +66,11 @@
 @then("there are no findings")
 def _no_findings(context):
     assert not context.findings, context.findings
+
+
+@then(
+    "it accepts requests for {linger_s:g} s and waits {drain_s:g} s for them"
+)
+def _stop_times(context, linger_s, drain_s):
+    found = [round(value, 3) for value in context.cfg.stop_times_s()]
+    assert found == [linger_s, drain_s], found
--- a/tests/vmagent/departure.feature
+++ b/tests/vmagent/departure.feature
@@ -12,6 +12,12 @@
       | deregisters and ends   | 2      |
       | ends without a word    | 5      |
 
+  Scenario: without a leader an agent exits before it is killed after 2 s
+    Given an agent process that is killed 2 s after a signal, and its leader
+    When the leader is gone, and then the worker deregisters and ends
+    And the agent is stopped
+    Then it exits with status 0 within 2 s
+
   Scenario: without a leader an agent exits before it is killed
     Given an agent process whose worker runs a task, and its leader
     When the leader is gone, and then the worker deregisters and ends
--- a/tests/vmagent/departure_steps.py
+++ b/tests/vmagent/departure_steps.py
@@ -33,18 +33,27 @@
     context.bridge.call(_ping, context)
 
 
-def open_agent(context):
-    """Start an agent, and a worker that has not reported to it yet."""
+@given("an agent process that is killed 2 s after a signal, and its leader")
+def _an_agent_with_little_time(context):
+    open_agent(context, grace_s=2.0)
+    context.bridge.call(_ping, context)
+
+
+def open_agent(context, **settings):
+    """Start an agent, and a worker that has not reported to it yet.
+
+    :param settings: Settings of the agent that differ from the defaults.
+    """
     folder = tempfile.TemporaryDirectory(prefix="radishlanding-")
     context.add_cleanup(folder.cleanup)
     context.agent = Process(
         program="vmagent", name="side", folder=pathlib.Path(folder.name)
     )
-    context.bridge.call(_open, context)
+    context.bridge.call(_open, context, settings)
     context.add_cleanup(context.agent.send, signal.SIGKILL)
 
 
-async def _open(context):
+async def _open(context, settings):
     nursery = context.bridge.nursery
     context.dispatcher = FakeDispatcher(epoch=EPOCH)
     await context.dispatcher.open(nursery)
@@ -77,6 +86,7 @@
             "seeds": [f"{host}:1"],
             "peer_port": int(port),
             "vm_lease_s": VM_LEASE_S,
+            **settings,
         },
     )
 
