Cancel a job whose submission is about to be recorded

A caller who cancelled a job while its submission waited for an entry got 410, that there is no such job; then the job was recorded and ran.

Cause: a leader answered from its registry alone, and a submission that waits is in none.

Such a cancellation is queued, and recorded with the submission or after it.

Test, failing before ("absent"): leader.feature, "a submission that waits for its entry can be cancelled".

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -295,10 +295,13 @@
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
         :raises CallRefused: See :meth:`SubmissionQueue.cancel`.
         """
-        if workflow_id not in self._registry.workflows:
-            answer = await self.find(workflow_id)
-        else:
+        if (
+            workflow_id in self._registry.workflows
+            or self._submissions.is_waiting(workflow_id)
+        ):
             answer = await self._submissions.cancel(workflow_id)
+        else:
+            answer = await self.find(workflow_id)
         _log.info(
             "cancelled",
             workflow=workflow_id,
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -76,6 +76,10 @@
             and self._stored_size(workflow) > MAX_ENTRY_BYTES
         )
 
+    def is_waiting(self, workflow_id):
+        """Return whether a workflow is about to be recorded."""
+        return workflow_id in self._submissions
+
     async def cancel(self, workflow_id):
         """Queue the cancellation of a workflow and wait for the outcome.
 
@@ -130,7 +134,7 @@
             (
                 workflow_id
                 for workflow_id, item in self._cancellations.items()
-                if not item.is_collected
+                if not item.is_collected and not self._precedes(workflow_id)
             ),
             max_bytes=MAX_PART_BYTES,
         )
@@ -138,6 +142,11 @@
             self._cancellations[workflow_id].is_collected = True
         return accepted, cancelled
 
+    def _precedes(self, workflow_id):
+        """Return whether an entry with a cancellation would come too early."""
+        item = self._submissions.get(workflow_id)
+        return item is not None and not item.is_collected
+
     def settle(self, entry):
         """Settle the submissions that a committed entry contains."""
         workflow_ids = [workflow.workflow_id for workflow in entry.accepted]
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -46,6 +46,12 @@
     And the store answers again
     Then within 4 s the caller is told that it is completed
 
+  # A caller was told that there is no such job, which ran all the same.
+  Scenario: a submission that waits for its entry can be cancelled
+    When a workflow is submitted, and at once cancelled, behind a slow entry
+    Then within 4 s the caller is told that it is cancelled
+    And the VM is ordered to start nothing
+
   # Tasks lost their work to a cancellation that the next leader did not know.
   Scenario: a cancellation that is not on record stops no task
     When a workflow of 2 tasks is submitted
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -634,6 +634,25 @@
     assert context.outcomes == [phase], context.outcomes
 
 
+@when("a workflow is submitted, and at once cancelled, behind a slow entry")
+def _cancelled_behind_entry(context):
+    async def submit(name):
+        workflow = make_workflow([Step(count=1, needs=NEEDS)], name=name)
+        await context.leader.submit(workflow, request_id="r")
+
+    context.platform_store.delay_s = 0.4
+    context.bridge.spawn(_submit_unplaceable, context)
+    context.bridge.call(trio.sleep, 0.1)
+    context.bridge.spawn(submit, NAME)
+    _cancellation_sent(context)
+
+
+async def _submit_unplaceable(context):
+    step = Step(count=1, needs=NEEDS, label="nowhere")
+    workflow = make_workflow([step], name="e" * 16)
+    await context.leader.submit(workflow, request_id="r")
+
+
 @when("the store answers nothing while the workflow is cancelled")
 def _cancelled_in_outage(context):
     context.platform_store.mode = "silent"
