--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -1039,7 +1039,7 @@
 
 
 def _max_new_tasks(context):
-    loads = context.leader.fleet.loads(_SiteWatch.site)
+    loads = context.leader.fleet.loads(_SiteWatch().site)
     return {load.vm: load.max_new_tasks for load in loads}
 
 
