Ask a worker again that refuses to say which boot it is

An unhealthy worker answers some calls with 503, and its agent then waited for the next report to ask again. It asks up to three times now, unless nobody listens at the address. Known addresses are asked however many unknown ones are being asked.

Test: worker_registry.feature, "a worker that refuses its first call is followed", which failed before.

--- a/src/radishlanding/vmagent/worker_registry.py
+++ b/src/radishlanding/vmagent/worker_registry.py
@@ -1,5 +1,7 @@
 """The workers that an agent supervises."""
 
+import trio
+
 from radishlanding.observe import EventLog
 from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
 from radishlanding.worker import BootCheck
@@ -7,8 +9,11 @@
 
 # Workers on one VM: the running one, and those whose ends are not settled.
 MAX_WORKERS = 16
-# Addresses that are asked for their worker at the same time.
+# Unknown addresses that are asked for their worker at the same time.
 MAX_CHECKS = 16
+# An unhealthy worker refuses some calls.
+CHECK_ATTEMPTS = 3
+RETRY_DELAY_S = 0.1
 # Identities whose unconfirmed reports have been logged.
 MAX_LOGGED_WORKERS = 100
 
@@ -78,7 +83,7 @@
         elif report.address in self._checked:
             # The worker reports again.
             self._counters.add("reports_skipped")
-        elif len(self._checked) >= MAX_CHECKS:
+        elif supervisor is None and len(self._checked) >= MAX_CHECKS:
             self._counters.add("workers_refused")
         else:
             self._checked.add(report.address)
@@ -87,12 +92,8 @@
     async def _check(self, report):
         """Apply a report if the worker at its address confirms its boot."""
         supervisor = self.supervisors.get(report.address)
-        worker = self._make_worker(report)
         try:
-            found = await worker.check_boot(
-                fence=supervisor.fence if supervisor else 0,
-                born_ms=report.born_ms,
-            )
+            found = await self._ask(report, supervisor)
         except WorkerUnavailable as exc:
             self._record_unconfirmed(report, exc)
             return
@@ -125,6 +126,28 @@
                 supervised=len(self.supervisors),
             )
 
+    async def _ask(self, report, supervisor):
+        """Return what the worker at an address says of a reported boot.
+
+        :param supervisor: The :class:`WorkerSupervisor` of the address, or
+            None.
+        :returns: A :class:`radishlanding.worker.BootCheck`.
+        :raises WorkerUnavailable: It gave no answer in several attempts.
+        """
+        worker = self._make_worker(report)
+        fence = supervisor.fence if supervisor else 0
+        for _ in range(CHECK_ATTEMPTS - 1):
+            try:
+                return await worker.check_boot(
+                    fence=fence, born_ms=report.born_ms
+                )
+            except WorkerUnavailable as exc:
+                if exc.was_refused:
+                    raise
+                _log.info("check_failed", vm=report.address, reason=exc)
+                await trio.sleep(RETRY_DELAY_S)
+        return await worker.check_boot(fence=fence, born_ms=report.born_ms)
+
     def _record_unconfirmed(self, report, reason):
         """Count an unconfirmed report; log it once for a boot."""
         self._counters.add("reports_unconfirmed")
--- a/tests/standin/platform_runner.py
+++ b/tests/standin/platform_runner.py
@@ -48,6 +48,7 @@
         "pool",
         "record",
         "runs",
+        "unhealthy_calls",
         "work_s",
         "worker_id",
         "zone",
@@ -74,6 +75,8 @@
         self.nursery = None
         self.pool = pool
         self.record = record
+        # Number of calls that it refuses.
+        self.unhealthy_calls = 0
         self.work_s = 0.3
         self.worker_id = worker_id
         self.zone = zone
@@ -196,6 +199,9 @@
         """Return the response to a call of the agent."""
         if self.is_silent:
             await trio.sleep(FOREVER_S)
+        if self.unhealthy_calls:
+            self.unhealthy_calls -= 1
+            return HttpResponse(status=503)
         raw = req.json()
         if req.headers.get("x-expect-instance") != self.worker_id:
             return HttpResponse.of_json({}, status=421)
--- a/tests/vmagent/worker_registry.feature
+++ b/tests/vmagent/worker_registry.feature
@@ -27,6 +27,11 @@
       | its clock is set back 60 s |
       | has another id             |
 
+  Scenario: a worker that refuses its first call is followed
+    Given an agent process, its leader, and a worker that has not reported
+    When the worker refuses one call, and reports
+    Then within 2 s the leader knows its boot
+
   # Other writers' addresses took the places of a machine's own workers.
   Scenario: pings of other writers take no place of a worker
     Given an agent process, its leader, and a worker that has not reported
--- a/tests/vmagent/worker_registry_steps.py
+++ b/tests/vmagent/worker_registry_steps.py
@@ -63,6 +63,12 @@
     _reports_itself(context)
 
 
+@when("the worker refuses one call, and reports")
+def _refuses_call(context):
+    context.runner.unhealthy_calls = 1
+    _reports_itself(context)
+
+
 @when("the worker reports")
 def _reports_itself(context):
     context.bridge.call(context.runner.ping_once, _reports_address(context))
