--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -11,9 +11,11 @@
 from radishlanding.connection_refused import is_refused
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
+from radishlanding.observe import EventLog
 from radishlanding.platform.fields import MAX_NUMBER
 from radishlanding.platform.fields import read_int
 from radishlanding.platform.listing import decode_listing
+from radishlanding.vm import boot_clock_s
 from radishlanding.worker import BootCheck
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerReplaced
@@ -27,6 +29,8 @@
 # Each call in flight needs a connection, and each new connection costs the
 # runner time. Listings have a connection of their own.
 MAX_CALLS_IN_FLIGHT = 3
+# A call that waits longer for its turn is logged.
+LOGGED_WAIT_S = 0.1
 
 _RESULT_BY_REASON = {
     "fence": StartResult.FENCED,
@@ -36,6 +40,8 @@
     "ticket": StartResult.NO_TICKET,
 }
 
+_log = EventLog("radishlanding.platform")
+
 
 class Runner:
     """Implement :class:`radishlanding.worker.LeasedWorker` over HTTP.
@@ -76,7 +82,18 @@
         self._limiter = trio.CapacityLimiter(MAX_CALLS_IN_FLIGHT)
 
     async def _call(self, path, value):
+        queued_s = boot_clock_s()
         async with self._limiter:
+            waited_s = boot_clock_s() - queued_s
+            if waited_s > LOGGED_WAIT_S:
+                _log.info(
+                    "call_delayed",
+                    call=path,
+                    task=value["task"],
+                    attempt=value["run"],
+                    worker=self._address,
+                    waited_ms=int(waited_s * 1000),
+                )
             return await self._send(
                 self._client, path, value, timeout_s=CALL_TIMEOUT_S
             )
