Check a start again when it is sent to the worker

Cause: the agent checked a start before it queued for one of three calls to the worker, and computed its deadline there, too. Calls without an answer hold these for a second each; of 4039 ms that a late start took, it had waited 4036. The stop of the attempt queued behind its start.

A start now takes a permit to the place where its bytes leave. The permit is asked after the wait, and again once the connection is open, and it gives fencing token and deadline as of then: the attempt is neither stopped nor ended, the boot is the one that it was ordered for, the worker takes new attempts and answers, the lease holds and the order is not too old. Nothing is awaited between this and the write. A start leaves the queue when it is too old. An attempt whose start was not sent ends at once when it is stopped, the worker drains or deregisters, or another boot reports, so that the leader places it again.

--- a/src/radishlanding/http/__init__.py
+++ b/src/radishlanding/http/__init__.py
@@ -11,6 +11,7 @@
     "HttpResponse",
     "HttpServer",
     "Limits",
+    "RequestWithdrawn",
     "serve_metrics",
 ]
 
@@ -25,6 +26,7 @@
         "HttpResponse": "response",
         "HttpServer": "server",
         "Limits": "limits",
+        "RequestWithdrawn": "request_withdrawn",
         "serve_metrics": "metrics_page",
     },
 )
--- a/src/radishlanding/http/client.py
+++ b/src/radishlanding/http/client.py
@@ -6,6 +6,7 @@
 import trio
 
 from radishlanding.http.exchange_failed import ExchangeFailed
+from radishlanding.http.request_withdrawn import RequestWithdrawn
 from radishlanding.http.response import HttpResponse
 from radishlanding.http.response_deadline import ResponseDeadline
 
@@ -111,6 +112,7 @@
         min_bytes_per_s=0.0,
         headers=(),
         body=b"",
+        make_body=None,
         new_connection=False,
     ):
         """Send a request and return its complete response.
@@ -124,16 +126,15 @@
             ``silence_s``; 0 for no bound.
         :param headers: Pairs of name and value of additional headers.
         :param body: Body as bytes.
+        :param make_body: Callable that returns the body, or None to withdraw
+            the request. It replaces ``body``, and is called when the
+            connection is open and the request about to be sent.
         :param new_connection: Whether to open a new connection even if an
             idle one exists.
         :returns: An :class:`radishlanding.http.HttpResponse`.
         :raises ExchangeFailed: There was no complete response in time.
+        :raises RequestWithdrawn: ``make_body`` returned None.
         """
-        all_headers = [
-            ("host", dict(headers).get("host", self._address)),
-            ("content-length", str(len(body))),
-            *(item for item in headers if item[0] != "host"),
-        ]
         conn = None
         was_sent = False
         deadline = ResponseDeadline(
@@ -152,9 +153,15 @@
                     conn = self._idle.pop()
                 else:
                     conn = await self._connect()
+                if make_body is not None:
+                    body = make_body()
+                    if body is None:
+                        self._idle.append(conn)
+                        conn = None
+                        raise RequestWithdrawn
                 was_sent = True
                 response = await conn.exchange(
-                    method, target, all_headers, body, extend
+                    method, target, self._headers(headers, body), body, extend
                 )
         except (
             OSError,
@@ -178,6 +185,14 @@
                     await conn.close()
                     await self.close()
 
+    def _headers(self, headers, body):
+        """Return the headers of a request, the target's host among them."""
+        return [
+            ("host", dict(headers).get("host", self._address)),
+            ("content-length", str(len(body))),
+            *(item for item in headers if item[0] != "host"),
+        ]
+
     @property
     def has_idle_connection(self):
         """Return whether the next request uses an open connection."""
--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -4,13 +4,16 @@
 running tasks. A run of the platform is an attempt of this project.
 """
 
+import functools
 import json
+import math
 
 import trio
 
 from radishlanding.connection_refused import is_refused
 from radishlanding.http import ExchangeFailed
 from radishlanding.http import HttpClient
+from radishlanding.http import RequestWithdrawn
 from radishlanding.observe import EventLog
 from radishlanding.platform.fields import MAX_NUMBER
 from radishlanding.platform.fields import read_int
@@ -98,19 +101,51 @@
                 self._client, path, value, timeout_s=CALL_TIMEOUT_S
             )
 
+    async def _call_permitted(self, path, make_value, permit):
+        """Call the runner if the permit still holds when the call is sent.
+
+        :param make_value: Callable that takes the
+            :class:`radishlanding.worker.StartTerms`, and returns the body.
+        :raises RequestWithdrawn: The permit did not hold.
+        """
+
+        def make_body():
+            terms = permit.take()
+            return None if terms is None else _encode(make_value(terms))
+
+        with trio.move_on_after(max(0.0, permit.wait_s())) as wait:
+            async with self._limiter:
+                wait.deadline = math.inf
+                if not permit.is_valid():
+                    raise RequestWithdrawn
+                return await self._exchange(
+                    self._client,
+                    path,
+                    make_body=make_body,
+                    timeout_s=CALL_TIMEOUT_S,
+                )
+        raise RequestWithdrawn
+
     async def _send(self, client, path, value, *, timeout_s):
+        return await self._exchange(
+            client, path, body=_encode(value), timeout_s=timeout_s
+        )
+
+    async def _exchange(self, client, path, *, timeout_s, **body):
         try:
             response = await client.send(
                 "POST",
                 f"/-/{path}",
-                body=json.dumps(value).encode(),
+                **body,
                 headers=self._headers,
                 timeout_s=timeout_s,
             )
             answer = response.json()
         except (ExchangeFailed, ValueError) as exc:
             raise WorkerUnavailable(
-                f"{path}: {exc}", was_refused=is_refused(exc)
+                f"{path}: {exc}",
+                was_refused=is_refused(exc),
+                was_sent=getattr(exc, "was_sent", True),
             ) from exc
         return response.status, answer
 
@@ -148,28 +183,21 @@
             return BootCheck.UNDATED
         return BootCheck.CONFIRMED if found_ms == born_ms else BootCheck.OTHER
 
-    async def start(self, order, *, fence, deadline_ms):
+    async def start(self, order, *, permit):
         """Start an attempt.
 
         :param order: A :class:`radishlanding.message.TaskOrder`.
-        :param fence: Fencing token.
-        :param deadline_ms: Time on the runner's clock at which it stops all
-            attempts unless the deadline is extended, in milliseconds.
+        :param permit: A :class:`radishlanding.worker.StartPermit`. It is asked
+            once a connection is open, right before the call is sent.
         :returns: A pair of :class:`radishlanding.worker.StartResult` and the
-            runner's clock in milliseconds.
+            runner's clock in milliseconds, 0 if the call was not sent.
         """
-        value = {
-            "task": order.task_id,
-            "run": order.attempt,
-            "spec": order.spec,
-            "deadlineMs": deadline_ms,
-            "fencingToken": fence,
-        }
-        if order.checkpoint:
-            value["checkpoint"] = order.checkpoint
-        if order.ticket:
-            value["ticket"] = order.ticket
-        status, answer = await self._call("run-start", value)
+        try:
+            status, answer = await self._call_permitted(
+                "run-start", functools.partial(_start_value, order), permit
+            )
+        except RequestWithdrawn:
+            return StartResult.NOT_SENT, 0
         try:
             clock_ms = read_int(
                 answer, "clockMs", default=0, maximum=MAX_NUMBER
@@ -274,3 +302,27 @@
         """Close the connections."""
         await self._client.close()
         await self._list_client.close()
+
+
+def _encode(value):
+    return json.dumps(value).encode()
+
+
+def _start_value(order, terms):
+    """Return the body of a start.
+
+    :param order: A :class:`radishlanding.message.TaskOrder`.
+    :param terms: The :class:`radishlanding.worker.StartTerms`.
+    """
+    value = {
+        "task": order.task_id,
+        "run": order.attempt,
+        "spec": order.spec,
+        "deadlineMs": terms.deadline_ms,
+        "fencingToken": terms.fence,
+    }
+    if order.checkpoint:
+        value["checkpoint"] = order.checkpoint
+    if order.ticket:
+        value["ticket"] = order.ticket
+    return value
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -103,6 +103,12 @@
         )
         self.notify()
 
+    def refuse_unsent(self, *, reason):
+        """Record that attempts whose start was not sent will not run."""
+        for task in self.active():
+            if not task.is_sent:
+                self.end(task, EndKind.NOT_RUN, reason=reason)
+
     def end_all(self, *, reason):
         """Record that all active attempts were interrupted."""
         self.end_tasks(self.active(), reason=reason)
@@ -212,6 +218,7 @@
                 task_id=row.task_id,
                 attempt=row.attempt,
                 is_confirmed=True,
+                is_sent=True,
                 # An earlier agent may have left one.
                 unanswered_starts=1,
                 pace_percent=None,
--- a/src/radishlanding/vmagent/order_executor.py
+++ b/src/radishlanding/vmagent/order_executor.py
@@ -4,16 +4,18 @@
 
 from radishlanding.observe import EventLog
 from radishlanding.vm import boot_clock_s
+from radishlanding.vmagent.order_permit import OrderPermit
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerUnavailable
 from radishlanding.workflow import EndKind
 
 RETRY_DELAY_S = 0.1
-# Older orders are given up, so that the leader can place their tasks again:
-# half of the 5 s in which a zone has to be evacuated.
-MAX_START_AGE_S = 2.5
 # Results after which the same call may succeed.
-_RETRYABLE = (StartResult.FENCED, StartResult.LATE)
+_RETRYABLE = (
+    StartResult.FENCED,
+    StartResult.LATE,
+    StartResult.NOT_SENT,
+)
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -42,27 +44,33 @@
 
         :param task: A :class:`TaskAttempt` with an order.
         """
-        self._nursery.start_soon(self._start, task)
+        permit = OrderPermit(supervisor=self._supervisor, task=task)
+        self._nursery.start_soon(self._start, task, permit)
 
     def stop(self, task):
         """Stop an attempt in the background.
 
+        An attempt whose start was not sent ends at once: its permit does not
+        hold any more.
+
         :param task: A :class:`TaskAttempt`.
         """
-        self._nursery.start_soon(self._stop, task)
+        if task.is_sent:
+            self._nursery.start_soon(self._stop, task)
+        else:
+            self._supervisor.table.end(
+                task, EndKind.INTERRUPTED, reason="stopped before its start"
+            )
 
-    async def _start(self, task):
-        boot = self._supervisor.report.boot
+    async def _start(self, task, permit):
         result = None
-        while task.end is None and not task.is_stopping:
-            if task.is_confirmed:
-                return
-            reason = self._cancel_reason(task)
+        while permit.is_wanted:
+            reason = permit.refusal_reason()
             if reason:
                 result = reason
                 break
-            result = await self._send_start(task)
-            if boot != self._supervisor.report.boot or task.end is not None:
+            result = await self._send_start(task, permit)
+            if not permit.is_for_current_boot or task.end is not None:
                 return
             if result == StartResult.STARTED:
                 await self._mark_started(task)
@@ -70,54 +78,47 @@
             if result is not None and result not in _RETRYABLE:
                 break
             await trio.sleep(RETRY_DELAY_S)
-        if task.end is None and not task.is_stopping:
+        if permit.is_wanted:
             await self._give_up(task, result)
 
-    def _cancel_reason(self, task):
-        """Return why an attempt may no longer start, or an empty string.
-
-        Checked right before each call, as the process may have been suspended
-        since the order arrived.
-        """
-        if self._supervisor.report.is_draining or self._supervisor.is_leaving:
-            return "the worker is draining"
-        if boot_clock_s() - task.accepted_s > MAX_START_AGE_S:
-            return "the order is too old"
-        return ""
-
-    async def _send_start(self, task):
+    async def _send_start(self, task, permit):
         """Call the worker once to start an attempt.
 
         :returns: A :class:`radishlanding.worker.StartResult`, or None if the
             call was not possible now or got no answer.
         """
-        supervisor = self._supervisor
-        remaining_s = supervisor.remaining_s()
-        if (
-            remaining_s <= 0
-            or not supervisor.clock.is_known
-            or not supervisor.is_responsive
-        ):
+        if not permit.is_valid():
             return None
-        sent_s = boot_clock_s()
-        boot = supervisor.report.boot
-        task.unanswered_starts += 1
+        supervisor = self._supervisor
+        called_s = boot_clock_s()
+        permit.restart_wait()
         try:
             result, clock_ms = await supervisor.worker.start(
-                task.order,
-                fence=supervisor.fence,
-                deadline_ms=supervisor.clock.deadline_ms(remaining_s),
+                task.order, permit=permit
             )
         except WorkerUnavailable as exc:
-            task.is_start_uncertain = True
+            task.is_start_uncertain = task.is_start_uncertain or exc.was_sent
             _log.warning(
                 "start_unanswered",
                 task=task.task_id,
                 attempt=task.attempt,
                 vm=supervisor.vm,
+                sent=exc.was_sent,
+                waited_ms=int(permit.waited_s * 1000),
                 reason=exc,
             )
             return None
+        took_ms = int((boot_clock_s() - called_s) * 1000)
+        if result == StartResult.NOT_SENT:
+            _log.info(
+                "start_withdrawn",
+                task=task.task_id,
+                attempt=task.attempt,
+                vm=supervisor.vm,
+                waited_ms=took_ms,
+                reason=permit.refusal_reason() or "not wanted now",
+            )
+            return result
         task.unanswered_starts -= 1
         _log.info(
             "start_answered",
@@ -126,9 +127,10 @@
             vm=supervisor.vm,
             result=result,
             fence=supervisor.fence,
-            took_ms=int((boot_clock_s() - sent_s) * 1000),
+            waited_ms=int(permit.waited_s * 1000),
+            took_ms=took_ms,
         )
-        if clock_ms and boot == supervisor.report.boot:
+        if clock_ms and permit.is_for_current_boot:
             # The clock of an earlier boot is ahead: deadlines would be late.
             supervisor.clock.update(clock_ms)
         return result
--- a/src/radishlanding/vmagent/order_handler.py
+++ b/src/radishlanding/vmagent/order_handler.py
@@ -71,11 +71,7 @@
     def _refusal_reason(self, message, age_ms):
         if message.boot != self._supervisor.report.boot:
             return "the order is for another boot of the worker"
-        if (
-            self._supervisor.report.is_draining
-            or self._supervisor.is_leaving
-            or self._supervisor.has_left
-        ):
+        if self._supervisor.is_draining:
             return "the worker is draining"
         if not self._supervisor.is_responsive:
             return "the worker does not answer"
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -24,6 +24,8 @@
         start or stop. A list requested after that which lacks it shows that
         it does not run.
     :param confirmed_s: When it was confirmed, on the boot clock, in seconds.
+    :param is_sent: Whether a start call of it has been sent, perhaps by an
+        earlier agent. Otherwise it cannot run.
     :param is_start_uncertain: Whether a start call got no answer, and may
         still arrive.
     :param unanswered_starts: Number of start calls without an answer. Even if
@@ -51,6 +53,7 @@
     is_listed: bool = False
     is_confirmed: bool = False
     confirmed_s: float = 0.0
+    is_sent: bool = False
     is_start_uncertain: bool = False
     unanswered_starts: int = 0
     not_run_reason: str = ""
--- a/src/radishlanding/vmagent/worker_registry.py
+++ b/src/radishlanding/vmagent/worker_registry.py
@@ -209,5 +209,4 @@
         for supervisor in self.supervisors.values():
             if supervisor.report.worker_id == worker_id:
                 _log.info("worker_leaves", vm=supervisor.vm, worker=worker_id)
-                supervisor.is_leaving = True
-                supervisor.table.notify()
+                supervisor.mark_leaving()
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -123,12 +123,25 @@
             pool=self.report.pool,
             labels=list(self.report.labels),
             capacity=self.report.capacity,
-            is_draining=(
-                self.report.is_draining or self.is_leaving or self.has_left
-            ),
+            is_draining=self.is_draining,
             remaining_ms=self.report.remaining_ms,
         )
 
+    @property
+    def is_draining(self):
+        """Return whether the worker takes no new attempts."""
+        return self.report.is_draining or self.is_leaving or self.has_left
+
+    def mark_leaving(self):
+        """Start no more attempts, as the worker has deregistered."""
+        self.is_leaving = True
+        self._refuse_unsent()
+        self.table.notify()
+
+    def _refuse_unsent(self):
+        """Let the leader place attempts elsewhere that wait to be started."""
+        self.table.refuse_unsent(reason="the worker is draining")
+
     def apply_report(self, report):
         """Store a report of the present boot, unless it is late or odd.
 
@@ -162,6 +175,8 @@
             before, self.report = self.report, report
             self._handle_reboot(before)
         self.report = report
+        if self.is_draining:
+            self._refuse_unsent()
         if has_changed:
             _log.info(
                 "worker_state",
--- a/src/radishlanding/worker/leased_worker.py
+++ b/src/radishlanding/worker/leased_worker.py
@@ -22,14 +22,14 @@
         :returns: A :class:`BootCheck`.
         """
 
-    async def start(self, order, *, fence, deadline_ms):
+    async def start(self, order, *, permit):
         """Start an attempt; idempotent for the same attempt.
 
         :param order: A :class:`radishlanding.message.TaskOrder`.
-        :param fence: Fencing token.
-        :param deadline_ms: Time on the worker's clock at which all attempts
-            on it end, in milliseconds.
-        :returns: A pair of :class:`StartResult` and the worker's clock.
+        :param permit: The :class:`StartPermit`, which is asked once nothing
+            delays the call any more.
+        :returns: A pair of :class:`StartResult` and the worker's clock, which
+            is 0 if the call was not sent.
         """
 
     async def stop(self, task_id, attempt, *, fence):
--- a/src/radishlanding/worker/start_result.py
+++ b/src/radishlanding/worker/start_result.py
@@ -6,6 +6,7 @@
 class StartResult(enum.StrEnum):
     """A worker's answer to a start; only ``STARTED`` has an effect.
 
+    ``NOT_SENT`` stands for a call that was withdrawn before it was sent.
     ``OLD`` means that this attempt, or a later one, was stopped or has ended
     on the worker; ``LATE`` means that the deadline has passed.
     """
@@ -19,3 +20,4 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     OTHER_BOOT = "other_boot"
+    NOT_SENT = "not_sent"
--- a/tests/http/http.feature
+++ b/tests/http/http.feature
@@ -72,3 +72,11 @@
       | rate  | result                      |
       | 2500  | returns the whole body      |
       | 20000 | fails after 0.8 s to 2.0 s  |
+
+  # A start order was sent although it was cancelled while its connection was
+  # being opened.
+  Scenario: a request that is withdrawn once it is connected is not sent
+    Given a server that records the requests that it gets
+    When a client withdraws a request as it is about to be sent
+    Then the server got a connection and no request
+    And the next request is sent on the same connection
--- a/tests/http/http_steps.py
+++ b/tests/http/http_steps.py
@@ -15,6 +15,7 @@
 from radishlanding.http import HttpResponse
 from radishlanding.http import HttpServer
 from radishlanding.http import Limits
+from radishlanding.http import RequestWithdrawn
 
 SEED = 20_261_204
 GOOD = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi"
@@ -350,3 +351,58 @@
         assert not exc.was_sent
     else:
         raise AssertionError("the exchange succeeded")
+
+
+class _RecordingHandler:
+    """Record the targets of requests."""
+
+    def __init__(self):
+        self.targets = []
+
+    async def respond(self, req):
+        self.targets.append(req.target)
+        return HttpResponse.of_json({})
+
+
+@given("a server that records the requests that it gets")
+def _records(context):
+    context.recorded = _RecordingHandler()
+    context.server = HttpServer(handler=context.recorded)
+    port = context.bridge.call(
+        context.bridge.nursery.start,
+        functools.partial(context.server.run, host="127.0.0.1", port=0),
+    )
+    context.client = HttpClient(address=f"127.0.0.1:{port}")
+
+
+@when("a client withdraws a request as it is about to be sent")
+def _withdraws(context):
+    send = functools.partial(
+        context.client.send,
+        "POST",
+        "/first",
+        timeout_s=1.0,
+        make_body=lambda: None,
+    )
+    try:
+        context.bridge.call(send)
+    except RequestWithdrawn:
+        return
+    raise AssertionError("the request was not withdrawn")
+
+
+@then("the server got a connection and no request")
+def _got_none(context):
+    assert context.client.has_idle_connection
+    assert context.recorded.targets == [], context.recorded.targets
+
+
+@then("the next request is sent on the same connection")
+def _sent_next(context):
+    async def send_next():
+        await context.client.send("POST", "/second", timeout_s=1.0)
+
+    context.bridge.call(send_next)
+    assert context.recorded.targets == ["/second"], context.recorded.targets
+    connections = len(context.server._connections)
+    assert connections == 1, connections
--- a/tests/platform/listings_steps.py
+++ b/tests/platform/listings_steps.py
@@ -13,6 +13,7 @@
 from radishlanding.platform import Runner
 from radishlanding.vm import Capacity
 from radishlanding.worker import WorkerUnavailable
+from tests.platform.open_permit import OpenPermit
 from tests.standin.open_platform import serve_until_cancelled
 
 BORN_MS = 1700
@@ -150,7 +151,7 @@
 
 async def _start_unanswered(context):
     try:
-        await context.runner.start(ORDER, fence=7, deadline_ms=9000)
+        await context.runner.start(ORDER, permit=OpenPermit())
     except WorkerUnavailable:
         return
     raise AssertionError("the start was answered")
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -33,6 +33,7 @@
 from radishlanding.worker import WorkerReplaced
 from radishlanding.workflow import WorkflowOutcome
 from tests.dispatch.entry_log_steps import make_store
+from tests.platform.open_permit import OpenPermit
 from tests.standin.open_platform import open_platform_store
 from tests.standin.open_platform import serve
 from tests.standin.platform_advisor import PlatformAdvisor as Advisor
@@ -685,11 +686,15 @@
     )
 
 
+async def _start(runner, order, permit):
+    return await runner.start(order, permit=permit)
+
+
 @when("a task is started there, and another with an older fencing token")
 def _two_starts(context):
     context.results = [
         context.bridge.call(
-            context.runner.start, _order(index), fence=fence, deadline_ms=9000
+            _start, context.runner, _order(index), OpenPermit(fence=fence)
         )[0]
         for index, fence in ((0, 7), (1, 6))
     ]
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -92,8 +92,10 @@
         """Return a clock that is far ahead of the next boot's."""
         return int(time.monotonic() * 1000) - self.born_ms * 1000
 
-    async def start(self, order, *, fence, deadline_ms):
+    async def start(self, order, *, permit):
         """Start an attempt, unless it already runs."""
+        if permit.take() is None:
+            return StartResult.NOT_SENT, 0
         self._check()
         clock_ms = self.clock_ms()
         if self.start_gate is not None:
