Let no call to a worker wait behind calls without an answer

Cause: starts, stops and paces shared three places, and a call without an answer kept one until its timeout of 1 s. The stops of three late starts had waited 4765 to 4796 ms for their turn.

Each kind of call has slots of its own now. A call without an answer keeps its slot for 0.2 s; the calls in flight stay bounded, below the 64 connections of a runner.

order_executor.feature: the four scenarios that this commit adds failed before: neither stop nor pace was sent within 0.5 s, 23 of 40 starts not within 2.5 s, and none of 100 old starts had been given up after 3 s.

--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -6,7 +6,6 @@
 
 import functools
 import json
-import math
 
 import trio
 
@@ -20,6 +19,7 @@
 from radishlanding.platform.listing import decode_listing
 from radishlanding.vm import boot_clock_s
 from radishlanding.worker import BootCheck
+from radishlanding.worker import CallSlots
 from radishlanding.worker import StartResult
 from radishlanding.worker import WorkerReplaced
 from radishlanding.worker import WorkerUnavailable
@@ -29,9 +29,17 @@
 CALL_TIMEOUT_S = 1.0
 # A listing holds up to 500 ended attempts and all running ones.
 MAX_ANSWER_BYTES = 1024 * 1024
-# Each call in flight needs a connection, and each new connection costs the
-# runner time. Listings have a connection of their own.
-MAX_CALLS_IN_FLIGHT = 3
+# Each call in flight needs a connection, of which a runner accepts 64, and
+# each new connection costs the runner time. Listings have one of their own.
+START_SLOTS = 3
+MAX_STARTS = 20
+# Stops are urgent: what they stop takes room or should not run any more.
+STOP_SLOTS = 6
+MAX_STOPS = 24
+PACE_SLOTS = 2
+MAX_PACES = 8
+# A runner that answers does so within milliseconds.
+SLOT_HOLD_S = 0.2
 # A call that waits longer for its turn is logged.
 LOGGED_WAIT_S = 0.1
 
@@ -57,9 +65,11 @@
         "_address",
         "_client",
         "_headers",
-        "_limiter",
         "_list_client",
         "_listed_born_ms",
+        "_pace_slots",
+        "_start_slots",
+        "_stop_slots",
     )
 
     def __init__(self, *, address, worker_id):
@@ -82,11 +92,21 @@
             ("content-type", "application/json"),
             ("x-expect-instance", worker_id),
         )
-        self._limiter = trio.CapacityLimiter(MAX_CALLS_IN_FLIGHT)
+        # No kind of call waits for those of another kind.
+        self._start_slots = CallSlots(
+            slots=START_SLOTS, max_calls=MAX_STARTS, hold_s=SLOT_HOLD_S
+        )
+        self._stop_slots = CallSlots(
+            slots=STOP_SLOTS, max_calls=MAX_STOPS, hold_s=SLOT_HOLD_S
+        )
+        self._pace_slots = CallSlots(
+            slots=PACE_SLOTS, max_calls=MAX_PACES, hold_s=SLOT_HOLD_S
+        )
 
-    async def _call(self, path, value):
+    async def _call(self, path, value, slots):
         queued_s = boot_clock_s()
-        async with self._limiter:
+        call = await slots.acquire()
+        try:
             waited_s = boot_clock_s() - queued_s
             if waited_s > LOGGED_WAIT_S:
                 _log.info(
@@ -100,6 +120,8 @@
             return await self._send(
                 self._client, path, value, timeout_s=CALL_TIMEOUT_S
             )
+        finally:
+            slots.release(call)
 
     async def _call_permitted(self, path, make_value, permit):
         """Call the runner if the permit still holds when the call is sent.
@@ -113,18 +135,22 @@
             terms = permit.take()
             return None if terms is None else _encode(make_value(terms))
 
-        with trio.move_on_after(max(0.0, permit.wait_s())) as wait:
-            async with self._limiter:
-                wait.deadline = math.inf
-                if not permit.is_valid():
-                    raise RequestWithdrawn
-                return await self._exchange(
-                    self._client,
-                    path,
-                    make_body=make_body,
-                    timeout_s=CALL_TIMEOUT_S,
-                )
-        raise RequestWithdrawn
+        call = None
+        with trio.move_on_after(max(0.0, permit.wait_s())):
+            call = await self._start_slots.acquire()
+        if call is None:
+            raise RequestWithdrawn
+        try:
+            if not permit.is_valid():
+                raise RequestWithdrawn
+            return await self._exchange(
+                self._client,
+                path,
+                make_body=make_body,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        finally:
+            self._start_slots.release(call)
 
     async def _send(self, client, path, value, *, timeout_s):
         return await self._exchange(
@@ -225,6 +251,7 @@
         status, _ = await self._call(
             "run-stop",
             {"task": task_id, "run": attempt, "fencingToken": fence},
+            self._stop_slots,
         )
         if status >= 500 or status == 429:
             raise WorkerUnavailable(f"run-stop: status {status}")
@@ -295,6 +322,7 @@
                 "percent": percent,
                 "fencingToken": fence,
             },
+            self._pace_slots,
         )
         return status == 200
 
--- a/tests/vmagent/order_executor.feature
+++ b/tests/vmagent/order_executor.feature
@@ -22,6 +22,29 @@
     Then no start is sent later than 0.1 s after that
     And within 3 s of that each attempt that was not sent is not_run
 
+  # Stops waited for as long as the starts before them, up to 4.8 s.
+  Scenario: a stop does not wait behind starts
+    Given an agent whose worker answers none of its first 60 starts
+    When an attempt runs, 40 others are ordered, and it is stopped
+    Then its stop is sent within 0.1 s
+
+  Scenario: a pace does not wait behind starts
+    Given an agent whose worker answers none of its first 60 starts
+    When 40 attempts are ordered, and a pace is set
+    Then the pace is sent within 0.1 s
+
+  # A worker that left half of the starts unanswered got 40 starts in 8 s.
+  Scenario: starts without an answer delay the others little
+    Given an agent whose worker answers every second start
+    When 40 attempts are ordered
+    Then each of them has been sent within 2.5 s
+
+  Scenario: a start does not wait behind starts that are too old
+    Given an agent whose worker answers none of its first 200 starts
+    When 100 attempts are ordered, and one more 3 s later
+    Then each of the 100 that was not sent has been reported as not_run
+    And the one more is sent within 0.5 s
+
   # The process may be suspended while a connection is opened.
   Scenario: a start is checked once the connection is open
     Given an agent whose worker accepts connections 0.5 s late
