Check a start order again when the leader's link has room for it

The leader checked VM, lease and workflow once an order had waited for the link, and neither the zone, nor whether the worker drains or is another boot. Such an order was sent, and the agent of a zone that had been taken out does not know of that (EVAC). An order that was not sent was known as an end only with the VM's next full report; if the VM had disconnected between the plan and its commit, its task waited until the VM reported again or was lost.

All reasons are checked after the wait now, and the attempts of orders that are not sent are reported as not run at once. Only a VM whose lease has expired is left to the check for lost VMs, as before.

--- a/src/radishlanding/dispatch/fleet_loads.py
+++ b/src/radishlanding/dispatch/fleet_loads.py
@@ -92,18 +92,30 @@
         return self._cache.step_of(task)
 
 
-def _exclusion(session, site):
-    """Return why a VM takes no new tasks at all, None if it may.
+def start_bar(session, site):
+    """Return why nothing may start on a VM any more, None if it may.
 
     :param session: The :class:`VmSession` of the VM.
     :param site: The current :class:`radishlanding.config.Site`.
     """
-    if not session.has_full_report or not session.state.boot:
-        return "unreported"
     if session.state.is_draining:
         return "draining"
     if session.state.zone in site.zones_out:
         return "zone_out"
+    return None
+
+
+def _exclusion(session, site):
+    """Return why a VM takes no new tasks at all, None if it may.
+
+    :param session: The :class:`VmSession` of the VM.
+    :param site: The current :class:`radishlanding.config.Site`.
+    """
+    if not session.has_full_report or not session.state.boot:
+        return "unreported"
+    reason = start_bar(session, site)
+    if reason is not None:
+        return reason
     if session.backoff_until_s >= boot_clock_s():
         return "backoff"
     return None
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -1,5 +1,7 @@
 """Leads the workflows of a site."""
 
+import functools
+
 import trio
 
 from radishlanding.dispatch import submission_queue
@@ -119,6 +121,7 @@
             epoch=log.epoch,
             counters=counters,
             gate=SendGate(window=window),
+            site_watch=site_watch,
             tickets=tickets,
         )
         self._mover = TaskMover(
@@ -185,7 +188,11 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._order_sender.open(
-                    nursery, on_answered=self._recorder.wake_for_room
+                    nursery,
+                    on_answered=self._recorder.wake_for_room,
+                    on_unsent=functools.partial(
+                        self._recorder.add_ends, vm=""
+                    ),
                 )
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._leadership.run)
--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from radishlanding.dispatch.fleet_loads import start_bar
 from radishlanding.message import EndsRecorded
 from radishlanding.message import StartOrders
 from radishlanding.message import StopOrders
@@ -13,6 +14,8 @@
 from radishlanding.peer import ConnectionLost
 from radishlanding.policy import ORDER_OVERHEAD_BYTES
 from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import EndKind
+from radishlanding.workflow import TaskEnd
 from radishlanding.workflow import TaskId
 
 # Agents answer within milliseconds. After a timeout the connection is aborted,
@@ -36,13 +39,23 @@
         "_gate",
         "_nursery",
         "_on_answered",
+        "_on_unsent",
         "_registry",
+        "_site_watch",
         "_stop_sent_s",
         "_tickets",
     )
 
     def __init__(
-        self, *, registry, fleet, epoch, counters, gate, tickets=None
+        self,
+        *,
+        registry,
+        fleet,
+        epoch,
+        counters,
+        gate,
+        site_watch,
+        tickets=None,
     ):
         """Initialise the sender; :meth:`open` sets its nursery.
 
@@ -51,6 +64,7 @@
         :param epoch: Epoch of the leadership.
         :param counters: Metrics counters of the process.
         :param gate: The :class:`SendGate` that start orders pass.
+        :param site_watch: A :class:`SiteWatch`.
         :param tickets: The :class:`radishlanding.policy.TicketCache` with the
             tickets of advised workflows, or None.
         """
@@ -61,16 +75,21 @@
         self._fleet = fleet
         self._nursery = None
         self._on_answered = None
+        self._on_unsent = None
+        self._site_watch = site_watch
         self._stop_sent_s = {}
         self._gate = gate
 
-    def open(self, nursery, *, on_answered):
+    def open(self, nursery, *, on_answered, on_unsent):
         """Set the nursery in which calls to agents run.
 
         :param on_answered: Callable that is called whenever more start
             orders may be sent.
+        :param on_unsent: Callable that takes the ends of attempts that will
+            not run, as their orders were not sent.
         """
         self._nursery = nursery
+        self._on_unsent = on_unsent
         self._on_answered = on_answered
 
     @property
@@ -90,7 +109,8 @@
         for vm, group in by_vm.items():
             session = self._fleet.sessions.get(vm)
             if session is None or session.state.boot != group[0].boot:
-                _log.warning("order_unsent", vm=vm, tasks=len(group))
+                reason = "no_session" if session is None else "another_boot"
+                self._report_unsent(vm, group, reason)
                 continue
             orders = []
             for item in group:
@@ -162,33 +182,79 @@
 
     async def _start(self, session, boot, orders):
         async with self._gate.passing(_size_bytes(orders)):
-            wanted = self._wanted(session, orders)
+            wanted = self._wanted(session, boot, orders)
             if wanted:
                 await self._send_start(session, boot, wanted)
         self._on_answered()
 
-    def _wanted(self, session, orders):
-        """Return the orders that are still to be sent.
+    def _wanted(self, session, boot, orders):
+        """Return the orders that may still be sent.
 
-        The VM may have been lost and the workflow cancelled while they waited
-        for the link.
+        While they waited for the link, the VM may have been lost, started
+        again or begun to drain, its zone been taken out, and the workflow
+        cancelled.
+
+        :param boot: Boot of the worker that the attempts were assigned to.
         """
-        is_followed = self._fleet.sessions.get(session.vm) is session
-        has_lease = is_followed and not self._fleet.has_lost(session.vm)
-        if not has_lease:
+        if self._fleet.has_lost(session.vm):
             _log.warning("order_unsent", vm=session.vm, tasks=len(orders))
-        wanted = []
-        for order in orders:
-            if has_lease and self._fleet.is_wanted(session, order):
-                wanted.append(order)
-            else:
+            for order in orders:
                 # The VM may extend its lease before its loss is noticed; its
                 # next report then ends the attempt.
                 session.orders_in_flight.answer(
                     order.task_id, order.attempt, clock_ms=session.clock_ms
                 )
+            return []
+        reason = self._bar(session, boot)
+        wanted = [
+            order
+            for order in orders
+            if not reason and self._fleet.is_wanted(session, order)
+        ]
+        unsent = [order for order in orders if order not in wanted]
+        if unsent:
+            self._end_unsent(session, unsent, reason or "no longer assigned")
         return wanted
 
+    def _bar(self, session, boot):
+        """Return why no order may be sent to a VM, an empty string if any."""
+        if self._fleet.sessions.get(session.vm) is not session:
+            return "another_session"
+        if session.state.boot != boot:
+            return "another_boot"
+        return start_bar(session, self._site_watch.site) or ""
+
+    def _end_unsent(self, session, orders, reason):
+        """Record that orders for a session will not be sent."""
+        for order in orders:
+            session.orders_in_flight.answer(
+                order.task_id, order.attempt, clock_ms=session.clock_ms
+            )
+        self._report_unsent(session.vm, orders, reason)
+
+    def _report_unsent(self, vm, items, reason):
+        """Let tasks be placed again at once whose orders were not sent.
+
+        :param items: Objects with a ``task_id`` and an ``attempt``.
+        """
+        _log.info(
+            "order_withdrawn",
+            vm=vm,
+            tasks=",".join(f"{item.task_id}#{item.attempt}" for item in items),
+            reason=reason,
+        )
+        self._counters.add("start_orders_withdrawn", len(items))
+        self._on_unsent(
+            [
+                TaskEnd(
+                    task_id=item.task_id,
+                    attempt=item.attempt,
+                    kind=EndKind.NOT_RUN,
+                )
+                for item in items
+            ]
+        )
+
     async def _send_start(self, session, boot, orders):
         message = StartOrders(
             vm=session.vm,
--- a/tests/dispatch/order_sender.feature
+++ b/tests/dispatch/order_sender.feature
@@ -20,3 +20,31 @@
     Given a VM that an earlier leader may grant leases for 0.4 s
     When a task of it is on record and its introduction gets no answer
     Then its task is not given up within 0.4 s
+
+  # Orders were sent to zones that had been taken out while they waited for the
+  # link, and a withdrawn one was only noticed with the VM's next report.
+  Scenario Outline: an order that waits for the link is withdrawn when <change>
+    Given a VM whose lease has started
+    When a task is assigned to it on a full link, and then <change>
+    Then it is sent 0 order
+    And its end is reported as not_run
+
+    Examples:
+      | change                        |
+      | its zone is taken out         |
+      | it drains                     |
+      | its worker starts again       |
+      | its agent introduces it again |
+      | the workflow is cancelled     |
+
+  # Its task waited until the VM reported again, or was taken for lost.
+  Scenario Outline: a task is placed again when its VM <change> before the order
+    Given a VM whose lease has started
+    When it <change>, and a task is assigned to it
+    Then it is sent 0 order
+    And its end is reported as not_run
+
+    Examples:
+      | change       |
+      | disconnects  |
+      | starts again |
--- a/tests/dispatch/order_sender_steps.py
+++ b/tests/dispatch/order_sender_steps.py
@@ -1,12 +1,16 @@
 """Steps for orders to a VM whose lease may have expired."""
 
+import dataclasses
+import functools
 import time
 
 import trio
+import trio.testing
 from behave import given
 from behave import then
 from behave import when
 
+from radishlanding.config import Site
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.send_gate import SendGate
@@ -30,6 +34,51 @@
 LEASE_S = 0.1
 VM = "vm1"
 BOOT = "vm1/1"
+ZONE = "z1"
+
+
+class FixedSite:
+    """The configuration of a site that a test changes."""
+
+    __slots__ = ("site",)
+
+    def __init__(self):
+        self.site = Site(version=1)
+
+
+def _introduce(context, conn):
+    hello = VmHello(
+        vm=VM, epoch=0, clock_ms=1, state=VmState(boot=BOOT, zone=ZONE)
+    )
+    context.fleet.open_session(hello, conn)
+
+
+def _introduce_again(context):
+    _introduce(context, FakeAgent())
+
+
+def _take_zone_out(context):
+    context.site_watch.site = Site(version=2, zones_out=frozenset({ZONE}))
+
+
+def _change_state(context, **changes):
+    session = context.fleet.find(VM, context.agent)
+    session.state = dataclasses.replace(session.state, **changes)
+
+
+def _cancel(context):
+    context.registry.apply(
+        LogEntry(commit_id="d", made_ms=2, cancelled=[NAME])
+    )
+
+
+CHANGES = {
+    "its zone is taken out": _take_zone_out,
+    "it drains": functools.partial(_change_state, is_draining=True),
+    "its worker starts again": functools.partial(_change_state, boot="vm1/2"),
+    "its agent introduces it again": _introduce_again,
+    "the workflow is cancelled": _cancel,
+}
 
 
 @given("a VM whose lease has {state}")
@@ -42,14 +91,37 @@
         interference=Interference(),
     )
     context.agent = FakeAgent()
-    hello = VmHello(vm=VM, epoch=0, clock_ms=1, state=VmState(boot=BOOT))
-    context.fleet.open_session(hello, context.agent)
+    context.site_watch = FixedSite()
+    context.gate = SendGate(window=SendWindow(link_mbps=1000.0))
+    _introduce(context, context.agent)
     if state == "expired":
         time.sleep(1.5 * LEASE_S)
 
 
 @when("a task is assigned to it")
 def _assigned(context):
+    _assign(context)
+
+
+@when("it disconnects, and a task is assigned to it")
+def _disconnected(context):
+    context.fleet.drop(context.agent)
+    _assign(context)
+
+
+@when("it starts again, and a task is assigned to it")
+def _restarted(context):
+    _change_state(context, boot="vm1/2")
+    _assign(context)
+
+
+@when("a task is assigned to it on a full link, and then {change}")
+def _assigned_then(context, change):
+    _assign(context, functools.partial(CHANGES[change], context))
+
+
+def _assign(context, change=None):
+    """Send an order, and make a change while it waits for the link."""
     assignment = Assignment(
         task_id=f"{NAME}.0.0.0", attempt=1, vm=VM, boot=BOOT
     )
@@ -66,13 +138,27 @@
         fleet=context.fleet,
         epoch=1,
         counters=Counters(),
-        gate=SendGate(window=SendWindow(link_mbps=1000.0)),
+        gate=context.gate,
+        site_watch=context.site_watch,
     )
+    context.unsent = []
 
     async def send():
         async with trio.open_nursery() as nursery:
-            sender.open(nursery, on_answered=lambda: None)
-            sender.start([assignment])
+            sender.open(
+                nursery,
+                on_answered=lambda: None,
+                on_unsent=context.unsent.extend,
+            )
+            if change is None:
+                sender.start([assignment])
+                return
+            size_bytes = context.gate.room_bytes
+            context.gate.queue(size_bytes)
+            async with context.gate.passing(size_bytes):
+                sender.start([assignment])
+                await trio.testing.wait_all_tasks_blocked()
+                change()
 
     trio.run(send)
 
@@ -141,3 +227,9 @@
     while time.monotonic() < end_s:
         assert not context.fleet.lost_vm_ends()
         time.sleep(LEASE_S / 2)
+
+
+@then("its end is reported as not_run")
+def _not_run(context):
+    ends = [(end.task_id, end.attempt, end.kind) for end in context.unsent]
+    assert ends == [(f"{NAME}.0.0.0", 1, EndKind.NOT_RUN)], ends
