Let overlapping faults restart a fake runner one after the other

A script that restarts a fake runner twice at the same time failed so, and passes now. What the soak injects and checks is the same.

--- a/tests/standin/platform_machine.py
+++ b/tests/standin/platform_machine.py
@@ -12,6 +12,7 @@
     """Run a fake runner and a real agent."""
 
     __slots__ = (
+        "_reboot_lock",
         "_runner_scope",
         "_site",
         "agent",
@@ -28,6 +29,7 @@
         :param site: Its :class:`tests.standin.platform_site.PlatformSite`.
         :param seed: Seed of the random faults.
         """
+        self._reboot_lock = trio.Lock()
         self._runner_scope = None
         self._site = site
         self.agent = Process(
@@ -60,11 +62,13 @@
 
     async def reboot_runner(self):
         """Start the runner again at its address; its connections break."""
-        self._runner_scope.cancel()
-        self.runner.boot()
-        # Lets the server close its listeners before the next one binds.
-        await trio.testing.wait_all_tasks_blocked()
-        await self._serve_runner(self.runner.address)
+        # Faults overlap, and only one server can bind the address.
+        async with self._reboot_lock:
+            self._runner_scope.cancel()
+            self.runner.boot()
+            # Lets the server close its listeners before the next one binds.
+            await trio.testing.wait_all_tasks_blocked()
+            await self._serve_runner(self.runner.address)
 
     async def start_agent(self):
         """Start the agent."""
