Check start orders when the connection to the agent is free

An order that had passed the leader's link waited up to 2 s more for the connection to its agent, behind other messages, and was sent without a check: the zone may have been taken out meanwhile (EVAC).

Connection.call_prepared makes the message once nothing else is being sent, or withdraws the call. The check of the orders moves there.

--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -11,6 +11,7 @@
 from radishlanding.message import TaskOrder
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
+from radishlanding.peer import CallWithdrawn
 from radishlanding.peer import ConnectionLost
 from radishlanding.policy import ORDER_OVERHEAD_BYTES
 from radishlanding.vm import boot_clock_s
@@ -182,17 +183,15 @@
 
     async def _start(self, session, boot, orders):
         async with self._gate.passing(_size_bytes(orders)):
-            wanted = self._wanted(session, boot, orders)
-            if wanted:
-                await self._send_start(session, boot, wanted)
+            await self._send_start(session, boot, orders)
         self._on_answered()
 
     def _wanted(self, session, boot, orders):
         """Return the orders that may still be sent.
 
-        While they waited for the link, the VM may have been lost, started
-        again or begun to drain, its zone been taken out, and the workflow
-        cancelled.
+        While they waited for the link or the connection, the VM may have been
+        lost, started again or begun to drain, its zone been taken out, and
+        the workflow cancelled.
 
         :param boot: Boot of the worker that the attempts were assigned to.
         """
@@ -256,23 +255,23 @@
         )
 
     async def _send_start(self, session, boot, orders):
-        message = StartOrders(
-            vm=session.vm,
-            epoch=self._epoch,
-            boot=boot,
-            clock_echo_ms=session.clock_ms,
-            orders=orders,
-        )
-        if session.reads_specs:
-            message.share_specs()
-        self._counters.add("start_orders", len(orders))
+        sent = []
+
+        def prepare():
+            sent.extend(self._wanted(session, boot, orders))
+            return self._start_message(session, boot, sent) if sent else None
+
         try:
-            answer = await session.conn.call(message, timeout_s=CALL_TIMEOUT_S)
+            answer = await session.conn.call_prepared(
+                prepare, timeout_s=CALL_TIMEOUT_S
+            )
+        except CallWithdrawn:
+            return
         except (ConnectionLost, CallRefused) as exc:
             _log.warning("orders_unanswered", vm=session.vm, reason=exc)
             session.conn.abort()
             return
-        for order in orders:
+        for order in sent:
             session.orders_in_flight.answer(
                 order.task_id, order.attempt, clock_ms=answer.clock_ms
             )
@@ -285,6 +284,19 @@
                 reason=item.reason,
             )
 
+    def _start_message(self, session, boot, orders):
+        message = StartOrders(
+            vm=session.vm,
+            epoch=self._epoch,
+            boot=boot,
+            clock_echo_ms=session.clock_ms,
+            orders=orders,
+        )
+        if session.reads_specs:
+            message.share_specs()
+        self._counters.add("start_orders", len(orders))
+        return message
+
     def drop_ticket(self, end, vm):
         """Drop the ticket of an attempt that a worker refused to run.
 
--- a/src/radishlanding/peer/__init__.py
+++ b/src/radishlanding/peer/__init__.py
@@ -1,6 +1,7 @@
 """Connections between processes of the system."""
 
 from radishlanding.peer.call_refused import CallRefused
+from radishlanding.peer.call_withdrawn import CallWithdrawn
 from radishlanding.peer.connection import Connection
 from radishlanding.peer.connection_lost import ConnectionLost
 from radishlanding.peer.handler import Handler
@@ -11,6 +12,7 @@
 
 __all__ = [
     "CallRefused",
+    "CallWithdrawn",
     "Connection",
     "ConnectionLost",
     "Handler",
--- a/src/radishlanding/peer/connection.py
+++ b/src/radishlanding/peer/connection.py
@@ -7,6 +7,7 @@
 from radishlanding.message import Refused
 from radishlanding.observe import EventLog
 from radishlanding.peer.call_refused import CallRefused
+from radishlanding.peer.call_withdrawn import CallWithdrawn
 from radishlanding.peer.connection_lost import ConnectionLost
 from radishlanding.peer.frames import encode_frame
 from radishlanding.peer.frames import FrameReader
@@ -159,15 +160,24 @@
                 self.abort()
 
     async def _write(self, call_id, message, *, is_reply):
-        data = encode_frame(
-            encode(
-                Envelope(call_id=call_id, is_reply=is_reply, message=message)
-            )
-        )
-        self._counters.add("peer_sent_bytes", len(data))
+        await self._write_prepared(call_id, lambda: message, is_reply=is_reply)
+
+    async def _write_prepared(self, call_id, prepare, *, is_reply):
+        """Send a message that is made when the connection is free.
+
+        :param prepare: See :meth:`call_prepared`.
+        """
         try:
             with trio.fail_after(SEND_TIMEOUT_S):
                 async with self._send_lock:
+                    message = prepare()
+                    if message is None:
+                        raise CallWithdrawn
+                    envelope = Envelope(
+                        call_id=call_id, is_reply=is_reply, message=message
+                    )
+                    data = encode_frame(encode(envelope))
+                    self._counters.add("peer_sent_bytes", len(data))
                     await self._send(data)
         except (
             trio.BrokenResourceError,
@@ -205,6 +215,20 @@
             effect if ``was_sent`` is set.
         :raises CallRefused: The peer refused the call.
         """
+        return await self.call_prepared(lambda: message, timeout_s=timeout_s)
+
+    async def call_prepared(self, prepare, *, timeout_s):
+        """Make a call whose message may change while it waits to be sent.
+
+        :param prepare: Callable that is called when nothing else is being
+            sent on the connection. It returns the message, or None to
+            withdraw the call.
+        :param timeout_s: Timeout for the reply, in seconds.
+        :returns: The reply.
+        :raises CallRefused: See :meth:`call`.
+        :raises CallWithdrawn: ``prepare`` returned None.
+        :raises ConnectionLost: See :meth:`call`.
+        """
         if self._is_closed:
             raise ConnectionLost(
                 f"{self.peer}: connection is closed", was_sent=False
@@ -216,7 +240,7 @@
         reply = None
         try:
             with trio.move_on_after(timeout_s):
-                await self._write(call_id, message, is_reply=False)
+                await self._write_prepared(call_id, prepare, is_reply=False)
                 reply = await fut.wait()
         finally:
             self._futures.pop(call_id, None)
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -32,6 +32,7 @@
 from radishlanding.message import VmState
 from radishlanding.observe import Counters
 from radishlanding.peer import CallRefused
+from radishlanding.peer import CallWithdrawn
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import TicketCache
@@ -71,6 +72,7 @@
     __slots__ = (
         "acknowledged",
         "can_read",
+        "has_room",
         "is_aborted",
         "specs",
         "started",
@@ -84,6 +86,9 @@
         # Start orders that it cannot read yet stay on their way to it.
         self.can_read = trio.Event()
         self.can_read.set()
+        # Orders wait here while other messages fill the connection.
+        self.has_room = trio.Event()
+        self.has_room.set()
         self.is_aborted = False
         self.specs = []
         self.started = []
@@ -92,6 +97,7 @@
 
     async def call(self, message, *, timeout_s):
         """Record start or stop orders."""
+        await self.has_room.wait()
         if isinstance(message, StartOrders):
             self.started += message.orders
             self.specs += message.specs
@@ -102,6 +108,14 @@
         self.stopped += message.keys
         return None
 
+    async def call_prepared(self, prepare, *, timeout_s):
+        """Record start orders, unless they are withdrawn."""
+        await self.has_room.wait()
+        message = prepare()
+        if message is None:
+            raise CallWithdrawn
+        return await self.call(message, timeout_s=timeout_s)
+
     async def notify(self, message):
         """Record acknowledged ends."""
         assert isinstance(message, EndsRecorded), message
--- a/tests/dispatch/order_sender.feature
+++ b/tests/dispatch/order_sender.feature
@@ -23,19 +23,24 @@
 
   # Orders were sent to zones that had been taken out while they waited for the
   # link, and a withdrawn one was only noticed with the VM's next report.
-  Scenario Outline: an order that waits for the link is withdrawn when <change>
+  Scenario Outline: an order that waits for the <place> is withdrawn when <change>
     Given a VM whose lease has started
-    When a task is assigned to it on a full link, and then <change>
+    When a task is assigned to it on a full <place>, and then <change>
     Then it is sent 0 order
     And its end is reported as not_run
 
     Examples:
-      | change                        |
-      | its zone is taken out         |
-      | it drains                     |
-      | its worker starts again       |
-      | its agent introduces it again |
-      | the workflow is cancelled     |
+      | place      | change                        |
+      | link       | its zone is taken out         |
+      | link       | it drains                     |
+      | link       | its worker starts again       |
+      | link       | its agent introduces it again |
+      | link       | the workflow is cancelled     |
+      | connection | its zone is taken out         |
+      | connection | it drains                     |
+      | connection | its worker starts again       |
+      | connection | its agent introduces it again |
+      | connection | the workflow is cancelled     |
 
   # Its task waited until the VM reported again, or was taken for lost.
   Scenario Outline: a task is placed again when its VM <change> before the order
--- a/tests/dispatch/order_sender_steps.py
+++ b/tests/dispatch/order_sender_steps.py
@@ -115,13 +115,24 @@
     _assign(context)
 
 
+@when("a task is assigned to it on a full connection, and then {change}")
+def _assigned_on_connection(context, change):
+    context.agent.has_room = trio.Event()
+
+    def make_room():
+        CHANGES[change](context)
+        context.agent.has_room.set()
+
+    _assign(context, make_room, is_link_full=False)
+
+
 @when("a task is assigned to it on a full link, and then {change}")
 def _assigned_then(context, change):
     _assign(context, functools.partial(CHANGES[change], context))
 
 
-def _assign(context, change=None):
-    """Send an order, and make a change while it waits for the link."""
+def _assign(context, change=None, *, is_link_full=True):
+    """Send an order, and make a change while it waits."""
     assignment = Assignment(
         task_id=f"{NAME}.0.0.0", attempt=1, vm=VM, boot=BOOT
     )
@@ -153,7 +164,7 @@
             if change is None:
                 sender.start([assignment])
                 return
-            size_bytes = context.gate.room_bytes
+            size_bytes = context.gate.room_bytes if is_link_full else 0
             context.gate.queue(size_bytes)
             async with context.gate.passing(size_bytes):
                 sender.start([assignment])
--- a/tests/peer/peer.feature
+++ b/tests/peer/peer.feature
@@ -59,3 +59,10 @@
     When the call is given up after 0.2 s while 2 others wait to be sent
     Then the peer reads no message that was not sent
     And further calls fail as not executed
+
+  # A start order was sent although its zone had been taken out while it waited
+  # behind other messages.
+  Scenario: a call that is withdrawn while it waits to be sent is not sent
+    Given a connection on a full link, on which a call is being sent
+    When another call waits behind it and is withdrawn, and the link has room
+    Then the peer reads the first call only
--- a/tests/peer/peer_steps.py
+++ b/tests/peer/peer_steps.py
@@ -4,6 +4,7 @@
 import socket
 
 import trio
+import trio.testing
 from behave import given
 from behave import then
 from behave import when
@@ -12,6 +13,7 @@
 from radishlanding.message import GetStatus
 from radishlanding.observe import Counters
 from radishlanding.peer import CallRefused
+from radishlanding.peer import CallWithdrawn
 from radishlanding.peer import Connection
 from radishlanding.peer import ConnectionLost
 from radishlanding.peer import dial
@@ -19,6 +21,7 @@
 from radishlanding.peer import PeerServer
 from radishlanding.peer.frames import LENGTH_BYTES
 from radishlanding.wire import decode
+from tests.peer.held_stream import HeldStream
 from tests.peer.stalled_stream import StalledStream
 from tests.standin.proxy import Proxy
 from tests.standin.record import now_s
@@ -321,17 +324,77 @@
 
 @then("the peer reads no message that was not sent")
 def _only_sent_messages(context):
-    data, names = context.stream.sent, []
+    names = _sent_names(context.stream.sent)
+    assert set(names) <= set(NAMES), names
+
+
+def _sent_names(data):
+    """Return the names in the frames that were sent whole."""
+    names = []
     while len(data) > LENGTH_BYTES:
         end = LENGTH_BYTES + int.from_bytes(data[:LENGTH_BYTES], "little")
         if len(data) < end:
             break
         names.append(decode(data[LENGTH_BYTES:end]).message.job_id)
         data = data[end:]
-    assert set(names) <= set(NAMES), names
+    return names
 
 
 @then("further calls fail as not executed")
 def _not_executed(context):
     exc = context.bridge.call(_call_and_fail, context.connection, "x", 0.2)
     assert not exc.was_sent
+
+
+@given("a connection on a full link, on which a call is being sent")
+def _full_link(context):
+    async def open_and_call():
+        context.stream = HeldStream()
+        context.connection = Connection(
+            stream=context.stream,
+            handler=Echo(),
+            counters=Counters(),
+            peer="peer",
+        )
+        nursery = context.bridge.nursery
+        nursery.start_soon(_call_unanswered, context.connection, NAMES[0])
+        await trio.testing.wait_all_tasks_blocked()
+
+    context.bridge.call(open_and_call)
+
+
+async def _call_unanswered(connection, name):
+    try:
+        await connection.call(CancelJob(job_id=name), timeout_s=1.0)
+    except ConnectionLost:
+        return
+    raise AssertionError("the call was answered")
+
+
+@when("another call waits behind it and is withdrawn, and the link has room")
+def _withdrawn(context):
+    async def withdraw():
+        wanted = [CancelJob(job_id=NAMES[1])]
+
+        async def call():
+            try:
+                await context.connection.call_prepared(
+                    lambda: wanted[0] if wanted else None, timeout_s=1.0
+                )
+            except CallWithdrawn:
+                context.was_withdrawn = True
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.testing.wait_all_tasks_blocked()
+            wanted.clear()
+            context.stream.has_room.set()
+
+    context.was_withdrawn = False
+    context.bridge.call(withdraw)
+
+
+@then("the peer reads the first call only")
+def _first_only(context):
+    assert context.was_withdrawn
+    assert _sent_names(context.stream.sent) == NAMES[:1]
