Give few attempts to a worker that answers nothing

Callers saw tasks wait for as long as a worker left its orders unanswered, beside workers that were idle: it got further starts all the while, and what it may have taken cannot run elsewhere before its stop is answered.

Starts and stops are recorded in a SilenceBreaker, as calls to a leader are. While the worker is silent, starts that were not sent are refused at once and placed elsewhere. Stops are sent all the same and probe it. A call that gets no answer counts only if none was answered since it was sent: workers that lose some of their answers are not silent.

--- a/src/radishlanding/policy/silence_breaker.py
+++ b/src/radishlanding/policy/silence_breaker.py
@@ -1,5 +1,7 @@
 """Decides whether a silent server may get further calls."""
 
+import math
+
 # Longer than an answer takes while the store is 60 times slower than usual.
 MAX_SILENCE_S = 0.7
 
@@ -55,8 +57,13 @@
             self._quiet_since_s = now_s
             self._waiting -= 1
 
-    def record_timeout(self, server):
-        """Record that a call was given up without an answer."""
+    def record_timeout(self, server, *, sent_s=math.inf):
+        """Record that a call was given up without an answer.
+
+        :param sent_s: When it was sent, in seconds; a server that has
+            answered another call since then is not silent.
+        """
         if server is self._server:
-            self._has_timed_out = True
+            if self._quiet_since_s <= sent_s:
+                self._has_timed_out = True
             self._waiting -= 1
--- a/src/radishlanding/vmagent/order_executor.py
+++ b/src/radishlanding/vmagent/order_executor.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishlanding.observe import EventLog
+from radishlanding.policy import SilenceBreaker
 from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.order_permit import OrderPermit
 from radishlanding.worker import StartResult
@@ -28,7 +29,7 @@
     an earlier call may still arrive.
     """
 
-    __slots__ = ("_nursery", "_supervisor")
+    __slots__ = ("_breaker", "_nursery", "_supervisor")
 
     def __init__(self, *, supervisor, nursery):
         """Create an idle executor.
@@ -36,6 +37,7 @@
         :param supervisor: The :class:`WorkerSupervisor`.
         :param nursery: Nursery that starts and stops run in.
         """
+        self._breaker = SilenceBreaker()
         self._nursery = nursery
         self._supervisor = supervisor
 
@@ -44,7 +46,9 @@
 
         :param task: A :class:`TaskAttempt` with an order.
         """
-        permit = OrderPermit(supervisor=self._supervisor, task=task)
+        permit = OrderPermit(
+            supervisor=self._supervisor, task=task, breaker=self._breaker
+        )
         self._nursery.start_soon(self._start, task, permit)
 
     def stop(self, task):
@@ -89,15 +93,15 @@
         """
         if not permit.is_valid():
             return None
-        supervisor = self._supervisor
+        supervisor, worker = self._supervisor, self._supervisor.worker
         called_s = boot_clock_s()
-        permit.restart_wait()
+        permit.begin_call()
         try:
-            result, clock_ms = await supervisor.worker.start(
-                task.order, permit=permit
-            )
+            result, clock_ms = await worker.start(task.order, permit=permit)
         except WorkerUnavailable as exc:
-            task.is_start_uncertain = task.is_start_uncertain or exc.was_sent
+            if exc.was_sent:
+                task.is_start_uncertain = True
+                self._breaker.record_timeout(worker, sent_s=permit.sent_s)
             _log.warning(
                 "start_unanswered",
                 task=task.task_id,
@@ -120,6 +124,7 @@
             )
             return result
         task.unanswered_starts -= 1
+        self._breaker.record_answer(worker, boot_clock_s())
         _log.info(
             "start_answered",
             task=task.task_id,
@@ -174,11 +179,15 @@
         while not self._supervisor.has_left:
             if report.worker_id != self._supervisor.report.worker_id:
                 return
+            worker, sent_s = self._supervisor.worker, boot_clock_s()
+            # A stop is sent even if the worker is silent, and probes it.
+            self._breaker.record_call(worker, sent_s)
             try:
-                taken = await self._supervisor.worker.stop(
+                taken = await worker.stop(
                     task.task_id, task.attempt, fence=self._supervisor.fence
                 )
             except WorkerUnavailable as exc:
+                self._breaker.record_timeout(worker, sent_s=sent_s)
                 _log.warning(
                     "stop_unanswered",
                     task=task.task_id,
@@ -187,6 +196,7 @@
                     reason=exc,
                 )
             else:
+                self._breaker.record_answer(worker, boot_clock_s())
                 _log.info(
                     "stop_answered",
                     task=task.task_id,
--- a/src/radishlanding/vmagent/order_permit.py
+++ b/src/radishlanding/vmagent/order_permit.py
@@ -14,20 +14,28 @@
     It holds for the boot of the worker that the order was accepted for.
     """
 
-    __slots__ = ("_boot", "_created_s", "_supervisor", "_task", "waited_s")
-
-    def __init__(self, *, supervisor, task):
+    __slots__ = (
+        "_boot",
+        "_breaker",
+        "_called_s",
+        "_supervisor",
+        "_task",
+        "sent_s",
+    )
+
+    def __init__(self, *, supervisor, task, breaker):
         """Permit the start of an attempt on the worker's present boot.
 
         :param supervisor: The :class:`WorkerSupervisor`.
         :param task: The :class:`TaskAttempt`.
+        :param breaker: The :class:`radishlanding.policy.SilenceBreaker` of
+            the worker's starts and stops.
         """
         self._boot = supervisor.report.boot
-        self._created_s = boot_clock_s()
+        self._breaker = breaker
+        self._called_s = self.sent_s = boot_clock_s()
         self._supervisor = supervisor
         self._task = task
-        # From the call until the start was sent, 0 if it was not.
-        self.waited_s = 0.0
 
     @property
     def is_for_current_boot(self):
@@ -49,8 +57,15 @@
             return "the worker is draining"
         if self.wait_s() <= 0:
             return "the order is too old"
+        if self._is_held_back() and not self._task.is_sent:
+            # It may run elsewhere at once; one that was sent may not.
+            return "the worker leaves calls unanswered"
         return ""
 
+    def _is_held_back(self):
+        worker = self._supervisor.worker
+        return self._breaker.is_open(worker, boot_clock_s())
+
     def wait_s(self):
         """Return how much longer the start may wait, in seconds."""
         return MAX_START_AGE_S - (boot_clock_s() - self._task.accepted_s)
@@ -61,15 +76,23 @@
         return (
             self.is_wanted
             and not self.refusal_reason()
+            and not self._is_held_back()
             and supervisor.is_responsive
             and supervisor.clock.is_known
             and supervisor.remaining_s() > 0
         )
 
-    def restart_wait(self):
-        """Measure ``waited_s`` from now on."""
-        self._created_s = boot_clock_s()
-        self.waited_s = 0.0
+    def begin_call(self):
+        """Record that a call is made, which may wait to be sent."""
+        self._called_s = self.sent_s = boot_clock_s()
+
+    @property
+    def waited_s(self):
+        """Return how long the last call waited to be sent, in seconds.
+
+        It is 0 if the call has not been sent.
+        """
+        return self.sent_s - self._called_s
 
     def take(self):
         """Record that the start is being sent, and return its terms.
@@ -80,7 +103,8 @@
         if not self.is_valid():
             return None
         supervisor = self._supervisor
-        self.waited_s = boot_clock_s() - self._created_s
+        self.sent_s = boot_clock_s()
+        self._breaker.record_call(supervisor.worker, self.sent_s)
         self._task.is_sent = True
         self._task.unanswered_starts += 1
         return StartTerms(
--- a/tests/vmagent/order_executor.feature
+++ b/tests/vmagent/order_executor.feature
@@ -51,3 +51,15 @@
     When 3 attempts are ordered, and 0.3 s later they are stopped
     Then no start is sent later than 0.1 s after that
     And within 0.3 s of that each attempt that was not sent is interrupted
+
+  # 68 of 400 tasks waited for 30 s for a worker that left all calls unanswered,
+  # beside one that was idle.
+  Scenario: a worker that answers nothing is given few attempts
+    Given an agent whose worker answers no start and no stop
+    When 100 attempts are ordered
+    Then within 1.5 s at most 15 of them have been sent
+    And each other one has been reported as not_run
+    When 10 more are ordered
+    Then within 0.3 s each of these has been reported as not_run
+    When the worker answers again, and 3 s later 10 more are ordered
+    Then within 0.5 s each of these has started
--- a/tests/vmagent/order_executor_steps.py
+++ b/tests/vmagent/order_executor_steps.py
@@ -18,6 +18,7 @@
 from radishlanding.vmagent.worker_registry import WorkerRegistry
 from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
 from radishlanding.worker import WorkerReport
+from radishlanding.workflow import EndKind
 from tests.standin.open_platform import serve
 from tests.vmagent.unanswering_runner import UnansweringRunner
 
@@ -286,3 +287,66 @@
     sent_s = context.runner.arrivals_of("run-start").get(_task(100))
     assert sent_s is not None, "it was not sent within 1 s"
     assert sent_s < context.changed_s + wait_s, sent_s - context.changed_s
+
+
+@given("an agent whose worker answers no start and no stop")
+def _answers_nothing(context):
+    context.bridge.call(_open, context, lambda _number: False)
+    context.runner.answers_stops = False
+
+
+@then("within {wait_s:g} s at most {count:d} of them have been sent")
+def _few_sent(context, wait_s, count):
+    context.bridge.call(trio.sleep, wait_s)
+    sent = context.runner.arrivals_of("run-start")
+    context.tasks = [task for task in context.tasks if task not in sent]
+    assert len(sent) <= count, len(sent)
+
+
+@then("each other one has been reported as not_run")
+def _others_not_run(context):
+    _check_not_run(context)
+
+
+@when("{count:d} more are ordered")
+def _more_ordered(context, count):
+    async def order():
+        _order(context, range(200, 200 + count))
+
+    context.bridge.call(order)
+
+
+@then("within {wait_s:g} s each of these has been reported as not_run")
+def _these_not_run(context, wait_s):
+    context.bridge.call(trio.sleep, wait_s)
+    _check_not_run(context)
+
+
+def _check_not_run(context):
+    found = [
+        context.supervisor.table.get(task, 1).end for task in context.tasks
+    ]
+    assert set(found) == {EndKind.NOT_RUN}, found
+
+
+@when(
+    "the worker answers again, and {delay_s:g} s later {count:d} more are "
+    "ordered"
+)
+def _answers_again(context, delay_s, count):
+    async def answer_and_order():
+        context.runner.answers_start = lambda _number: True
+        context.runner.answers_stops = True
+        await trio.sleep(delay_s)
+        _order(context, range(300, 300 + count))
+
+    context.bridge.call(answer_and_order)
+
+
+@then("within {wait_s:g} s each of these has started")
+def _these_started(context, wait_s):
+    context.bridge.call(trio.sleep, wait_s)
+    missing = [
+        task for task in context.tasks if task not in context.runner.running
+    ]
+    assert not missing, missing
--- a/tests/vmagent/unanswering_runner.py
+++ b/tests/vmagent/unanswering_runner.py
@@ -8,7 +8,13 @@
 class UnansweringRunner:
     """Record when calls arrive; carry out only the starts it answers."""
 
-    __slots__ = ("_answers_start", "_starts", "arrivals", "running")
+    __slots__ = (
+        "_starts",
+        "answers_start",
+        "answers_stops",
+        "arrivals",
+        "running",
+    )
 
     def __init__(self, *, answers_start):
         """Create a runner without attempts.
@@ -16,7 +22,8 @@
         :param answers_start: Callable that takes the number of a start, from
             0, and returns whether it is answered.
         """
-        self._answers_start = answers_start
+        self.answers_start = answers_start
+        self.answers_stops = True
         self._starts = 0
         # Tuples of call, task and time on trio's clock, in seconds.
         self.arrivals = []
@@ -37,10 +44,12 @@
             self.arrivals.append((call, raw["task"], trio.current_time()))
         if call == "run-start":
             self._starts += 1
-            if not self._answers_start(self._starts - 1):
+            if not self.answers_start(self._starts - 1):
                 await trio.sleep_forever()
             self.running[raw["task"]] = raw["run"]
         if call == "run-stop":
+            if not self.answers_stops:
+                await trio.sleep_forever()
             self.running.pop(raw["task"], None)
         if call == "hold":
             await trio.sleep(raw.get("waitMs", 0) / 1000)
