--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -216,7 +216,7 @@
         return wanted
 
     def _bar(self, session, boot):
-        """Return why no order may be sent to a VM, an empty string if any."""
+        """Return why a VM may get no orders, or an empty string."""
         if self._fleet.sessions.get(session.vm) is not session:
             return "another_session"
         if session.state.boot != boot:
