--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from radishlanding.dispatch.fleet_loads import start_bar
+from radishlanding.dispatch.order_check import OrderCheck
 from radishlanding.message import EndsRecorded
 from radishlanding.message import StartOrders
 from radishlanding.message import StopOrders
@@ -34,6 +34,7 @@
     """Send the committed assignments, stops and ends to agents."""
 
     __slots__ = (
+        "_check",
         "_counters",
         "_epoch",
         "_fleet",
@@ -42,7 +43,6 @@
         "_on_answered",
         "_on_unsent",
         "_registry",
-        "_site_watch",
         "_stop_sent_s",
         "_tickets",
     )
@@ -77,7 +77,7 @@
         self._nursery = None
         self._on_answered = None
         self._on_unsent = None
-        self._site_watch = site_watch
+        self._check = OrderCheck(fleet=fleet, site_watch=site_watch)
         self._stop_sent_s = {}
         self._gate = gate
 
@@ -186,50 +186,26 @@
             await self._send_start(session, boot, orders)
         self._on_answered()
 
-    def _wanted(self, session, boot, orders):
-        """Return the orders that may still be sent.
-
-        While they waited for the link or the connection, the VM may have been
-        lost, started again or begun to drain, its zone been taken out, and
-        the workflow cancelled.
+    def _withhold_unwanted(self, session, boot, orders):
+        """Return the orders that may still be sent, and give up the others.
 
         :param boot: Boot of the worker that the attempts were assigned to.
         """
         if self._fleet.has_lost(session.vm):
             _log.warning("order_unsent", vm=session.vm, tasks=len(orders))
-            for order in orders:
-                # The VM may extend its lease before its loss is noticed; its
-                # next report then ends the attempt.
-                session.orders_in_flight.answer(
-                    order.task_id, order.attempt, clock_ms=session.clock_ms
-                )
+            # The VM may extend its lease before its loss is noticed; its next
+            # report then ends the attempts.
+            _mark_answered(session, orders)
             return []
-        reason = self._bar(session, boot)
-        wanted = [
-            order
-            for order in orders
-            if not reason and self._fleet.is_wanted(session, order)
-        ]
+        reason = self._check.bar(session, boot)
+        wanted = self._check.wanted(session, boot, orders)
         unsent = [order for order in orders if order not in wanted]
         if unsent:
-            self._end_unsent(session, unsent, reason or "no longer assigned")
-        return wanted
-
-    def _bar(self, session, boot):
-        """Return why a VM may get no orders, or an empty string."""
-        if self._fleet.sessions.get(session.vm) is not session:
-            return "another_session"
-        if session.state.boot != boot:
-            return "another_boot"
-        return start_bar(session, self._site_watch.site) or ""
-
-    def _end_unsent(self, session, orders, reason):
-        """Record that orders for a session will not be sent."""
-        for order in orders:
-            session.orders_in_flight.answer(
-                order.task_id, order.attempt, clock_ms=session.clock_ms
+            _mark_answered(session, unsent)
+            self._report_unsent(
+                session.vm, unsent, reason or "no longer assigned"
             )
-        self._report_unsent(session.vm, orders, reason)
+        return wanted
 
     def _report_unsent(self, vm, items, reason):
         """Let tasks be placed again at once whose orders were not sent.
@@ -258,7 +234,7 @@
         sent = []
 
         def prepare():
-            sent.extend(self._wanted(session, boot, orders))
+            sent.extend(self._withhold_unwanted(session, boot, orders))
             return self._start_message(session, boot, sent) if sent else None
 
         try:
@@ -391,6 +367,14 @@
         self._nursery.start_soon(session.conn.notify, message)
 
 
+def _mark_answered(session, orders):
+    """Record that no answer to these orders will come."""
+    for order in orders:
+        session.orders_in_flight.answer(
+            order.task_id, order.attempt, clock_ms=session.clock_ms
+        )
+
+
 def _size_bytes(orders):
     """Return the size of the start orders in one message."""
     specs = {order.spec for order in orders}
