Add message fields for work at full pace and task precedence

The leader cannot tell a slow task from one that is paced down, and agents cannot agree on which workflow goes first. The new fields of reports and of their acknowledgements carry both; nothing sets them yet.

--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -15,6 +15,10 @@
     :param progress: Share of the work that is done, in percent.
     :param is_stuck: Whether the attempt proceeds far more slowly than
         estimated.
+    :param full_pace_ms: Time that the attempt has worked, weighted by its
+        pace, in milliseconds; 0 from an agent that does not measure it.
+    :param pace_percent: Pace in force, in percent of the full one; without
+        meaning where ``full_pace_ms`` is 0.
     :param lacks_order: Whether the agent has found the attempt on its worker
         and does not know its order.
     """
@@ -26,3 +30,5 @@
     gauge: float = 0.0
     is_stuck: bool = False
     lacks_order: bool = False
+    full_pace_ms: int = 0
+    pace_percent: int = 0
--- a/src/radishlanding/message/task_end_report.py
+++ b/src/radishlanding/message/task_end_report.py
@@ -14,6 +14,8 @@
     :param kind: How the attempt ended.
     :param checkpoint: Checkpoint to resume from, empty for none.
     :param reason: Why the attempt ended, for the log.
+    :param full_pace_ms: Time that the attempt has worked, weighted by its
+        pace, in milliseconds; 0 from an agent that does not measure it.
     """
 
     task_id: str
@@ -21,3 +23,4 @@
     kind: EndKind
     checkpoint: str = ""
     reason: str = ""
+    full_pace_ms: int = 0
--- a/src/radishlanding/message/vm_report_ack.py
+++ b/src/radishlanding/message/vm_report_ack.py
@@ -4,6 +4,7 @@
 
 from radishlanding.message.image_weight import ImageWeight
 from radishlanding.message.task_order import TaskOrder
+from radishlanding.message.task_precedence import TaskPrecedence
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -16,8 +17,11 @@
     :param weights: Weights of the images of the VM's best-effort tasks.
     :param orders: Orders of the attempts that were reported without one; the
         agent must not start them again.
+    :param precedence: Ranks of the VM's best-effort tasks; empty from a
+        leader that does not rank them.
     """
 
     granted: bool
     weights: list[ImageWeight] = dataclasses.field(default_factory=list)
     orders: list[TaskOrder] = dataclasses.field(default_factory=list)
+    precedence: list[TaskPrecedence] = dataclasses.field(default_factory=list)
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AdviceSchedule",
     "AdvisedStep",
+    "CallerEstimates",
     "DEFAULT_LINK_MBPS",
     "EarliestDeadline",
     "FULL_PERCENT",
@@ -32,6 +33,8 @@
     "RetryBudget",
     "RoundRobin",
     "Routing",
+    "RunTimeEstimate",
+    "RunTimes",
     "SendWindow",
     "SilenceBreaker",
     "SpreadPlacement",
@@ -52,6 +55,7 @@
     {
         "AdviceSchedule": "advice_schedule",
         "AdvisedStep": "advised_step",
+        "CallerEstimates": "caller_estimates",
         "DEFAULT_LINK_MBPS": "send_window",
         "EarliestDeadline": "earliest_deadline",
         "FULL_PERCENT": "pace_controller",
@@ -79,6 +83,8 @@
         "RetryBudget": "retry_budget",
         "RoundRobin": "round_robin",
         "Routing": "routing",
+        "RunTimeEstimate": "run_time_estimate",
+        "RunTimes": "run_times",
         "SendWindow": "send_window",
         "SilenceBreaker": "silence_breaker",
         "SpreadPlacement": "spread_placement",
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -56,6 +56,7 @@
     taskEndReport @49 :TaskEndReport;
     runningTask @50 :RunningTask;
     vmState @51 :VmState;
+    taskPrecedence @52 :TaskPrecedence;
   }
 }
 
@@ -364,6 +365,12 @@
   granted @0 :Bool;
   weights @1 :List(ImageWeight);
   orders @2 :List(TaskOrder);
+  precedence @3 :List(TaskPrecedence);
+}
+
+struct TaskPrecedence {
+  taskId @0 :Text;
+  rank @1 :Int64;
 }
 
 struct EndsRecorded {
@@ -438,6 +445,7 @@
   kind @2 :Text;
   checkpoint @3 :Text;
   reason @4 :Text;
+  fullPaceMs @5 :Int64;
 }
 
 struct RunningTask {
@@ -448,6 +456,8 @@
   gauge @4 :Float64;
   isStuck @5 :Bool;
   lacksOrder @6 :Bool;
+  fullPaceMs @7 :Int64;
+  pacePercent @8 :Int64;
 }
 
 struct VmState {
