Learn no weights of images from saturated VMs

After a loss of power all best-effort tasks start again together with the serving tasks. For some 1.5 s tail latencies are 2 to 11 times their targets; then the best-effort tasks are paused and the tails fall.

Measurements above twice the target now change neither weights nor baselines.

--- a/src/radishlanding/policy/interference.py
+++ b/src/radishlanding/policy/interference.py
@@ -29,6 +29,9 @@
 # Headroom that serving tasks without measurements spare: with it a tail
 # latency rises from half of its target, which is usual, to three quarters.
 DEFAULT_SPARE_HEADROOM = 0.7
+# Above this share of the target the VM is saturated: tail latencies then grow
+# with the time that it lasts, and say nothing about the added load.
+MAX_LEARNED_SHARE = 2.0
 # Beyond this, tail latencies are too short for differences to say much.
 MAX_HEADROOM = 8.0
 # Smaller shares of a VM's processors count as none.
@@ -130,7 +133,7 @@
             for image in cpu_shares:
                 self._count_observation(image)
         for task_id, share in serving:
-            if share > 0:
+            if 0 < share <= MAX_LEARNED_SHARE:
                 self._correct(task_id, headroom_of(share), cpu_shares)
         for image in cpu_shares:
             self._classify(image)
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -132,6 +132,11 @@
       | 0.02  | 0.2  | light |
       | 0.02  | 0.6  | light |
 
+  Scenario: saturated VMs do not change the class of images
+    Given four light images that another leader has learned
+    When they saturate 20 VMs whose serving tasks have just started, and are paused
+    Then all four are still light
+
   Scenario: an image that interferes now and then is not light
     When an image raises tail latencies by 0.9 in 4 observations and by 0.0 in 12, by turns
     Then it is classified as heavy
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -9,6 +9,7 @@
 
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import headroom_of
+from radishlanding.policy import ImageProfile
 from radishlanding.policy import Interference
 from radishlanding.policy import Migration
 from radishlanding.policy import PaceController
@@ -283,6 +284,41 @@
     return 1 / (6 * (1 - load))
 
 
+@given("four light images that another leader has learned")
+def _restored_light(context):
+    context.interference = Interference()
+    context.images = [f"image-{number}" for number in range(4)]
+    context.interference.restore(
+        [
+            ImageProfile(
+                image=image, weight=1.5, observations=50, is_light=True
+            )
+            for image in context.images
+        ]
+    )
+
+
+@when(
+    "they saturate 20 VMs whose serving tasks have just started, and are "
+    "paused"
+)
+def _saturated(context):
+    for share, cpu_share in ((8.0, 0.1), (2.8, 0.0), (0.7, 0.0)):
+        for vm in range(20):
+            context.interference.observe(
+                [(f"{vm}-{number}", share) for number in range(5)],
+                dict.fromkeys(context.images, cpu_share),
+            )
+
+
+@then("all four are still light")
+def _still_light(context):
+    weights = {
+        image: context.interference.weight(image) for image in context.images
+    }
+    assert all(map(context.interference.is_light, context.images)), weights
+
+
 @then("it is classified as {kind:w}")
 def _classified_as(context, kind):
     is_light = context.interference.is_light(IMAGE)
