Report the time that attempts work at full pace

The leader could not tell a slow task from one that is paced down, as reports had progress only. The agent now adds up the time between listings, weighted by the pace in force, from the first listing, and for a resumed attempt from the end of the restore; the time belongs to the progress of the same listing. The end of a done attempt adds the time since the last listing, at most what the rest of the work takes at the attempt's own rate, since an end may be listed late.

--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -16,7 +16,9 @@
     :param is_stuck: Whether the attempt proceeds far more slowly than
         estimated.
     :param full_pace_ms: Time that the attempt has worked, weighted by its
-        pace, in milliseconds; 0 from an agent that does not measure it.
+        pace, in milliseconds, until the listing that gave ``progress``. It
+        counts from the first listing, and is 1 there; 0 before, and from an
+        agent that does not measure it.
     :param pace_percent: Pace in force, in percent of the full one; without
         meaning where ``full_pace_ms`` is 0.
     :param lacks_order: Whether the agent has found the attempt on its worker
--- a/src/radishlanding/message/task_end_report.py
+++ b/src/radishlanding/message/task_end_report.py
@@ -15,7 +15,9 @@
     :param checkpoint: Checkpoint to resume from, empty for none.
     :param reason: Why the attempt ended, for the log.
     :param full_pace_ms: Time that the attempt has worked, weighted by its
-        pace, in milliseconds; 0 from an agent that does not measure it.
+        pace, in milliseconds, as in :class:`RunningTask`; until its end if it
+        is done, and else until the last listing. 0 from an agent that does
+        not measure it.
     """
 
     task_id: str
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -4,6 +4,7 @@
 
 from radishlanding.observe import EventLog
 from radishlanding.policy import FULL_PERCENT
+from radishlanding.vm import boot_clock_s
 from radishlanding.vmagent.task_attempt import TaskAttempt
 from radishlanding.workflow import EndKind
 
@@ -50,7 +51,7 @@
             if task is not None and task.order is None:
                 task.order = order
                 if not order.fills:
-                    task.pace_percent = FULL_PERCENT
+                    task.set_pace(FULL_PERCENT, now_s=boot_clock_s())
                 _log.info(
                     "order_learnt",
                     task=order.task_id,
@@ -163,12 +164,7 @@
             task = self._find_or_add(row)
             listed.add(task.key)
             task.checkpoint = row.checkpoint or task.checkpoint
-            task.progress = row.progress
-            task.progress_monitor.observe(
-                row.progress,
-                pace_percent=task.pace_percent or 0,
-                now_s=now_s,
-            )
+            task.observe_progress(row.progress, now_s=now_s)
             task.gauge = row.gauge
             task.gauge_at_s = now_s
             task.is_listed = True
@@ -187,6 +183,10 @@
             task = self._find_or_add(row)
             listed.add(task.key)
             task.end_number = row.number
+            if row.kind == EndKind.DONE:
+                task.work_meter.finish(
+                    pace_percent=task.pace_percent, now_s=now_s
+                )
             self.end(
                 task,
                 row.kind,
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -7,6 +7,7 @@
 from radishlanding.message import TaskOrder
 from radishlanding.policy import FULL_PERCENT
 from radishlanding.policy import ProgressMonitor
+from radishlanding.policy import WorkMeter
 from radishlanding.workflow import EndKind
 
 
@@ -40,7 +41,8 @@
         :class:`radishlanding.worker.RunningAttempt`.
     :param gauge_at_s: When the gauge was read, on the boot clock, in seconds.
     :param pace_percent: Pace that the worker has accepted, None if an earlier
-        agent may have set another.
+        agent may have set another; changed by :meth:`set_pace`.
+    :param work_meter: Time that it has worked, weighted by its pace.
     :param end: How it ended, None while it may run.
     :param end_reason: Why it ended that way.
     :param end_number: The worker's number of the end, 0 for none.
@@ -66,6 +68,7 @@
     gauge: float = 0.0
     gauge_at_s: float = 0.0
     pace_percent: int | None = FULL_PERCENT
+    work_meter: WorkMeter = dataclasses.field(default_factory=WorkMeter)
     end: EndKind | None = None
     end_reason: str = ""
     end_number: int = 0
@@ -94,6 +97,32 @@
         """
         return int((now_s - self.gauge_at_s) * 1000)
 
+    def set_pace(self, percent, *, now_s):
+        """Record a pace that the worker has accepted.
+
+        :param percent: The pace, in percent.
+        :param now_s: Current time on the boot clock, in seconds.
+        """
+        self.work_meter.advance(pace_percent=self.pace_percent, now_s=now_s)
+        self.pace_percent = percent
+
+    def observe_progress(self, progress, *, now_s):
+        """Process the progress that a worker lists.
+
+        :param progress: Share of its work that is done, in percent.
+        :param now_s: Current time on the boot clock, in seconds.
+        """
+        self.progress = progress
+        self.progress_monitor.observe(
+            progress, pace_percent=self.pace_percent or 0, now_s=now_s
+        )
+        self.work_meter.observe(
+            progress,
+            pace_percent=self.pace_percent,
+            resumes=self.order is not None and bool(self.order.checkpoint),
+            now_s=now_s,
+        )
+
     def running_report(self):
         """Return the report of an attempt that may run."""
         return RunningTask(
@@ -107,6 +136,8 @@
                 and self.progress_monitor.is_stuck(self.order.estimated_ms)
             ),
             lacks_order=self.order is None,
+            full_pace_ms=self.work_meter.full_pace_ms,
+            pace_percent=self.pace_percent or 0,
         )
 
     def end_report(self):
@@ -117,4 +148,5 @@
             kind=self.end,
             checkpoint=self.checkpoint,
             reason=self.end_reason,
+            full_pace_ms=self.work_meter.full_pace_ms,
         )
--- a/src/radishlanding/vmagent/task_pacer.py
+++ b/src/radishlanding/vmagent/task_pacer.py
@@ -213,7 +213,7 @@
             "pace_order", since_s=sent_s, now_s=now_s
         )
         if is_taken:
-            task.pace_percent = percent
+            task.set_pace(percent, now_s=now_s)
         if before != percent:
             _log.info(
                 "pace_told",
--- a/tests/vmagent/task_pacer.feature
+++ b/tests/vmagent/task_pacer.feature
@@ -15,3 +15,9 @@
     Given a supervisor whose worker reports no capacity and runs a serving task and a heavy best-effort one
     When the serving task exceeds its latency target 1 time
     Then each time all best-effort tasks are paused within 0.7 s of the poll
+
+  Scenario: a paused task is reported without further work at full pace
+    Given a supervisor whose worker runs a serving task and 2 best-effort ones
+    And pace calls for the first best-effort task get no answer
+    When the serving task exceeds its latency target for 2 s
+    Then the second best-effort task is reported with less work than the first, at a pace of 0 %
--- a/tests/vmagent/task_pacer_steps.py
+++ b/tests/vmagent/task_pacer_steps.py
@@ -123,6 +123,29 @@
     return delays
 
 
+@when("the serving task exceeds its latency target for {exceeds_s:g} s")
+def _exceeds_for(context, exceeds_s):
+    context.worker.gauges[SERVING] = EXCEEDING_MS
+    time.sleep(exceeds_s)
+
+
+@then(
+    "the second best-effort task is reported with less work than the first, "
+    "at a pace of 0 %"
+)
+def _reported_work(context):
+    reports = {
+        report.task_id: report
+        for report in context.supervisor.running_reports()
+    }
+    first, second = (reports[task] for task in context.best_effort)
+    # A pause that is not answered may not be in force.
+    assert first.pace_percent == 100 and second.pace_percent == 0
+    # The calls of the first one take a second of the two.
+    assert first.full_pace_ms - second.full_pace_ms > 500, reports
+    assert second.full_pace_ms > 0, reports
+
+
 @then(
     "each time all best-effort tasks are paused within {max_s:g} s of the poll"
 )
