Learn the run times of steps, images and queues

Callers' estimates are off by up to nine tenths, and the leader knew nothing better for stuck tasks, objectives or the work that is left. It now measures run times from the differences of full-pace time and progress in reports of running and done attempts, and estimates by siblings, image, queue and caller, weighted by precision. At most 500 rows are kept and written to workflows/run_times every 10 s under the leader's fence. Start orders contain the learned figure once there are samples.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -32,6 +32,7 @@
         "_leases",
         "_loads",
         "_registry",
+        "_run_time_monitor",
         "_vm_health",
         "sessions",
         "uncommitted",
@@ -44,6 +45,7 @@
         epoch,
         timing,
         interference,
+        run_time_monitor=None,
         inherited_leases_s=None,
         grants_ended_s=None,
     ):
@@ -54,6 +56,8 @@
         :param timing: A :class:`radishlanding.vm.LeaseTiming`.
         :param interference: The
             :class:`radishlanding.policy.Interference` to train.
+        :param run_time_monitor: The :class:`RunTimeMonitor` that gets the
+            reports, None for none.
         :param inherited_leases_s: See :class:`LeaseTable`.
         :param grants_ended_s: See :class:`LeaseTable`.
         """
@@ -65,6 +69,7 @@
         self._interference_monitor = InterferenceMonitor(
             registry=registry, interference=interference
         )
+        self._run_time_monitor = run_time_monitor
         self._leases = LeaseTable(
             timing=timing,
             inherited_leases_s=inherited_leases_s,
@@ -163,6 +168,8 @@
         session.running = {task.task_id: task for task in report.running}
         self._checkpoints.record(report.running)
         self._interference_monitor.observe(session)
+        if self._run_time_monitor is not None:
+            self._run_time_monitor.observe(session)
         self._vm_health.check_stuck(session)
         ends = [self._task_end(session, item) for item in report.ended]
         if is_full:
@@ -195,6 +202,8 @@
             kind=item.kind,
             reason=item.reason,
         )
+        if self._run_time_monitor is not None:
+            self._run_time_monitor.record_end(session, item)
         return TaskEnd(
             task_id=item.task_id,
             attempt=item.attempt,
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -11,6 +11,8 @@
 from radishlanding.dispatch.leadership_monitor import LeadershipMonitor
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.recorder import Recorder
+from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
+from radishlanding.dispatch.run_time_store import RunTimeStore
 from radishlanding.dispatch.send_gate import SendGate
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.dispatch.task_mover import TaskMover
@@ -21,6 +23,7 @@
 from radishlanding.message import WorkflowAnswer
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
+from radishlanding.policy import CallerEstimates
 from radishlanding.policy import DEFAULT_LINK_MBPS
 from radishlanding.policy import SendWindow
 from radishlanding.store import StoreUnavailable
@@ -30,6 +33,9 @@
 TICK_S = 0.25
 # Losing one second of learning is harmless, as new images are rare.
 IMAGE_SAVE_INTERVAL_S = 1.0
+# Run times are learned all the time, and their value of 10 to 20 kB shares the
+# link with the log; a successor learns them again within a minute anyway.
+RUN_TIME_SAVE_INTERVAL_S = 10.0
 # One second, so that reports show the effect of the last moves.
 TICKS_PER_REBALANCE = 4
 # A workflow is reported as absent only on a proof of leadership this recent.
@@ -53,6 +59,7 @@
         "_order_sender",
         "_recorder",
         "_registry",
+        "_run_time_store",
         "_site_watch",
         "_submissions",
         "_ticket_prefetcher",
@@ -72,6 +79,7 @@
         timing,
         counters,
         on_store_unreachable,
+        run_times=None,
         tickets=None,
         advisor=None,
         grants_ended_s=None,
@@ -90,6 +98,8 @@
         :param counters: Metrics counters of the process.
         :param on_store_unreachable: Coroutine function that asks other
             dispatchers to lead.
+        :param run_times: The :class:`radishlanding.policy.RunTimeLearner` to
+            train, None for the callers' estimates.
         :param tickets: The :class:`radishlanding.policy.TicketCache` of the
             planner, None if the site has no advisor.
         :param advisor: A :class:`radishlanding.worker.Advisor`, or None.
@@ -100,7 +110,11 @@
         self._registry = registry
         self._log = log
         self._on_store_unreachable = on_store_unreachable
+        run_times = run_times or CallerEstimates()
         self._interference_store = InterferenceStore(interference=interference)
+        self._run_time_store = RunTimeStore(
+            run_times=run_times, counters=counters
+        )
         self._leadership = LeadershipMonitor(
             entry_log=log, on_store_unreachable=self._handle_store_outage
         )
@@ -111,6 +125,9 @@
             epoch=log.epoch,
             timing=timing,
             interference=interference,
+            run_time_monitor=RunTimeMonitor(
+                registry=registry, run_times=run_times, counters=counters
+            ),
             inherited_leases_s=log.inherited_leases_s,
             grants_ended_s=grants_ended_s,
         )
@@ -122,6 +139,7 @@
             counters=counters,
             gate=SendGate(window=window),
             site_watch=site_watch,
+            run_times=run_times,
             tickets=tickets,
         )
         self._mover = TaskMover(
@@ -172,11 +190,13 @@
         return self._log.epoch
 
     async def prepare(self, store):
-        """Restore the interference model; to be called before :meth:`run`.
+        """Restore what was learned; to be called before :meth:`run`.
 
         :param store: A :class:`radishlanding.store.TransactionalStore`.
         """
-        await self._interference_store.load(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._interference_store.load, store)
+            nursery.start_soon(self._run_time_store.load, store)
 
     async def run(self):
         """Lead until another process takes over.
@@ -197,6 +217,7 @@
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._leadership.run)
                 nursery.start_soon(self._save_images)
+                nursery.start_soon(self._save_run_times)
                 if self._ticket_prefetcher is not None:
                     nursery.start_soon(self._ticket_prefetcher.run)
                 await self._recorder.run()
@@ -228,6 +249,11 @@
             await self._interference_store.save(self._log)
             self.fleet.prune_ended()
 
+    async def _save_run_times(self):
+        while True:
+            await trio.sleep(RUN_TIME_SAVE_INTERVAL_S)
+            await self._run_time_store.save(self._log)
+
     def hello(self, hello, conn):
         """Open a session for a VM; see :meth:`Fleet.open_session`."""
         return self.fleet.open_session(hello, conn)
--- a/src/radishlanding/dispatch/order_sender.py
+++ b/src/radishlanding/dispatch/order_sender.py
@@ -13,6 +13,7 @@
 from radishlanding.peer import CallRefused
 from radishlanding.peer import CallWithdrawn
 from radishlanding.peer import ConnectionLost
+from radishlanding.policy import CallerEstimates
 from radishlanding.policy import ORDER_OVERHEAD_BYTES
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
@@ -43,6 +44,7 @@
         "_on_answered",
         "_on_unsent",
         "_registry",
+        "_run_times",
         "_stop_sent_s",
         "_tickets",
     )
@@ -56,6 +58,7 @@
         counters,
         gate,
         site_watch,
+        run_times=None,
         tickets=None,
     ):
         """Initialise the sender; :meth:`open` sets its nursery.
@@ -66,11 +69,14 @@
         :param counters: Metrics counters of the process.
         :param gate: The :class:`SendGate` that start orders pass.
         :param site_watch: A :class:`SiteWatch`.
+        :param run_times: The :class:`radishlanding.policy.RunTimes` that
+            orders contain, None for the callers' estimates.
         :param tickets: The :class:`radishlanding.policy.TicketCache` with the
             tickets of advised workflows, or None.
         """
         self._tickets = tickets
         self._registry = registry
+        self._run_times = run_times or CallerEstimates()
         self._counters = counters
         self._epoch = epoch
         self._fleet = fleet
@@ -172,9 +178,20 @@
             fills=step.fills,
             millicores=step.needs.millicores,
             latency_target_ms=step.latency_target_ms,
-            estimated_ms=0 if step.standing else step.estimated_ms,
+            estimated_ms=self._estimated_ms(record.workflow, parsed_id.step),
         )
 
+    def _estimated_ms(self, workflow, number):
+        """Return the run time to expect of a task, 0 if it has no end."""
+        step = workflow.steps[number]
+        if step.standing:
+            return 0
+        estimate = self._run_times.estimate(workflow, number)
+        if not estimate.samples:
+            return step.estimated_ms
+        self._counters.add("orders_with_learned_run_time")
+        return max(1, round(estimate.run_ms))
+
     def _ticket(self, record, parsed_id, boot):
         if not record.workflow.is_advised or self._tickets is None:
             return ""
--- a/src/radishlanding/dispatch/vm_session.py
+++ b/src/radishlanding/dispatch/vm_session.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from radishlanding.dispatch.orders_in_flight import OrdersInFlight
+from radishlanding.dispatch.work_anchor import WorkAnchor
 from radishlanding.message import RunningTask
 from radishlanding.message import VmState
 from radishlanding.peer import Connection
@@ -28,6 +29,8 @@
     :param backoff_until_s: Time on the boot clock, in seconds, until which
         the VM gets no new tasks, as it has refused some.
     :param stuck_until_s: The same, as its tasks make no progress.
+    :param work_anchors: Earlier reports of running attempts by task id, from
+        which :class:`RunTimeMonitor` measures their run times.
     """
 
     vm: str
@@ -43,6 +46,9 @@
     )
     backoff_until_s: float = 0.0
     stuck_until_s: float = 0.0
+    work_anchors: dict[str, WorkAnchor] = dataclasses.field(
+        default_factory=dict
+    )
 
     def advance_clock(self, clock_ms):
         """Record a newer clock of the agent.
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -30,6 +30,7 @@
 from radishlanding.platform import SITE_PREFIX
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
+from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import StrongestFirst
 from radishlanding.policy import TicketCache
 from radishlanding.policy import WorkflowPlanner
@@ -62,6 +63,7 @@
         "_member",
         "_peer_server",
         "_registration",
+        "_run_times",
         "_site_keys",
         "_site_watch",
         "_store",
@@ -75,6 +77,7 @@
         self._cfg = cfg
         self._counters = Counters()
         self._interference = Interference()
+        self._run_times = LearnedRunTimes()
         self._is_stopping = False
         self._store = self._make_store()
         policy = StrongestFirst()
@@ -176,6 +179,7 @@
             ),
             counters=self._counters,
             on_store_unreachable=self._announce_store_unreachable,
+            run_times=self._run_times,
             tickets=tickets,
             advisor=advisor,
             grants_ended_s=grants_ended_s,
--- a/src/radishlanding/policy/caller_estimates.py
+++ b/src/radishlanding/policy/caller_estimates.py
@@ -7,10 +7,12 @@
 
 
 class CallerEstimates:
-    """Take the estimate of the caller for each step."""
+    """Take the estimate of the caller for each step, and learn nothing."""
 
     __slots__ = ()
 
+    revision = 0
+
     def estimate(self, workflow, number):
         """Return the caller's estimate; see :class:`RunTimes`."""
         return RunTimeEstimate(
@@ -18,3 +20,14 @@
             spread=CALLER_SPREAD,
             samples=0,
         )
+
+    def observe(self, workflow, number, *, run_ms, weight):
+        """Ignore an observation; see :class:`RunTimeLearner`."""
+        return False
+
+    def rows(self):
+        """Return no rows; see :class:`RunTimeLearner`."""
+        return []
+
+    def restore(self, rows):
+        """Ignore the rows; see :class:`RunTimeLearner`."""
