Place large workflows at the cost of what a round places

Each round made a record of each ready task and walked over all steps of each open workflow, so that one workflow of 1,000 steps of 100,000 tasks took the leader to 1,980 MB. is_completed walked over all steps for each end, and the rank over all predecessors for each round.

WorkflowProgress indexes what is left of a workflow: tasks that have to be assigned again, the first task that was never assigned, ready steps. Records are made as tasks are placed. A workflow places up to 500 tasks in a round and tries up to 100 steps that find no VM; the next round goes on behind them. A gang is first compared with the free capacity, and one of more than 2,000 tasks, which no log entry can hold, waits with the reason gang_size.

--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -6,6 +6,10 @@
 from radishlanding.policy.vm_selector import VmSelector
 from radishlanding.workflow import Assignment
 
+# A gang is assigned in one entry of the log. With some 150 bytes each, its
+# assignments take what the other changes leave of 1 MiB.
+MAX_GANG_TASKS = 2000
+
 
 class StepPlacer:
     """Assign the tasks of a step to VMs, a gang as a whole."""
@@ -18,25 +22,28 @@
         self._interference = interference
         self._tickets = tickets
 
-    def place(self, record, position, tasks, vms, *, is_starved, orders):
-        """Return assignments of a step's tasks.
+    def place(self, record, position, vms, *, is_starved, orders):
+        """Return assignments of a step's waiting tasks.
+
+        Records are made of no more tasks than are placed, and one.
 
         :param record: Record of the workflow.
         :param position: Numbers of the occurrence and the step.
-        :param tasks: :class:`radishlanding.workflow.TaskRecord` objects.
         :param vms: :class:`VmLoad` objects of the workflow's pool, which are
             updated as tasks are placed.
         :param is_starved: See :class:`VmSelector`.
         :param orders: The :class:`OrderBudget` of the workflow; a gang is
-            placed as a whole.
+            placed as a whole if it has no more than ``MAX_GANG_TASKS``.
         :returns: :class:`radishlanding.workflow.Assignment` objects.
         """
-        if not tasks or orders.is_spent:
+        count = record.pending_count(*position)
+        if not count or orders.is_spent:
             return []
         workflow = record.workflow
         step = workflow.steps[position[1]]
         key = (workflow.workflow_id, *position)
         allowed = self._permitted_vms(key, vms) if workflow.is_advised else vms
+        tasks = record.iter_pending(*position)
         if step.gang:
             assignments = self._place_gang(
                 key, step, tasks, allowed, is_starved=is_starved
@@ -45,7 +52,7 @@
                 orders.take(assignment.vm)
             return assignments
         selector = self._selector(key, step, allowed, is_starved)
-        return self._place_tasks(key, step, tasks, selector, orders)
+        return self._place_tasks(key, step, tasks, selector, orders, count)
 
     def refusals(self, record, position, vms, *, is_starved):
         """Return how many VMs refuse a task of a step, by reason.
@@ -61,6 +68,8 @@
         key = (workflow.workflow_id, *position)
         allowed = self._permitted_vms(key, vms) if workflow.is_advised else vms
         step = workflow.steps[position[1]]
+        if step.gang and step.count > MAX_GANG_TASKS:
+            return collections.Counter({Refusal.GANG_SIZE: len(vms)})
         selector = self._selector(key, step, allowed, is_starved)
         counts = collections.Counter(map(selector.refusal, allowed))
         without_ticket = len(vms) - len(allowed)
@@ -75,7 +84,7 @@
             vm for vm in vms if self._tickets.ticket(key, vm.boot, now_s=now_s)
         ]
 
-    def _place_tasks(self, key, step, tasks, selector, orders):
+    def _place_tasks(self, key, step, tasks, selector, orders, count):
         """Place tasks one by one, as many in a row on a VM as share a message.
 
         Tasks that last and best-effort ones are spread in any case: their VM
@@ -83,7 +92,7 @@
         """
         together = 1
         if not step.fills and not step.standing:
-            together = orders.tasks_per_vm(len(tasks))
+            together = orders.tasks_per_vm(count)
         vm, left, assignments = None, 0, []
         for task in tasks:
             if orders.is_spent:
@@ -119,25 +128,30 @@
 
         They share one attempt number, above any earlier one of a member.
         """
+        if step.count > MAX_GANG_TASKS or not _may_fit(step, vms):
+            return []
         chosen = []
-        attempt = 1 + max(task.attempt for task in tasks)
         racks = sorted({_rack(vm) for vm in vms}) if step.same_rack else [""]
         for rack in racks:
             in_rack = [vm for vm in vms if not rack or _rack(vm) == rack]
-            chosen = self._try_gang(key, step, tasks, in_rack, is_starved)
+            chosen = self._try_gang(key, step, in_rack, is_starved)
             if chosen:
                 break
         if not chosen and step.same_rack:
-            chosen = self._try_gang(key, step, tasks, vms, is_starved)
+            chosen = self._try_gang(key, step, vms, is_starved)
+        if not chosen:
+            return []
+        members = list(tasks)
+        attempt = 1 + max(task.attempt for task in members)
         return [
             _assign(task, vm, attempt)
-            for task, vm in zip(tasks, chosen, strict=False)
+            for task, vm in zip(members, chosen, strict=True)
         ]
 
-    def _try_gang(self, key, step, tasks, vms, is_starved):
+    def _try_gang(self, key, step, vms, is_starved):
         selector = self._selector(key, step, vms, is_starved)
         chosen = []
-        for _ in tasks:
+        for _ in range(step.count):
             vm = selector.choose()
             if vm is None:
                 for earlier in chosen:
@@ -162,6 +176,29 @@
     return vm.labels[-1] if vm.labels else ""
 
 
+def _may_fit(step, vms):
+    """Return whether the VMs might have room for all tasks of a step.
+
+    The free capacity decides at the cost of one look at each VM, where the
+    selector would place some of the tasks and take them back.
+    """
+    return sum(_room(step, vm) for vm in vms) >= step.count
+
+
+def _room(step, vm):
+    """Return how many tasks of a step the free capacity of a VM allows."""
+    free, reserved = vm.free, step.reserved
+    bounds = [step.max_per_vm or step.count]
+    for part, needed in (
+        (free.millicores, reserved.millicores),
+        (free.memory_mb, reserved.memory_mb),
+        (free.accelerators, reserved.accelerators),
+    ):
+        if needed:
+            bounds.append(max(0, part // needed))
+    return min(bounds)
+
+
 def _assign(task, vm, attempt):
     return Assignment(
         task_id=task.task_id, attempt=attempt, vm=vm.vm, boot=vm.boot
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -9,6 +9,13 @@
 
 # Assignments per log entry; a larger entry takes longer to be committed.
 MAX_ASSIGNMENTS = 150
+# Assignments of one workflow in a round, which may exceed the above. Steps of
+# callers have up to 80 tasks, five of them 400; those are placed in one round.
+MAX_WORKFLOW_ASSIGNMENTS = 500
+# Ready steps of one workflow that may find no VM in a round; each costs a look
+# at all VMs. The next round goes on with the steps behind them, so that rounds
+# of 0.25 s try all 1,000 steps of the longest workflow within 2.5 s.
+MAX_UNPLACED_STEPS = 100
 # Best-effort tasks wait this long for a VM that suits them while nothing of
 # their workflow runs. Callers take a ready workflow for lost after 3 s; round,
 # commit, order and start take up to two on a weak entry VM.
@@ -22,6 +29,7 @@
         "_fully_placed",
         "_idle_clock",
         "_order",
+        "_next_steps",
         "_rng",
         "_step_placer",
         "_was_cut_short",
@@ -44,6 +52,8 @@
         self._fully_placed = set()
         self._was_cut_short = False
         self._idle_clock = IdleClock()
+        # Position to start from, by workflow, where a round was cut short.
+        self._next_steps = {}
         self._order = order
         self._rng = rng or random.Random()
         self._step_placer = StepPlacer(
@@ -88,6 +98,11 @@
         """
         self._rng.shuffle(loads)
         self._idle_clock.update(records, now_ms=now_ms)
+        self._next_steps = {
+            record.workflow.workflow_id: position
+            for record in records
+            if (position := self._next_step(record)) is not None
+        }
         budget = PlacementBudget(
             max_tasks=MAX_ASSIGNMENTS, max_bytes=max_bytes
         )
@@ -104,7 +119,9 @@
             if budget.is_spent:
                 break
             if record.workflow.workflow_id not in served:
-                orders = budget.orders(record)
+                orders = budget.orders(
+                    record, max_tasks=MAX_WORKFLOW_ASSIGNMENTS
+                )
                 budget.take(record, self._place(record, loads, now_ms, orders))
         self._was_cut_short = budget.is_spent
         return budget.assignments
@@ -132,27 +149,39 @@
         workflow = record.workflow
         vms = [vm for vm in loads if vm.pool == workflow.pool]
         is_starved = self._is_starved(record, now_ms)
-        assignments, ready_count = [], 0
-        for occurrence in range(workflow.occurrences):
-            if workflow.due_ms(occurrence) > now_ms:
+        assignments, has_placed_all, unplaced = [], True, 0
+        for position in self._waiting_steps(record, now_ms):
+            if orders.is_spent or unplaced == MAX_UNPLACED_STEPS:
+                has_placed_all = False
+                if unplaced == MAX_UNPLACED_STEPS:
+                    self._next_steps[workflow.workflow_id] = position
                 break
-            for number, tasks in self._ready_steps(record, occurrence):
-                ready_count += len(tasks)
-                assignments += self._step_placer.place(
-                    record,
-                    (occurrence, number),
-                    tasks,
-                    vms,
-                    is_starved=is_starved,
-                    orders=orders,
-                )
-        has_placed_all = ready_count == len(assignments)
+            placed = self._step_placer.place(
+                record, position, vms, is_starved=is_starved, orders=orders
+            )
+            assignments += placed
+            has_placed_all &= len(placed) == record.pending_count(*position)
+            unplaced += not placed
         if has_placed_all and not workflow.repeats:
             self._fully_placed.add(workflow.workflow_id)
         if has_placed_all or (assignments and not workflow.is_standing):
             self._idle_clock.stop(workflow.workflow_id)
         return assignments
 
+    def _next_step(self, record):
+        return self._next_steps.get(record.workflow.workflow_id)
+
+    def _waiting_steps(self, record, now_ms):
+        """Yield the waiting steps, those that the last round tried last."""
+        first = self._next_steps.pop(record.workflow.workflow_id, (0, 0))
+        tried = []
+        for position in _waiting_steps(record, now_ms):
+            if position < first:
+                tried.append(position)
+            else:
+                yield position
+        yield from tried
+
     def idle_ms(self, record, *, now_ms):
         """Return how long a workflow has waited; see :class:`IdleClock`."""
         return self._idle_clock.idle_ms(
@@ -168,8 +197,8 @@
         :returns: A :class:`PlacementWait`, None if no task is ready.
         """
         workflow = record.workflow
-        position, tasks = self._first_ready(record, now_ms)
-        if not tasks:
+        position = next(_waiting_steps(record, now_ms), None)
+        if position is None:
             return None
         vms = [vm for vm in loads if vm.pool == workflow.pool]
         refusals = self._step_placer.refusals(
@@ -179,31 +208,19 @@
         return PlacementWait(
             workflow_id=workflow.workflow_id,
             step=f"{position[0]}.{position[1]}",
-            tasks=len(tasks),
+            tasks=record.pending_count(*position),
             idle_ms=self.idle_ms(record, now_ms=now_ms),
             vms=admitting,
             refusals=dict(refusals),
         )
 
-    def _first_ready(self, record, now_ms):
-        """Return position and tasks of the first step with ready tasks."""
-        workflow = record.workflow
-        for occurrence in range(workflow.occurrences):
-            if workflow.due_ms(occurrence) > now_ms:
-                break
-            for number, tasks in self._ready_steps(record, occurrence):
-                if tasks:
-                    return (occurrence, number), tasks
-        return None, []
-
     def _is_starved(self, record, now_ms):
         """Return whether a workflow has been idle for too long."""
         return self.idle_ms(record, now_ms=now_ms) > MAX_IDLE_MS
 
-    def _ready_steps(self, record, occurrence):
-        """Return pairs of a ready step's number and its pending tasks."""
-        return [
-            (number, record.pending_tasks(occurrence, number))
-            for number in range(len(record.workflow.steps))
-            if record.is_step_ready(occurrence, number)
-        ]
+
+def _waiting_steps(record, now_ms):
+    """Yield the positions of ready steps with tasks to place, in order."""
+    for position in record.ready_steps(now_ms):
+        if record.pending_count(*position):
+            yield position
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -2,14 +2,16 @@
 
 import dataclasses
 
+from radishlanding.workflow.derived_state import DerivedState
 from radishlanding.workflow.phase import WorkflowPhase
 from radishlanding.workflow.task_id import task_id
 from radishlanding.workflow.task_record import TaskRecord
 from radishlanding.workflow.workflow import Workflow
+from radishlanding.workflow.workflow_progress import WorkflowProgress
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class WorkflowRecord:
+class WorkflowRecord(DerivedState):
     """State of a workflow as the log records it.
 
     Tasks that were never assigned have no record.
@@ -35,14 +37,27 @@
         """Return whether the workflow has ended and its end is committed."""
         return bool(self.shown) and WorkflowPhase(self.shown).has_ended
 
+    @property
+    def progress(self):
+        """Return the :class:`WorkflowProgress`.
+
+        It is derived from the records of the tasks when it is first needed;
+        what changes them afterwards has to tell it.
+        """
+        progress = self._known()
+        if progress is None:
+            progress = self._derived = WorkflowProgress(
+                workflow=self.workflow, tasks=self.tasks, done=self.done
+            )
+        return progress
+
     def is_step_done(self, occurrence, number):
         """Return whether all tasks of a step are done.
 
         :param occurrence: Number of the occurrence, from 0.
         :param number: Number of the step, from 0.
         """
-        step = self.workflow.steps[number]
-        return self.done.get(f"{occurrence}.{number}", 0) >= step.count
+        return self.progress.is_step_done(occurrence, number)
 
     def is_step_ready(self, occurrence, number):
         """Return whether all steps that a step depends on are done.
@@ -50,10 +65,23 @@
         :param occurrence: Number of the occurrence, from 0.
         :param number: Number of the step, from 0.
         """
-        return all(
-            self.is_step_done(occurrence, earlier)
-            for earlier in self.workflow.steps[number].after
-        )
+        return self.progress.is_step_ready(occurrence, number)
+
+    def ready_steps(self, now_ms):
+        """Yield the positions of ready steps that are due and not done.
+
+        :param now_ms: Unix time, in milliseconds.
+        :returns: Pairs of the numbers of the occurrence and the step, in
+            order.
+        """
+        workflow = self.workflow
+        for occurrence in range(
+            self.progress.first_open(), workflow.occurrences
+        ):
+            if workflow.due_ms(occurrence) > now_ms:
+                break
+            for number in self.progress.ready_steps(occurrence):
+                yield occurrence, number
 
     def mark_done(self, task):
         """Count one more task of a step as done.
@@ -62,10 +90,11 @@
         """
         key = f"{task.occurrence}.{task.step}"
         self.done[key] = self.done.get(key, 0) + 1
+        self.progress.mark_done(task)
 
     def has_assigned_tasks(self):
         """Return whether any task is assigned, and may be running."""
-        return any(task.is_assigned for task in self.tasks.values())
+        return self.progress.has_assigned
 
     def clear_tasks(self):
         """Drop the state that an ended workflow does not need."""
@@ -73,13 +102,11 @@
         self.done.clear()
         self.workflow.steps = []
         self.workflow.spec = ""
+        self._derived = None
 
     def is_completed(self):
         """Return whether every task of every occurrence is done."""
-        return all(
-            self._is_occurrence_done(occurrence)
-            for occurrence in range(self.workflow.occurrences)
-        )
+        return self.progress.first_open() >= self.workflow.occurrences
 
     def objective_start_ms(self, now_ms):
         """Return the start of the period that the objective limits.
@@ -93,26 +120,19 @@
         workflow = self.workflow
         if not workflow.repeats:
             return workflow.accepted_ms
-        for occurrence in range(workflow.occurrences):
-            due_ms = workflow.due_ms(occurrence)
-            if due_ms > now_ms or not self._is_occurrence_done(occurrence):
-                return due_ms
+        occurrence = self.progress.first_open()
+        if occurrence < workflow.occurrences:
+            return workflow.due_ms(occurrence)
         return workflow.accepted_ms
 
-    def _is_occurrence_done(self, occurrence):
-        return all(
-            self.is_step_done(occurrence, number)
-            for number in range(len(self.workflow.steps))
-        )
-
     def task(self, occurrence, step, index):
         """Return the record of a task, a new one if it has none."""
         key = task_id(self.workflow.workflow_id, occurrence, step, index)
         record = self.tasks.get(key)
         return record if record is not None else TaskRecord(task_id=key)
 
-    def pending_tasks(self, occurrence, number):
-        """Return the records of a step's tasks that wait for a VM.
+    def pending_count(self, occurrence, number):
+        """Return how many tasks of a step wait for a VM.
 
         A gang is placed as a whole: its tasks are pending only when none of
         them is assigned.
@@ -120,13 +140,20 @@
         :param occurrence: Number of the occurrence, from 0.
         :param number: Number of the step, from 0.
         """
-        step = self.workflow.steps[number]
-        if self.is_step_done(occurrence, number):
-            return []
-        tasks = [
-            self.task(occurrence, number, index) for index in range(step.count)
-        ]
-        if step.gang:
-            is_pending = not any(task.is_assigned for task in tasks)
-            return tasks if is_pending else []
-        return [t for t in tasks if not t.is_assigned and not t.is_done]
+        return self.progress.pending_count(occurrence, number)
+
+    def iter_pending(self, occurrence, number):
+        """Yield the records of a step's tasks that wait for a VM.
+
+        A record is made as it is asked for. The step may have 100,000 tasks
+        of which a round places some hundred.
+
+        :param occurrence: Number of the occurrence, from 0.
+        :param number: Number of the step, from 0.
+        """
+        for index in self.progress.pending(occurrence, number):
+            yield self.task(occurrence, number, index)
+
+    def pending_tasks(self, occurrence, number):
+        """Return all of :meth:`iter_pending`, as a list."""
+        return list(self.iter_pending(occurrence, number))
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -148,6 +148,7 @@
         task.vm = assignment.vm
         task.boot = assignment.boot
         record.tasks[task.task_id] = task
+        record.progress.assign(parsed)
         record.phase = WorkflowPhase.RUNNING
         self._by_vm[task.vm][task.task_id] = task
         self.versions[task.vm] += 1
@@ -162,6 +163,9 @@
         if end.kind == EndKind.FAILED:
             task.failed_vm = task.vm
         task.vm = task.boot = ""
+        record.progress.release(
+            TaskId.parse(task.task_id), is_done=task.is_done
+        )
         if end.checkpoint:
             self._set_checkpoint(record, task, end.checkpoint)
         if end.kind == EndKind.DONE:
@@ -178,12 +182,13 @@
 
     def _mark_done(self, record, task, made_ms):
         parsed = TaskId.parse(task.task_id)
-        if record.workflow.steps[parsed.step].standing:
+        # The first end of a gang's member marks all of them.
+        if record.workflow.steps[parsed.step].standing or task.is_done:
             return
         for member in _members(record, task):
             if not member.is_done:
                 member.is_done = True
-                record.mark_done(parsed)
+                record.mark_done(TaskId.parse(member.task_id))
         if record.is_completed() and not record.phase.has_ended:
             self._finish(record, WorkflowPhase.COMPLETED, made_ms)
 
--- a/src/radishlanding/workflow/workflow.py
+++ b/src/radishlanding/workflow/workflow.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 
+from radishlanding.workflow.derived_state import DerivedState
 from radishlanding.workflow.step import Step
+from radishlanding.workflow.workflow_shape import WorkflowShape
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Workflow:
+class Workflow(DerivedState):
     """Steps of batch work, fixed once accepted.
 
     :param workflow_id: Identity, chosen by the caller.
@@ -51,7 +53,15 @@
     @property
     def is_standing(self):
         """Return whether the workflow runs until it is cancelled."""
-        return any(step.standing for step in self.steps)
+        return self.shape.is_standing
+
+    @property
+    def shape(self):
+        """Return the :class:`WorkflowShape` of the present steps."""
+        shape = self._known()
+        if shape is None or shape.steps is not self.steps:
+            shape = self._derived = WorkflowShape(self.steps)
+        return shape
 
     def due_ms(self, occurrence):
         """Return when an occurrence is due, as Unix time in milliseconds.
@@ -68,13 +78,7 @@
 
         :returns: The time in milliseconds.
         """
-        ends_ms = []
-        for step in self.steps:
-            start_ms = max(
-                (ends_ms[number] for number in step.after), default=0
-            )
-            ends_ms.append(start_ms + step.estimated_ms)
-        return max(ends_ms, default=0)
+        return self.shape.critical_path_ms
 
     def objective_ms(self):
         """Return the time to complete within, in milliseconds."""
--- /dev/null
+++ b/tests/policy/large_workflows_steps.py
@@ -0,0 +1,299 @@
+"""Steps for what workflows cost that are larger than a site."""
+
+import contextlib
+import random
+import tracemalloc
+import unittest.mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import Interference
+from radishlanding.policy import VmLoad
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.store import pack
+from radishlanding.store import unpack
+from radishlanding.vm import Capacity
+from radishlanding.workflow import Assignment
+from radishlanding.workflow import EndKind
+from radishlanding.workflow import LogEntry
+from radishlanding.workflow import Step
+from radishlanding.workflow import TaskEnd
+from radishlanding.workflow import TaskId
+from radishlanding.workflow import TaskRecord
+from radishlanding.workflow import WorkflowRecord
+from radishlanding.workflow import WorkflowRegistry
+from tests.workflow.workflow_steps import make_workflow
+
+CAPACITY = Capacity(millicores=64_000, memory_mb=250_000)
+NEEDS = Capacity(millicores=7000, memory_mb=1000)
+NOW_MS = 1000
+MB = 1e6
+
+
+@given(
+    "{vms:d} VMs of 64 processors and a workflow of {steps:d} steps of "
+    "{count:d} tasks"
+)
+def _large(context, vms, steps, count):
+    context.vm_count = vms
+    context.workflow = make_workflow(
+        [Step(count=count, needs=NEEDS) for _ in range(steps)],
+        accepted_ms=NOW_MS,
+    )
+
+
+@given("{vms:d} VMs of 64 processors and a gang of {count:d} tasks")
+def _large_gang(context, vms, count):
+    _large(context, vms, 1, count)
+    context.workflow.steps[0].gang = True
+
+
+@given("its tasks need 1 millicore")
+def _small_tasks(context):
+    for step in context.workflow.steps:
+        step.needs = Capacity(millicores=1)
+
+
+@given("only the last step fits on a VM")
+def _last_fits(context):
+    for step in context.workflow.steps[:-1]:
+        step.needs = Capacity(millicores=65_000)
+
+
+def _loads(context):
+    """Return the loads of the VMs, with the tasks that are assigned."""
+    loads = []
+    for number in range(context.vm_count):
+        load = VmLoad(
+            vm=f"vm{number}",
+            boot="b1",
+            pool="order-desk",
+            zone="z0",
+            labels=["a", "r1"],
+            capacity=CAPACITY,
+            free=CAPACITY,
+            idle_millicores=CAPACITY.millicores,
+        )
+        for task in context.registry.tasks_on(load.vm):
+            parsed = TaskId.parse(task.task_id)
+            load.add(parsed[:3], context.workflow.steps[parsed.step])
+        loads.append(load)
+    return loads
+
+
+@contextlib.contextmanager
+def _measured(context):
+    """Count the records that are made, the memory and the decisions."""
+    with (
+        unittest.mock.patch(
+            "radishlanding.workflow.record.TaskRecord", side_effect=TaskRecord
+        ) as made,
+        unittest.mock.patch.object(
+            VmLoad, "refusal", autospec=True, side_effect=VmLoad.refusal
+        ) as decisions,
+    ):
+        tracemalloc.start()
+        try:
+            yield
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    context.costs.append((made.call_count, peak, decisions.call_count))
+
+
+def _start(context):
+    context.costs = []
+    context.placed = []
+    context.registry = WorkflowRegistry()
+    context.registry.apply(
+        LogEntry(commit_id="a", made_ms=1, accepted=[context.workflow])
+    )
+    context.planner = WorkflowPlanner(
+        order=EarliestDeadline(),
+        interference=Interference(),
+        rng=random.Random(1),
+    )
+
+
+@when("{rounds:d} rounds are planned and recorded")
+def _rounds(context, rounds):
+    _start(context)
+    for _ in range(rounds):
+        records = list(context.registry.workflows.values())
+        loads = _loads(context)
+        with _measured(context):
+            planned = context.planner.plan(records, loads, now_ms=NOW_MS)
+        context.registry.apply(
+            LogEntry(commit_id="b", made_ms=1, assignments=planned)
+        )
+        context.placed += planned
+        context.costs[-1] += (len(planned),)
+
+
+@when("its wait is explained")
+def _explained(context):
+    _start(context)
+    (record,) = context.registry.workflows.values()
+    with _measured(context):
+        context.wait = context.planner.explain(
+            record, _loads(context), now_ms=NOW_MS
+        )
+
+
+@then("{count:d} or more tasks were placed")
+def _placed(context, count):
+    ids = {item.task_id for item in context.placed}
+    assert len(ids) == len(context.placed), "a task was placed twice"
+    assert len(ids) >= count, len(ids)
+
+
+@then("no round made more than {count:d} records or took more than {mb:g} MB")
+def _bounded(context, count, mb):
+    assert max(cost[0] for cost in context.costs) <= count, context.costs
+    assert max(cost[1] for cost in context.costs) <= mb * MB, context.costs
+
+
+@then("some tasks of the last step were placed")
+def _last_placed(context):
+    last = len(context.workflow.steps) - 1
+    steps = {TaskId.parse(item.task_id).step for item in context.placed}
+    assert steps == {last}, steps
+
+
+@then("no round asked for more than {count:d} decisions about a VM")
+def _few_decisions(context, count):
+    # The round that places a step decides again with each of its tasks.
+    costs = [cost[2] - 4 * cost[3] for cost in context.costs]
+    assert max(costs) <= count, context.costs
+
+
+@then("it is explained why the gang waits: {reason}")
+def _gang_waits(context, reason):
+    (record,) = context.registry.workflows.values()
+    wait = context.planner.explain(record, _loads(context), now_ms=NOW_MS)
+    assert ("none" if not wait.refusals else reason) == reason, wait
+    assert reason == "none" or reason in wait.refusals, wait
+
+
+@then("it names {count:d} tasks")
+def _names(context, count):
+    assert context.wait.tasks == count, context.wait
+
+
+def _random_workflow(rng):
+    steps = []
+    for number in range(rng.randint(1, 5)):
+        after = rng.sample(range(number), rng.randint(0, min(2, number)))
+        steps.append(
+            Step(
+                count=rng.randint(1, 6),
+                needs=NEEDS,
+                gang=rng.random() < 0.3,
+                after=after,
+            )
+        )
+    repeats = rng.choice([0, 0, 2])
+    return make_workflow(steps, repeats=repeats)
+
+
+def _walk(record, occurrence, number):
+    """Return the waiting tasks as a walk over all of the step finds them."""
+    step = record.workflow.steps[number]
+    if record.done.get(f"{occurrence}.{number}", 0) >= step.count:
+        return []
+    tasks = [
+        record.task(occurrence, number, index) for index in range(step.count)
+    ]
+    if step.gang:
+        return [] if any(task.is_assigned for task in tasks) else tasks
+    return [
+        task for task in tasks if not task.is_assigned and not task.is_done
+    ]
+
+
+def _check(record):
+    workflow = record.workflow
+    ready = []
+    for occurrence in range(workflow.occurrences):
+        are_done = [
+            record.done.get(f"{occurrence}.{number}", 0) >= step.count
+            for number, step in enumerate(workflow.steps)
+        ]
+        for number, step in enumerate(workflow.steps):
+            expected = _walk(record, occurrence, number)
+            assert record.pending_tasks(occurrence, number) == expected
+            assert record.pending_count(occurrence, number) == len(expected)
+            is_ready = all(are_done[earlier] for earlier in step.after)
+            assert record.is_step_ready(occurrence, number) == is_ready
+            if is_ready and not are_done[number]:
+                ready.append((occurrence, number))
+    assert list(record.ready_steps(NOW_MS)) == ready
+    assert record.is_completed() == (not ready)
+    assert record.has_assigned_tasks() == any(
+        task.is_assigned for task in record.tasks.values()
+    )
+    return ready
+
+
+def _change(registry, record, rng):
+    """Assign some waiting tasks or end an attempt; return whether it can."""
+    ready = _check(record)
+    if not ready or record.phase.has_ended:
+        return False
+    waiting = _walk(record, *rng.choice(ready))
+    assigned = [task for task in record.tasks.values() if task.is_assigned]
+    is_gang = (
+        waiting
+        and record.workflow.steps[TaskId.parse(waiting[0].task_id).step].gang
+    )
+    if waiting and (not assigned or rng.random() < 0.5):
+        chosen = waiting if is_gang else rng.sample(waiting, 1)
+        registry.apply(
+            LogEntry(
+                commit_id="b",
+                made_ms=1,
+                assignments=[
+                    Assignment(
+                        task_id=task.task_id,
+                        attempt=task.attempt + 1,
+                        vm="v1",
+                        boot="b1",
+                    )
+                    for task in chosen
+                ],
+            )
+        )
+    elif assigned:
+        task = rng.choice(assigned)
+        end = TaskEnd(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            kind=rng.choice([EndKind.DONE, EndKind.DONE, EndKind.FAILED]),
+        )
+        registry.apply(LogEntry(commit_id="c", made_ms=1, ends=[end]))
+    return True
+
+
+@given("{count:d} random histories of steps, gangs and occurrences")
+def _histories(context, count):
+    context.histories = count
+
+
+@then(
+    "each index agrees with a walk over all tasks, before and after a restart"
+)
+def _agrees(context):
+    for seed in range(context.histories):
+        rng = random.Random(seed)
+        workflow = _random_workflow(rng)
+        registry = WorkflowRegistry()
+        registry.apply(LogEntry(commit_id="a", made_ms=1, accepted=[workflow]))
+        (record,) = registry.workflows.values()
+        while _change(registry, record, rng):
+            if rng.random() < 0.05:
+                record = unpack(WorkflowRecord, pack(record))
+                registry = WorkflowRegistry()
+                registry.load([record])
