Order heavy best-effort tasks by the leader's ranks at the agent

Cause: each agent gives its headroom to the task with the most progress, so that a workflow waits for the VM that favours it least. Change: the pacer orders heavy tasks by VmReportAck.precedence, then by progress. Ranks that no report has renewed for 3 s do not count, so that an agent without a leader orders its tasks as before. The budget is unchanged.

--- a/src/radishlanding/vmagent/report_sender.py
+++ b/src/radishlanding/vmagent/report_sender.py
@@ -79,6 +79,7 @@
             return
         supervisor.table.attach_orders(ack.orders)
         supervisor.pacer.update_weights(ack.weights)
+        supervisor.pacer.update_precedence(ack.precedence)
         if ack.granted and conn is self._links.leader_conn:
             was_held = supervisor.lease.remaining_s() > 0
             supervisor.lease.extend(sent_s=sent_s)
--- a/src/radishlanding/vmagent/task_pacer.py
+++ b/src/radishlanding/vmagent/task_pacer.py
@@ -1,5 +1,7 @@
 """Paces the best-effort tasks of one worker."""
 
+import math
+
 import trio
 
 from radishlanding.observe import EventLog
@@ -15,6 +17,9 @@
 CONTROL_INTERVAL_S = 0.6
 # Paces below full are repeated, as a delayed call may undo a newer one.
 REPEAT_INTERVAL_S = 3.0
+# The leader renews its ranks with each report, at least every second. Older
+# ones may name tasks first that no other VM favours any more.
+MAX_RANK_AGE_S = 3.0
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -31,6 +36,8 @@
         "_controller",
         "_counters",
         "_latency_monitor",
+        "_ranked_at_s",
+        "_ranks",
         "_repeat_at_s",
         "_supervisor",
         "_weights",
@@ -47,6 +54,8 @@
         self._latency_monitor = LatencyMonitor(
             vm=supervisor.vm, counters=counters
         )
+        self._ranked_at_s = 0.0
+        self._ranks = {}
         self._repeat_at_s = 0.0
         self._supervisor = supervisor
         self._weights = {}
@@ -58,6 +67,19 @@
         """
         self._weights.update({item.image: item for item in weights})
 
+    def update_precedence(self, precedence):
+        """Store the leader's ranks of best-effort tasks.
+
+        An empty list leaves the last ranks in force until they are too old,
+        as a new leader has none at first.
+
+        :param precedence: :class:`radishlanding.message.TaskPrecedence`
+            objects.
+        """
+        if precedence:
+            self._ranks = {item.task_id: item.rank for item in precedence}
+            self._ranked_at_s = boot_clock_s()
+
     def _is_light(self, task):
         image = self._weights.get(task.order.image)
         return image is not None and image.is_light
@@ -77,13 +99,21 @@
     def _percents(self, best_effort):
         """Return the pace of each best-effort task by its key, in percent.
 
-        Light tasks have the same pace. Of the heavy tasks, those that have
-        made the most progress have precedence.
+        Light tasks have the same pace. Heavy tasks have precedence by the
+        leader's ranks, and those without a rank follow. Of the same rank, or
+        without recent ranks, those that have made the most progress go first.
         """
         controller = self._controller
+        is_ranked = boot_clock_s() - self._ranked_at_s <= MAX_RANK_AGE_S
+        ranks = self._ranks if is_ranked else {}
         heavy = sorted(
             (task for task in best_effort if not self._is_light(task)),
-            key=lambda task: (-task.progress, task.accepted_s, task.key),
+            key=lambda task: (
+                ranks.get(task.task_id, math.inf),
+                -task.progress,
+                task.accepted_s,
+                task.key,
+            ),
         )
         percents = {task.key: controller.light_percent for task in best_effort}
         costs = [
--- a/tests/vmagent/task_pacer.feature
+++ b/tests/vmagent/task_pacer.feature
@@ -15,3 +15,14 @@
     Given a supervisor whose worker reports no capacity and runs a serving task and a heavy best-effort one
     When the serving task exceeds its latency target 1 time
     Then each time all best-effort tasks are paused within 0.7 s of the poll
+
+  Scenario: the leader's ranks decide which heavy task gets the headroom
+    Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
+    When the leader ranks the second one first
+    Then within 1.5 s only the second one runs
+
+  Scenario: ranks that the leader does not renew are dropped
+    Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
+    When the leader ranks the second one first
+    And it sends reports without ranks for 3.5 s
+    Then within 1.5 s only the first one runs
--- a/tests/vmagent/task_pacer_steps.py
+++ b/tests/vmagent/task_pacer_steps.py
@@ -9,9 +9,12 @@
 
 from radishlanding.message import ImageWeight
 from radishlanding.message import TaskOrder
+from radishlanding.message import TaskPrecedence
+from radishlanding.policy.pace_controller import MAX_BUDGET_RAISE
 from radishlanding.vm import Capacity
 from tests.vmagent.fake_worker import FakeLeasedWorker
 from tests.vmagent.worker_supervisor_steps import open_supervisor
+from tests.vmagent.worker_supervisor_steps import REPORT
 
 SERVING = "5" * 16 + ".0.0.0"
 TARGET_MS = 100
@@ -21,6 +24,7 @@
 SETTLE_S = 1.5
 IMAGE = "cruncher"
 MILLICORES = 800
+ORDINALS = ["first", "second"]
 
 
 def _best_effort_id(number):
@@ -142,3 +146,51 @@
     for delays in context.delays:
         late = [task for task in tasks if delays.get(task, 99) > max_s]
         assert not late, context.delays
+
+
+@given(
+    "a supervisor whose worker runs a serving task and {count:d} heavy "
+    "best-effort ones, with headroom for one"
+)
+def _headroom_for_one(context, count):
+    # Idle tasks have a budget of MAX_BUDGET_RAISE, which one of them takes.
+    share = MILLICORES / REPORT.capacity.millicores
+    _open(context, count, weight=MAX_BUDGET_RAISE / share, is_light=False)
+
+
+@when("the leader ranks the second one first")
+def _second_first(context):
+    precedence = [
+        TaskPrecedence(task_id=task_id, rank=rank)
+        for rank, task_id in enumerate(reversed(context.best_effort))
+    ]
+    context.bridge.call(_rank, context.supervisor, precedence)
+
+
+@when("it sends reports without ranks for {period_s:g} s")
+def _no_ranks(context, period_s):
+    deadline_s = time.monotonic() + period_s
+    while time.monotonic() < deadline_s:
+        context.bridge.call(_rank, context.supervisor, [])
+        context.bridge.call(trio.sleep, 0.5)
+
+
+async def _rank(supervisor, precedence):
+    supervisor.pacer.update_precedence(precedence)
+
+
+@then("within {wait_s:g} s only the {ordinal:w} one runs")
+def _only_one_runs(context, wait_s, ordinal):
+    running = context.best_effort[ORDINALS.index(ordinal)]
+    wanted = {task: 100 * (task == running) for task in context.best_effort}
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        # The pace of a new task is 100 percent without an order.
+        paces = {
+            task: context.worker.paces.get((task, 1), 100)
+            for task in context.best_effort
+        }
+        if paces == wanted:
+            return
+        assert time.monotonic() < deadline_s, paces
+        context.bridge.call(trio.sleep, 0.05)
