Rank the best-effort tasks of all VMs once a second

Change: TaskPrecedenceOrder ranks the workflows of one class by the work that is left over all steps, with a margin of a fifth for an overtake, and steps that others wait for first. The leader's TaskRanker ranks in its tick and answers each report with the ranks of the VM's tasks. The class is the leading part of the key of the workflow order: priority, standing, expired, late.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -14,6 +14,7 @@
 from radishlanding.dispatch.send_gate import SendGate
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.dispatch.task_mover import TaskMover
+from radishlanding.dispatch.task_ranker import TaskRanker
 from radishlanding.dispatch.ticket_prefetcher import TicketPrefetcher
 from radishlanding.dispatch.wait_reporter import WaitReporter
 from radishlanding.journal import Fenced
@@ -21,6 +22,7 @@
 from radishlanding.message import WorkflowAnswer
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
+from radishlanding.policy import CallerEstimates
 from radishlanding.policy import DEFAULT_LINK_MBPS
 from radishlanding.policy import SendWindow
 from radishlanding.store import StoreUnavailable
@@ -51,6 +53,7 @@
         "_mover",
         "_on_store_unreachable",
         "_order_sender",
+        "_ranker",
         "_recorder",
         "_registry",
         "_site_watch",
@@ -131,6 +134,13 @@
             interference=interference,
             site_watch=site_watch,
         )
+        self._ranker = TaskRanker(
+            registry=registry,
+            fleet=self.fleet,
+            planner=planner,
+            run_times=CallerEstimates(),
+            counters=counters,
+        )
         self._wait_reporter = WaitReporter(
             registry=registry,
             planner=planner,
@@ -209,6 +219,7 @@
                 await trio.sleep(TICK_S)
                 self._recorder.add_ends(self.fleet.lost_vm_ends(), vm="")
                 self._recorder.wake()
+            self._ranker.rank()
             self._mover.rebalance()
             self._wait_reporter.report()
 
@@ -253,6 +264,7 @@
             granted=granted,
             weights=self.fleet.image_weights(session),
             orders=self._order_sender.missing_orders(session),
+            precedence=self._ranker.precedence(session),
         )
 
     async def resign(self):
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AdviceSchedule",
     "AdvisedStep",
+    "CLASS_PARTS",
     "CallerEstimates",
     "DEFAULT_LINK_MBPS",
     "EarliestDeadline",
@@ -41,6 +42,7 @@
     "StragglerMitigation",
     "StrongestFirst",
     "TargetView",
+    "TaskPrecedenceOrder",
     "TicketCache",
     "VmLoad",
     "VmView",
@@ -55,6 +57,7 @@
     {
         "AdviceSchedule": "advice_schedule",
         "AdvisedStep": "advised_step",
+        "CLASS_PARTS": "workflow_order",
         "CallerEstimates": "caller_estimates",
         "DEFAULT_LINK_MBPS": "send_window",
         "EarliestDeadline": "earliest_deadline",
@@ -91,6 +94,7 @@
         "StragglerMitigation": "straggler_mitigation",
         "StrongestFirst": "strongest_first",
         "TargetView": "target_view",
+        "TaskPrecedenceOrder": "task_precedence_order",
         "TicketCache": "ticket_cache",
         "VmLoad": "vm_load",
         "VmView": "vm_view",
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -182,6 +182,11 @@
     When an interfering best-effort task runs beside a latency-critical one
     Then within 4 s the VM is ordered to stop 1 task
 
+  Scenario: VMs are told which best-effort tasks go first on all of them
+    Given another VM follows, without latency-critical tasks
+    When best-effort workflows of 1 and of 3 tasks run on both VMs
+    Then within 3 s each VM is told to favour the smaller workflow
+
   Scenario Outline: how long a VM that has never reported may run tasks
     Given a leader of 0.5 s grace and a 1.2 s lease whose predecessor <ended>
     Then a VM that has never reported is lost after <wait_s> s, not before
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -1434,3 +1434,38 @@
 @then("tasks were placed in no more than {count:d} rounds meanwhile")
 def _few_rounds(context, count):
     assert context.rounds <= count, context.rounds
+
+
+@when("best-effort workflows of 1 and of 3 tasks run on both VMs")
+def _best_effort_on_both(context):
+    context.by_size = ["e" * 16, "a" * 16]
+    fields = {"fills": True, "image": IMAGE, "estimated_ms": 9000}
+    for count, name in zip((1, 3), context.by_size, strict=True):
+        _submit(context, count=count, name=name, **fields)
+    agents = context.agents.values()
+    assert _wait(
+        context, lambda: sum(len(agent.started) for agent in agents) == 4, 3
+    )
+
+
+def _told_ranks(context):
+    """Return the ranks of the tasks that the VMs report as running."""
+    ranks = {}
+    for vm, agent in context.agents.items():
+        running = [
+            RunningTask(task_id=order.task_id, attempt=order.attempt)
+            for order in agent.started
+        ]
+        ack = _report(context, vm, running=running)
+        ranks.update({item.task_id: item.rank for item in ack.precedence})
+    return ranks
+
+
+@then("within {wait_s:d} s each VM is told to favour the smaller workflow")
+def _told_to_favour(context, wait_s):
+    small, large = context.by_size
+    wanted = {f"{small}.0.0.0": 0}
+    wanted |= {f"{large}.0.0.{index}": 1 for index in range(3)}
+    deadline_s = time.monotonic() + wait_s
+    while (told := _told_ranks(context)) != wanted:
+        assert time.monotonic() < deadline_s, told
