Place and move the last tasks of a step in front of lower ranks

Change: while a quarter of a step's tasks or two are left, placement and moves count only the headroom that tasks in front of them take; the agent gives them the rest by its ranks. The budget for serving tasks is unchanged. A ranked workflow keeps its place for three rounds without running tasks, and all its ready steps are ranked, so that a moved task or a new step has a rank at once.

--- a/src/radishlanding/dispatch/load_cache.py
+++ b/src/radishlanding/dispatch/load_cache.py
@@ -1,5 +1,6 @@
 """Caches the load of each VM for placement decisions."""
 
+from radishlanding.policy import step_name
 from radishlanding.policy import VmLoad
 from radishlanding.workflow import TaskId
 
@@ -66,6 +67,7 @@
             load.finite_tasks += not step.standing
             if step.fills:
                 load.best_effort_steps.append(step)
+                load.best_effort_names.append(step_name(task.task_id))
             elif step.latency_target_ms:
                 load.serving_ids.append(task.task_id)
         return load
--- a/src/radishlanding/dispatch/move_candidates.py
+++ b/src/radishlanding/dispatch/move_candidates.py
@@ -1,5 +1,6 @@
 """Describes the best-effort tasks that may be moved."""
 
+from radishlanding.policy import has_last_tasks
 from radishlanding.policy import MovableTask
 from radishlanding.policy import step_name
 from radishlanding.policy import StepProgress
@@ -56,11 +57,13 @@
 
     def _movable(self, record, task, step, load, item):
         task_id = task.task_id
+        parsed_id = TaskId.parse(task_id)
         own_ms = self._progress.own_run_ms(task_id)
         step_ms = self._progress.step_run_ms(step_name(task_id)) or own_ms
         if step_ms is None:
-            number = TaskId.parse(task_id).step
-            estimate = self._run_times.estimate(record.workflow, number)
+            estimate = self._run_times.estimate(
+                record.workflow, parsed_id.step
+            )
             step_ms = estimate.run_ms or UNKNOWN_RUN_MS
         left = 1 - min(100, item.progress) / 100
         return MovableTask(
@@ -73,6 +76,9 @@
             pace=_pace(step, item),
             age_ms=self._progress.age_ms(task_id),
             rank=self._ranker.rank_of(task_id),
+            is_last=has_last_tasks(
+                record, parsed_id.occurrence, parsed_id.step
+            ),
         )
 
 
--- a/src/radishlanding/dispatch/task_ranker.py
+++ b/src/radishlanding/dispatch/task_ranker.py
@@ -58,6 +58,7 @@
                 :CLASS_PARTS
             ],
         )
+        self._planner.use_ranks(self._ranks)
         self._counters.add("precedence_rounds")
         self._counters.add(
             "precedence_overtakes", self._order.overtakes - overtakes
@@ -92,14 +93,15 @@
     def precedence(self, session):
         """Return the ranks of the best-effort tasks on a VM.
 
-        A task of a step that was not ranked yet has none.
+        They include tasks that are assigned to it and not reported yet. A
+        task of a step that was not ranked yet has none.
 
         :param session: :class:`VmSession` of the VM.
         :returns: :class:`radishlanding.message.TaskPrecedence` objects.
         """
         ranks = self._ranks
         return [
-            TaskPrecedence(task_id=task_id, rank=rank)
-            for task_id in session.running
-            if (rank := ranks.get(step_name(task_id))) is not None
+            TaskPrecedence(task_id=task.task_id, rank=rank)
+            for task in self._registry.tasks_on(session.vm)
+            if (rank := ranks.get(step_name(task.task_id))) is not None
         ]
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -97,7 +97,7 @@
             key = id(item.step), item.load.vm
             if move is None or key in without_destination:
                 continue
-            destination = self._find_destination(item, loads)
+            destination = self._find_destination(item, loads, by_vm)
             if destination is None:
                 without_destination.add(key)
                 continue
@@ -166,8 +166,12 @@
     def _cost(self, step, load):
         return self._interference.headroom_cost(step, load.capacity)
 
-    def _find_destination(self, item, loads):
-        """Return the VM that can spare the most, None if none can."""
+    def _find_destination(self, item, loads, by_vm):
+        """Return the VM that can spare the most, None if none can.
+
+        The last tasks of a step may take the headroom of tasks behind them
+        in precedence.
+        """
         step = item.step
         min_idle_millicores = step.needs.millicores * self._min_idle_share
         fitting = [
@@ -176,7 +180,7 @@
             if load.pool == item.load.pool
             and load.vm != item.load.vm
             and load.idle_millicores >= min_idle_millicores
-            and self._spares(load, step)
+            and self._spares(load, item, by_vm.get(load.vm, ()))
             and load.can_fit((item.task.task_id, 0, 0), step)
         ]
         return max(
@@ -188,12 +192,21 @@
             default=None,
         )
 
-    def _spares(self, load, step):
-        return (
-            not load.serving_tasks
-            or load.headroom_cost + self._cost(step, load)
-            <= load.spare_headroom
-        )
+    def _spares(self, load, item, others):
+        """Return whether a VM has headroom for a task.
+
+        :param others: The :class:`MovableTask` objects of the VM.
+        """
+        if not load.serving_tasks:
+            return True
+        cost = load.headroom_cost + self._cost(item.step, load)
+        if item.is_last and cost > load.spare_headroom:
+            cost -= sum(
+                self._cost(other.step, load)
+                for other in others
+                if other.rank > item.rank
+            )
+        return cost <= load.spare_headroom
 
 
 def _is_slow(item):
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -1,7 +1,9 @@
 """Places the tasks of one step."""
 
 import collections
+import math
 
+from radishlanding.policy.last_tasks import has_last_tasks
 from radishlanding.policy.refusal import Refusal
 from radishlanding.policy.vm_selector import VmSelector
 from radishlanding.workflow import Assignment
@@ -10,13 +12,15 @@
 class StepPlacer:
     """Assign the tasks of a step to VMs, a gang as a whole."""
 
-    __slots__ = ("_clock_s", "_interference", "_tickets")
+    __slots__ = ("_clock_s", "_interference", "_tickets", "ranks")
 
     def __init__(self, *, interference, tickets=None, clock_s=None):
         """Prepare a placer; see :class:`WorkflowPlanner`."""
         self._clock_s = clock_s
         self._interference = interference
         self._tickets = tickets
+        # Ranks of best-effort steps by name, see TaskPrecedenceOrder.
+        self.ranks = {}
 
     def place(self, record, position, tasks, vms, *, is_starved, orders):
         """Return assignments of a step's tasks.
@@ -44,7 +48,9 @@
             for assignment in assignments:
                 orders.take(assignment.vm)
             return assignments
-        selector = self._selector(key, step, allowed, is_starved)
+        selector = self._selector(
+            key, step, allowed, is_starved, self._cost_behind(record, position)
+        )
         return self._place_tasks(key, step, tasks, selector, orders)
 
     def refusals(self, record, position, vms, *, is_starved):
@@ -61,7 +67,9 @@
         key = (workflow.workflow_id, *position)
         allowed = self._permitted_vms(key, vms) if workflow.is_advised else vms
         step = workflow.steps[position[1]]
-        selector = self._selector(key, step, allowed, is_starved)
+        selector = self._selector(
+            key, step, allowed, is_starved, self._cost_behind(record, position)
+        )
         counts = collections.Counter(map(selector.refusal, allowed))
         without_ticket = len(vms) - len(allowed)
         return counts + collections.Counter({Refusal.TICKET: without_ticket})
@@ -105,13 +113,43 @@
             assignments.append(_assign(task, vm, task.attempt + 1))
         return assignments
 
-    def _selector(self, key, step, vms, is_starved):
+    def _cost_behind(self, record, position):
+        """Return how the last tasks of a step see the headroom of a VM.
+
+        They need not wait for headroom that tasks behind them in precedence
+        take: the agent gives it to them.
+
+        :returns: See :class:`VmSelector`.
+        """
+        step = record.workflow.steps[position[1]]
+        name = ".".join(map(str, (record.workflow.workflow_id, *position)))
+        rank = self.ranks.get(name)
+        if (
+            rank is None
+            or not step.fills
+            or not has_last_tasks(record, *position)
+        ):
+            return None
+
+        def cost_behind(vm):
+            return sum(
+                self._interference.headroom_cost(other, vm.capacity)
+                for other, other_name in zip(
+                    vm.best_effort_steps, vm.best_effort_names, strict=True
+                )
+                if self.ranks.get(other_name, math.inf) > rank
+            )
+
+        return cost_behind
+
+    def _selector(self, key, step, vms, is_starved, cost_behind=None):
         return VmSelector(
             interference=self._interference,
             key=key,
             step=step,
             vms=vms,
             is_starved=is_starved,
+            cost_behind=cost_behind,
         )
 
     def _place_gang(self, key, step, tasks, vms, *, is_starved):
--- a/src/radishlanding/policy/task_precedence_order.py
+++ b/src/radishlanding/policy/task_precedence_order.py
@@ -9,6 +9,9 @@
 # left. Callers' estimates and whole percents of progress vary by less from
 # one round to the next.
 OVERTAKE_MARGIN = 0.2
+# A workflow of which nothing runs keeps its place for so many rounds: the
+# tasks of its next step, or a moved one, need a second or two to start.
+MAX_IDLE_ROUNDS = 3
 
 
 class TaskPrecedenceOrder:
@@ -23,22 +26,31 @@
     A workflow keeps its place until another one has clearly less work left.
     """
 
-    __slots__ = ("_places", "_run_times", "overtakes")
+    __slots__ = (
+        "_idle_rounds",
+        "_places",
+        "_records",
+        "_run_times",
+        "overtakes",
+    )
 
     def __init__(self, *, run_times):
         """Start without ranks.
 
         :param run_times: A :class:`RunTimes`.
         """
+        self._idle_rounds = collections.Counter()
         self._places = []
+        self._records = {}
         self._run_times = run_times
         # Number of places that workflows have gained in front of others.
         self.overtakes = 0
 
     def rank(self, tasks, *, class_of):
-        """Return the rank of each step of which tasks run; one round.
+        """Return the rank of each best-effort step that is ready; one round.
 
-        Tasks of one step share a rank.
+        Tasks of one step share a rank. Workflows are ranked while any of
+        their tasks runs, and for ``MAX_IDLE_ROUNDS`` more.
 
         :param tasks: Tuples of a workflow's record, the
             :class:`radishlanding.workflow.TaskId` of one of its best-effort
@@ -48,37 +60,47 @@
         :returns: Ranks from 0 by the name of the step, see
             :func:`step_name`.
         """
-        runs = self._runs(tasks)
+        done = self._update_runs(tasks)
         keys = {
-            run: (class_of(record), self._core_ms_left(record, run[1], steps))
-            for run, (record, steps) in runs.items()
+            run: (
+                class_of(record),
+                self._core_ms_left(record, run[1], done[run]),
+            )
+            for run, record in self._records.items()
         }
         self._places = self._arrange(keys)
         names = []
         for run in self._places:
-            record, steps = runs[run]
-            names += _by_urgency(record, run[1], steps)
+            names += _by_urgency(self._records[run], run[1])
         return {name: rank for rank, name in enumerate(names)}
 
-    def _runs(self, tasks):
-        """Return the record and the running steps of each occurrence.
+    def _update_runs(self, tasks):
+        """Update the workflows that are ranked, by their occurrences.
 
-        :returns: By workflow and occurrence, the record and the share of a
-            task that is done, in total over the running tasks, by step.
+        :returns: By workflow and occurrence, the share of a task that is
+            done, in total over the running tasks, by step.
         """
-        runs = {}
+        done = collections.defaultdict(collections.Counter)
+        for run in self._records:
+            self._idle_rounds[run] += 1
         for record, parsed_id, progress in tasks:
             run = parsed_id.workflow_id, parsed_id.occurrence
-            if run not in runs:
-                runs[run] = record, collections.Counter()
-            runs[run][1][parsed_id.step] += progress / 100
-        return runs
+            self._records[run] = record
+            self._idle_rounds[run] = 0
+            done[run][parsed_id.step] += progress / 100
+        for run, record in list(self._records.items()):
+            if (
+                record.phase.has_ended
+                or self._idle_rounds[run] > MAX_IDLE_ROUNDS
+            ):
+                del self._records[run], self._idle_rounds[run]
+        return done
 
     def _core_ms_left(self, record, occurrence, steps):
         """Return the work that is left, in core-milliseconds."""
         workflow, core_ms = record.workflow, 0.0
         for number, step in enumerate(workflow.steps):
-            left = _tasks_left(record, occurrence, number) - steps[number]
+            left = record.tasks_left(occurrence, number) - steps[number]
             if left > 0:
                 run_ms = self._run_times.estimate(workflow, number).run_ms
                 core_ms += left * step.needs.millicores * run_ms / 1000
@@ -122,24 +144,31 @@
     return overtaken
 
 
-def _by_urgency(record, occurrence, steps):
-    """Return the names of running steps, the most urgent one first.
+def _by_urgency(record, occurrence):
+    """Return the names of best-effort steps that are ready and not done.
 
-    Steps that others wait for go first, and of these the one with the least
-    tasks left.
+    The most urgent one is the first: a step that others wait for, and of
+    several ones that with the least tasks left.
     """
     workflow = record.workflow
     awaited = {
         number
         for later, step in enumerate(workflow.steps)
-        if _tasks_left(record, occurrence, later)
+        if record.tasks_left(occurrence, later)
         for number in step.after
     }
+    ready = [
+        number
+        for number, step in enumerate(workflow.steps)
+        if step.fills
+        and record.tasks_left(occurrence, number)
+        and record.is_step_ready(occurrence, number)
+    ]
     numbers = sorted(
-        steps,
+        ready,
         key=lambda number: (
             number not in awaited,
-            _tasks_left(record, occurrence, number),
+            record.tasks_left(occurrence, number),
             number,
         ),
     )
@@ -147,9 +176,3 @@
         step_name(task_id(workflow.workflow_id, occurrence, number, 0))
         for number in numbers
     ]
-
-
-def _tasks_left(record, occurrence, number):
-    """Return the number of a step's tasks that are not done."""
-    done = record.done.get(f"{occurrence}.{number}", 0)
-    return max(0, record.workflow.steps[number].count - done)
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -30,6 +30,8 @@
     :param is_stuck: Whether its tasks make no progress.
     :param finite_tasks: Number of tasks on it that are not standing.
     :param best_effort_steps: Step of each best-effort task on it.
+    :param best_effort_names: Name of each of these steps, see
+        :func:`step_name`.
     :param serving_ids: Identity of each serving task on it.
     :param steps: Number of tasks on it by workflow, occurrence and step.
     """
@@ -50,6 +52,7 @@
     is_stuck: bool = False
     finite_tasks: int = 0
     best_effort_steps: list[Step] = dataclasses.field(default_factory=list)
+    best_effort_names: list[str] = dataclasses.field(default_factory=list)
     serving_ids: list[str] = dataclasses.field(default_factory=list)
     steps: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
@@ -74,6 +77,7 @@
             is_stuck=self.is_stuck,
             finite_tasks=self.finite_tasks,
             best_effort_steps=self.best_effort_steps,
+            best_effort_names=self.best_effort_names,
             serving_ids=self.serving_ids,
             steps=dict(self.steps),
         )
@@ -81,8 +85,8 @@
     def add(self, key, step):
         """Count a task that is on the VM or planned for it.
 
-        ``headroom_cost``, ``finite_tasks``, ``best_effort_steps`` and
-        ``serving_ids`` are left to the caller.
+        ``headroom_cost``, ``finite_tasks``, ``best_effort_steps``,
+        ``best_effort_names`` and ``serving_ids`` are left to the caller.
 
         :param key: Workflow, occurrence and step of the task.
         :param step: The :class:`radishlanding.workflow.Step`.
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "_admits_stuck",
+        "_cost_behind",
         "_heap",
         "_interference",
         "_is_light",
@@ -30,7 +31,16 @@
         "_trials_left",
     )
 
-    def __init__(self, *, interference, key, step, vms, is_starved=False):
+    def __init__(
+        self,
+        *,
+        interference,
+        key,
+        step,
+        vms,
+        is_starved=False,
+        cost_behind=None,
+    ):
         """Rank the VMs for the tasks of a step.
 
         :param interference: An :class:`Interference`.
@@ -43,7 +53,11 @@
             tasks may then run wherever they fit, the others where no
             best-effort task runs yet. VMs on which tasks are stuck may then
             be chosen if no other one suits the step.
+        :param cost_behind: Callable that takes a VM and returns the headroom
+            that its tasks behind those of the step in precedence take, which
+            they will have to leave to them; None if they are to keep it.
         """
+        self._cost_behind = cost_behind
         self._admits_stuck = is_starved and not any(
             vm.suits(step) for vm in vms if not vm.is_stuck
         )
@@ -168,9 +182,10 @@
                 return None
             return Refusal.UNKNOWN_IMAGE
         cost = self._interference.headroom_cost(self._step, vm.capacity)
-        if vm.headroom_cost + cost > vm.spare_headroom:
-            return Refusal.HEADROOM
-        return None
+        excess = vm.headroom_cost + cost - vm.spare_headroom
+        if excess > 0 and self._cost_behind is not None:
+            excess -= self._cost_behind(vm)
+        return Refusal.HEADROOM if excess > 0 else None
 
     def _is_idle(self, vm):
         """Return whether a VM has idle processors for a best-effort task."""
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -59,6 +59,14 @@
         """Return the sort key of a workflow; see :class:`WorkflowOrder`."""
         return self._order.key(record, now_ms=now_ms)
 
+    def use_ranks(self, ranks):
+        """Place the last tasks of steps in front of tasks of larger ranks.
+
+        :param ranks: Ranks by the name of a step, see
+            :class:`TaskPrecedenceOrder`.
+        """
+        self._step_placer.ranks = ranks
+
     def is_fully_placed(self, record):
         """Return whether no ready task of a workflow waits for a VM.
 
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -44,6 +44,15 @@
         step = self.workflow.steps[number]
         return self.done.get(f"{occurrence}.{number}", 0) >= step.count
 
+    def tasks_left(self, occurrence, number):
+        """Return the number of a step's tasks that are not done.
+
+        :param occurrence: Number of the occurrence, from 0.
+        :param number: Number of the step, from 0.
+        """
+        step = self.workflow.steps[number]
+        return max(0, step.count - self.done.get(f"{occurrence}.{number}", 0))
+
     def is_step_ready(self, occurrence, number):
         """Return whether all steps that a step depends on are done.
 
--- a/tests/policy/migration.feature
+++ b/tests/policy/migration.feature
@@ -53,3 +53,28 @@
       | how     |
       | exactly |
       | as 0    |
+
+  Scenario Outline: only the last tasks of a step take headroom of others
+    Given a task in front of it on a that has 8 s left
+    And a task of rank <other> takes all the headroom of b
+    And a task of rank 1 on a that has 4 s left there and 4 s elsewhere, at a pace of 0, for 3 s
+    And <left> tasks of its step are left
+    When moves are chosen in 2 rounds
+    Then it <result>
+
+    Examples: a step of 9 tasks
+      | other | left | result |
+      | 5     | 2    | moves  |
+      | 5     | 3    | stays  |
+      | 0     | 2    | stays  |
+
+  Scenario Outline: only the last tasks of a step are placed on such VMs
+    Given a VM whose headroom a task of rank <other> takes
+    When a step of 9 tasks of rank 1 is placed, of which <left> are left
+    Then <placed> tasks are placed on it
+
+    Examples: there is headroom for one task
+      | other | left | placed |
+      | 5     | 2    | 1      |
+      | 5     | 3    | 0      |
+      | 0     | 2    | 0      |
--- a/tests/policy/migration_steps.py
+++ b/tests/policy/migration_steps.py
@@ -7,14 +7,20 @@
 from behave import then
 from behave import when
 
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import has_last_tasks
 from radishlanding.policy import Interference
 from radishlanding.policy import Migration
 from radishlanding.policy import MovableTask
 from radishlanding.policy import StepProgress
 from radishlanding.policy import VmLoad
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.policy.interference import MIN_OBSERVATIONS
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
 from radishlanding.workflow import TaskRecord
+from radishlanding.workflow import WorkflowRecord
+from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NAME
 
 CAPACITY = Capacity(millicores=64_000, memory_mb=64_000)
@@ -107,8 +113,10 @@
     context.moved = []
     for _ in range(rounds):
         loads = copy.deepcopy(context.loads)
+        by_vm = {load.vm: load for load in loads}
         tasks = [
-            dataclasses.replace(task, load=loads[0]) for task in context.tasks
+            dataclasses.replace(task, load=by_vm[task.load.vm])
+            for task in context.tasks
         ]
         context.moved += migration.choose(tasks, loads)
 
@@ -163,3 +171,71 @@
         context.progress.own_run_ms(f"{NAME}.0.0.z"),
     )
     assert found == (1000 * run_s, 1000 * own_s), found
+
+
+@given("a task of rank {rank:g} takes all the headroom of b")
+def _on_b(context, rank):
+    load = context.loads[1]
+    load.serving_tasks = 1
+    load.spare_headroom = load.headroom_cost = (
+        context.interference.headroom_cost(STEP, CAPACITY)
+    )
+    other = _task(
+        context,
+        "o",
+        left_s=4,
+        there_s=4,
+        pace=1.0,
+        age_ms=9000,
+        rank=rank,
+    )
+    context.tasks.append(dataclasses.replace(other, load=load))
+
+
+@given("{left:d} tasks of its step are left")
+def _left(context, left):
+    context.tasks[-1].is_last = has_last_tasks(_record(left), 0, 0)
+
+
+def _record(left):
+    step = dataclasses.replace(STEP, estimated_ms=4000)
+    record = WorkflowRecord(workflow=make_workflow([step]))
+    record.done["0.0"] = STEP.count - left
+    for index in range(record.done["0.0"]):
+        key = f"{NAME}.0.0.{index}"
+        record.tasks[key] = TaskRecord(task_id=key, is_done=True)
+    return record
+
+
+@given("a VM whose headroom a task of rank {rank:d} takes")
+def _full_vm(context, rank):
+    context.interference = Interference()
+    for _ in range(MIN_OBSERVATIONS):
+        context.interference.observe([("t", 0.5)], {STEP.image: 0.1})
+    cost = context.interference.headroom_cost(STEP, CAPACITY)
+    other = "o" * 16 + ".0.0"
+    context.loads = [
+        _load(
+            "a",
+            serving_tasks=1,
+            spare_headroom=1.5 * cost,
+            headroom_cost=cost,
+            best_effort_steps=[STEP],
+            best_effort_names=[other],
+        )
+    ]
+    context.ranks = {other: rank, f"{NAME}.0.0": 1}
+
+
+@when("a step of 9 tasks of rank 1 is placed, of which {left:d} are left")
+def _place(context, left):
+    planner = WorkflowPlanner(
+        order=EarliestDeadline(), interference=context.interference
+    )
+    planner.use_ranks(context.ranks)
+    context.placed = planner.plan([_record(left)], context.loads, now_ms=1)
+
+
+@then("{count:d} tasks are placed on it")
+def _placed(context, count):
+    assert len(context.placed) == count, context.placed
