--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -16,6 +16,7 @@
 from radishlanding.dispatch.send_gate import SendGate
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.dispatch.task_mover import TaskMover
+from radishlanding.dispatch.task_ranker import TaskRanker
 from radishlanding.dispatch.ticket_prefetcher import TicketPrefetcher
 from radishlanding.dispatch.wait_reporter import WaitReporter
 from radishlanding.journal import Fenced
@@ -58,6 +59,7 @@
         "_mover",
         "_on_store_unreachable",
         "_order_sender",
+        "_ranker",
         "_recorder",
         "_registry",
         "_run_time_store",
@@ -143,12 +145,24 @@
             run_times=run_times,
             tickets=tickets,
         )
+        run_times = CallerEstimates()
+        self._ranker = TaskRanker(
+            registry=registry,
+            fleet=self.fleet,
+            planner=planner,
+            run_times=run_times,
+            counters=counters,
+        )
         self._mover = TaskMover(
+            registry=registry,
             fleet=self.fleet,
             order_sender=self._order_sender,
             planner=planner,
+            ranker=self._ranker,
+            run_times=run_times,
             interference=interference,
             site_watch=site_watch,
+            counters=counters,
         )
         self._wait_reporter = WaitReporter(
             registry=registry,
@@ -231,6 +245,7 @@
                 await trio.sleep(TICK_S)
                 self._recorder.add_ends(self.fleet.lost_vm_ends(), vm="")
                 self._recorder.wake()
+            self._ranker.rank()
             self._mover.rebalance()
             self._wait_reporter.report()
 
@@ -280,6 +295,7 @@
             granted=granted,
             weights=self.fleet.image_weights(session),
             orders=self._order_sender.missing_orders(session),
+            precedence=self._ranker.precedence(session),
         )
 
     async def resign(self):
--- /dev/null
+++ b/src/radishlanding/policy/task_precedence_order.py
@@ -0,0 +1,178 @@
+"""Ranks the best-effort tasks of all VMs in one order."""
+
+import collections
+
+from radishlanding.policy.straggler_mitigation import step_name
+from radishlanding.workflow import task_id
+
+# A workflow overtakes another one of its class only with this much less work
+# left. Callers' estimates and whole percents of progress vary by less from
+# one round to the next.
+OVERTAKE_MARGIN = 0.2
+# A workflow of which nothing runs keeps its place for so many rounds: the
+# tasks of its next step, or a moved one, need a second or two to start.
+MAX_IDLE_ROUNDS = 3
+
+
+class TaskPrecedenceOrder:
+    """Order the workflows that compete for the headroom of all VMs.
+
+    It addresses VMs whose serving tasks spare headroom for about one heavy
+    task each, and workflows whose tasks are spread over many VMs. A workflow
+    waits for its last task, so that the VMs have to agree which workflow goes
+    first. Of one class, the workflow with the least work left goes first,
+    over all its steps: others wait for it the shortest time.
+
+    A workflow keeps its place until another one has clearly less work left.
+    """
+
+    __slots__ = (
+        "_idle_rounds",
+        "_places",
+        "_records",
+        "_run_times",
+        "overtakes",
+    )
+
+    def __init__(self, *, run_times):
+        """Start without ranks.
+
+        :param run_times: A :class:`RunTimes`.
+        """
+        self._idle_rounds = collections.Counter()
+        self._places = []
+        self._records = {}
+        self._run_times = run_times
+        # Number of places that workflows have gained in front of others.
+        self.overtakes = 0
+
+    def rank(self, tasks, *, class_of):
+        """Return the rank of each best-effort step that is ready; one round.
+
+        Tasks of one step share a rank. Workflows are ranked while any of
+        their tasks runs, and for ``MAX_IDLE_ROUNDS`` more.
+
+        :param tasks: Tuples of a workflow's record, the
+            :class:`radishlanding.workflow.TaskId` of one of its best-effort
+            tasks that run, and the task's progress in percent.
+        :param class_of: Callable that returns the class of a record, see
+            ``CLASS_PARTS``; smaller classes go first.
+        :returns: Ranks from 0 by the name of the step, see
+            :func:`step_name`.
+        """
+        done = self._update_runs(tasks)
+        keys = {
+            run: (
+                class_of(record),
+                self._core_ms_left(record, run[1], done[run]),
+            )
+            for run, record in self._records.items()
+        }
+        self._places = self._arrange(keys)
+        names = []
+        for run in self._places:
+            names += _by_urgency(self._records[run], run[1])
+        return {name: rank for rank, name in enumerate(names)}
+
+    def _update_runs(self, tasks):
+        """Update the workflows that are ranked, by their occurrences.
+
+        :returns: By workflow and occurrence, the share of a task that is
+            done, in total over the running tasks, by step.
+        """
+        done = collections.defaultdict(collections.Counter)
+        for run in self._records:
+            self._idle_rounds[run] += 1
+        for record, parsed_id, progress in tasks:
+            run = parsed_id.workflow_id, parsed_id.occurrence
+            self._records[run] = record
+            self._idle_rounds[run] = 0
+            done[run][parsed_id.step] += progress / 100
+        for run, record in list(self._records.items()):
+            if (
+                record.phase.has_ended
+                or self._idle_rounds[run] > MAX_IDLE_ROUNDS
+            ):
+                del self._records[run], self._idle_rounds[run]
+        return done
+
+    def _core_ms_left(self, record, occurrence, steps):
+        """Return the work that is left, in core-milliseconds."""
+        workflow, core_ms = record.workflow, 0.0
+        for number, step in enumerate(workflow.steps):
+            left = record.tasks_left(occurrence, number) - steps[number]
+            if left > 0:
+                run_ms = self._run_times.estimate(workflow, number).run_ms
+                core_ms += left * step.needs.millicores * run_ms / 1000
+        return core_ms
+
+    def _arrange(self, keys):
+        """Return the workflows in order, with their last places in mind.
+
+        :param keys: Class and work of each workflow's occurrence.
+        """
+        known = [run for run in self._places if run in keys]
+        new = sorted(
+            keys.keys() - set(known), key=lambda run: (keys[run], run)
+        )
+        places = []
+        for run in known:
+            self.overtakes += _insert(places, run, keys, OVERTAKE_MARGIN)
+        for run in new:
+            _insert(places, run, keys, 0.0)
+        return places
+
+
+def _insert(places, run, keys, margin):
+    """Insert an occurrence in front of those that it overtakes.
+
+    :param margin: Share of another one's work by which it has to have less.
+    :returns: Number of those overtaken.
+    """
+    own_class, core_ms = keys[run]
+    place = len(places)
+    while place:
+        other_class, other_ms = keys[places[place - 1]]
+        has_less = core_ms < other_ms * (1 - margin)
+        if own_class > other_class or (
+            own_class == other_class and not has_less
+        ):
+            break
+        place -= 1
+    overtaken = len(places) - place
+    places.insert(place, run)
+    return overtaken
+
+
+def _by_urgency(record, occurrence):
+    """Return the names of best-effort steps that are ready and not done.
+
+    The most urgent one is the first: a step that others wait for, and of
+    several ones that with the least tasks left.
+    """
+    workflow = record.workflow
+    awaited = {
+        number
+        for later, step in enumerate(workflow.steps)
+        if record.tasks_left(occurrence, later)
+        for number in step.after
+    }
+    ready = [
+        number
+        for number, step in enumerate(workflow.steps)
+        if step.fills
+        and record.tasks_left(occurrence, number)
+        and record.is_step_ready(occurrence, number)
+    ]
+    numbers = sorted(
+        ready,
+        key=lambda number: (
+            number not in awaited,
+            record.tasks_left(occurrence, number),
+            number,
+        ),
+    )
+    return [
+        step_name(task_id(workflow.workflow_id, occurrence, number, 0))
+        for number in numbers
+    ]
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -59,6 +59,15 @@
         """
         return self.progress.is_step_done(occurrence, number)
 
+    def tasks_left(self, occurrence, number):
+        """Return the number of a step's tasks that are not done.
+
+        :param occurrence: Number of the occurrence, from 0.
+        :param number: Number of the step, from 0.
+        """
+        step = self.workflow.steps[number]
+        return max(0, step.count - self.done.get(f"{occurrence}.{number}", 0))
+
     def is_step_ready(self, occurrence, number):
         """Return whether all steps that a step depends on are done.
 
--- /dev/null
+++ b/tests/policy/migration_steps.py
@@ -0,0 +1,241 @@
+"""Steps about the moves of slowed tasks."""
+
+import copy
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import has_last_tasks
+from radishlanding.policy import Interference
+from radishlanding.policy import Migration
+from radishlanding.policy import MovableTask
+from radishlanding.policy import StepProgress
+from radishlanding.policy import VmLoad
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.policy.interference import MIN_OBSERVATIONS
+from radishlanding.vm import Capacity
+from radishlanding.workflow import Step
+from radishlanding.workflow import TaskRecord
+from radishlanding.workflow import WorkflowRecord
+from tests.workflow.workflow_steps import make_workflow
+from tests.workflow.workflow_steps import NAME
+
+CAPACITY = Capacity(millicores=64_000, memory_mb=64_000)
+STEP = Step(
+    count=9,
+    needs=Capacity(millicores=7000, memory_mb=100),
+    fills=True,
+    checkpointing=True,
+    image="cruncher",
+)
+
+
+def _load(vm, **fields):
+    return VmLoad(
+        vm=vm,
+        boot=f"{vm}/1",
+        pool="order-desk",
+        zone="z0",
+        labels=[],
+        capacity=CAPACITY,
+        free=CAPACITY,
+        idle_millicores=CAPACITY.millicores,
+        **fields,
+    )
+
+
+def _task(context, name, *, left_s, there_s, **fields):
+    return MovableTask(
+        task=TaskRecord(task_id=f"{name * 16}.0.0.0", vm="a"),
+        step=context.step,
+        load=context.loads[0],
+        left_ms=1000 * left_s,
+        elsewhere_ms=1000 * there_s,
+        **fields,
+    )
+
+
+@given("a task in front of it on a that has {left_s:g} s left")
+def _in_front(context, left_s):
+    context.interference = Interference()
+    cost = context.interference.headroom_cost(STEP, CAPACITY)
+    context.step = STEP
+    context.loads = [
+        _load(
+            "a", serving_tasks=1, spare_headroom=cost, headroom_cost=2 * cost
+        ),
+        _load("b"),
+    ]
+    context.tasks = [
+        _task(
+            context,
+            "f",
+            left_s=left_s,
+            there_s=left_s,
+            pace=1.0,
+            age_ms=9000,
+            rank=0,
+        )
+    ]
+
+
+@given("its step has no checkpoints")
+def _no_checkpoints(context):
+    context.step = dataclasses.replace(STEP, checkpointing=False)
+
+
+@given(
+    "a task of rank {rank:g} on a that has {left_s:g} s left there and "
+    "{there_s:g} s elsewhere, at a pace of {pace:g}, for {age_s:g} s"
+)
+def _slowed(context, rank, left_s, there_s, pace, age_s):
+    context.tasks.append(
+        _task(
+            context,
+            "e",
+            left_s=left_s,
+            there_s=there_s,
+            pace=pace,
+            age_ms=1000 * age_s,
+            rank=rank,
+        )
+    )
+
+
+@when("moves are chosen in {rounds:d} rounds")
+def _choose(context, rounds):
+    migration = Migration(
+        interference=context.interference, min_idle_share=0.6
+    )
+    context.moved = []
+    for _ in range(rounds):
+        loads = copy.deepcopy(context.loads)
+        by_vm = {load.vm: load for load in loads}
+        tasks = [
+            dataclasses.replace(task, load=by_vm[task.load.vm])
+            for task in context.tasks
+        ]
+        context.moved += migration.choose(tasks, loads)
+
+
+@then("it {result:w}")
+def _result(context, result):
+    found = [move.task.task_id[0] for move in context.moved]
+    assert found == (["e"] if result == "moves" else []), context.moved
+
+
+@then("it has moved {count:d} times")
+def _moved_times(context, count):
+    assert len(context.moved) == count, context.moved
+
+
+@given("tasks of one step that report their work at full pace {how}")
+def _siblings(context, how):
+    context.is_exact = how == "exactly"
+    context.siblings = [
+        (
+            f"{NAME}.0.0.{row['task']}",
+            int(row["percent_per_s"]),
+            float(row["pace"]),
+        )
+        for row in context.table
+    ]
+
+
+@when("they have been reported each second for {period_s:d} s")
+def _reported(context, period_s):
+    context.progress = StepProgress()
+    for now_s in range(period_s + 1):
+        context.progress.update(
+            [
+                (
+                    task_id,
+                    1,
+                    rate * now_s,
+                    int(1000 * pace * now_s) if context.is_exact else 0,
+                    pace,
+                )
+                for task_id, rate, pace in context.siblings
+            ],
+            now_s=float(now_s),
+        )
+
+
+@then("a task of the step runs for {run_s:g} s, and z for {own_s:g} s")
+def _run_times(context, run_s, own_s):
+    found = (
+        context.progress.step_run_ms(f"{NAME}.0.0"),
+        context.progress.own_run_ms(f"{NAME}.0.0.z"),
+    )
+    assert found == (1000 * run_s, 1000 * own_s), found
+
+
+@given("a task of rank {rank:g} takes all the headroom of b")
+def _on_b(context, rank):
+    load = context.loads[1]
+    load.serving_tasks = 1
+    load.spare_headroom = load.headroom_cost = (
+        context.interference.headroom_cost(STEP, CAPACITY)
+    )
+    other = _task(
+        context,
+        "o",
+        left_s=4,
+        there_s=4,
+        pace=1.0,
+        age_ms=9000,
+        rank=rank,
+    )
+    context.tasks.append(dataclasses.replace(other, load=load))
+
+
+@given("{left:d} tasks of its step are left")
+def _left(context, left):
+    context.tasks[-1].is_last = has_last_tasks(_record(left), 0, 0)
+
+
+def _record(left):
+    step = dataclasses.replace(STEP, estimated_ms=4000)
+    record = WorkflowRecord(workflow=make_workflow([step]))
+    record.done["0.0"] = STEP.count - left
+    for index in range(record.done["0.0"]):
+        key = f"{NAME}.0.0.{index}"
+        record.tasks[key] = TaskRecord(task_id=key, is_done=True)
+    return record
+
+
+@given("a VM whose headroom a task of rank {rank:d} takes")
+def _full_vm(context, rank):
+    context.interference = Interference()
+    for _ in range(MIN_OBSERVATIONS):
+        context.interference.observe([("t", 0.5)], {STEP.image: 0.1})
+    cost = context.interference.headroom_cost(STEP, CAPACITY)
+    other = "o" * 16 + ".0.0"
+    context.loads = [
+        _load(
+            "a",
+            serving_tasks=1,
+            spare_headroom=1.5 * cost,
+            headroom_cost=cost,
+            best_effort_steps=[STEP],
+            best_effort_names=[other],
+        )
+    ]
+    context.ranks = {other: rank, f"{NAME}.0.0": 1}
+
+
+@when("a step of 9 tasks of rank 1 is placed, of which {left:d} are left")
+def _place(context, left):
+    planner = WorkflowPlanner(
+        order=EarliestDeadline(), interference=context.interference
+    )
+    planner.use_ranks(context.ranks)
+    context.placed = planner.plan([_record(left)], context.loads, now_ms=1)
+
+
+@then("{count:d} tasks are placed on it")
+def _placed(context, count):
+    assert len(context.placed) == count, context.placed
--- a/tests/vmagent/task_pacer.feature
+++ b/tests/vmagent/task_pacer.feature
@@ -21,3 +21,14 @@
     And pace calls for the first best-effort task get no answer
     When the serving task exceeds its latency target for 2 s
     Then the second best-effort task is reported with less work than the first, at a pace of 0 %
+
+  Scenario: the leader's ranks decide which heavy task gets the headroom
+    Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
+    When the leader ranks the second one first
+    Then within 1.5 s only the second one runs
+
+  Scenario: ranks that the leader does not renew are dropped
+    Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
+    When the leader ranks the second one first
+    And it sends reports without ranks for 3.5 s
+    Then within 1.5 s only the first one runs
