Prefer VMs that run, finish and keep their tasks

Placement took all VMs for equal between the quarantine, which needs failures of three workflows, and the backoff for stuck tasks. Each VM now has a trust from 0 to 1: by the run time of its tasks at full pace against siblings on at least two other VMs, failures that no other VM shares, and losses. It fades with time; a VM that was doubtful is then probed with one task until three observations are good, or for 30 s. Trust orders VMs and bars none, but for one rule: at least half of a step waits up to 0.5 s for better VMs than doubtful ones. At most a third of a pool has less than full trust.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -7,8 +7,11 @@
 from radishlanding.dispatch.lease_table import LeaseTable
 from radishlanding.dispatch.vm_health_tracker import VmHealthTracker
 from radishlanding.dispatch.vm_session import VmSession
+from radishlanding.dispatch.vm_trust_monitor import VmTrustMonitor
 from radishlanding.message import VmWelcome
+from radishlanding.observe import Counters
 from radishlanding.observe import EventLog
+from radishlanding.policy import VmTrust
 from radishlanding.workflow import TaskEnd
 
 # Fencing tokens of one epoch; more would collide with those of the next.
@@ -34,6 +37,7 @@
         "_registry",
         "_run_time_monitor",
         "_vm_health",
+        "_vm_trust_monitor",
         "sessions",
         "uncommitted",
     )
@@ -46,6 +50,8 @@
         timing,
         interference,
         run_time_monitor=None,
+        vm_trust=None,
+        counters=None,
         inherited_leases_s=None,
         grants_ended_s=None,
     ):
@@ -58,6 +64,9 @@
             :class:`radishlanding.policy.Interference` to train.
         :param run_time_monitor: The :class:`RunTimeMonitor` that gets the
             reports, None for none.
+        :param vm_trust: The :class:`radishlanding.policy.VmTrust`, None for a
+            new one.
+        :param counters: Metrics counters of the process, None for new ones.
         :param inherited_leases_s: See :class:`LeaseTable`.
         :param grants_ended_s: See :class:`LeaseTable`.
         """
@@ -65,7 +74,11 @@
         self._checkpoints = CheckpointTable()
         self._epoch = epoch
         self._fences_issued = 0
-        self._vm_health = VmHealthTracker()
+        vm_trust = vm_trust or VmTrust()
+        self._vm_health = VmHealthTracker(vm_trust=vm_trust)
+        self._vm_trust_monitor = VmTrustMonitor(
+            vm_trust=vm_trust, counters=counters or Counters()
+        )
         self._interference_monitor = InterferenceMonitor(
             registry=registry, interference=interference
         )
@@ -79,6 +92,7 @@
             registry=registry,
             interference=interference,
             vm_health=self._vm_health,
+            vm_trust=vm_trust,
         )
         self.sessions = {}
         # Tasks whose end or assignment is not committed yet. No VM knows of
@@ -99,7 +113,10 @@
         session = self.find(hello.vm, conn)
         if session is None:
             session = self._add_session(hello, conn)
+            if self._other_boots(hello.vm, hello.state.boot):
+                self._vm_trust_monitor.record_loss(hello.vm)
         else:
+            self._vm_trust_monitor.observe_boot(session, hello.state.boot)
             session.state = hello.state
             session.advance_clock(hello.clock_ms)
         self._leases.grant(hello.vm)
@@ -158,6 +175,7 @@
         :param report: A :class:`radishlanding.message.VmReport`.
         :returns: :class:`radishlanding.workflow.TaskEnd` objects.
         """
+        self._vm_trust_monitor.observe_boot(session, report.state.boot)
         session.state = report.state
         self._leases.record_report(session.vm)
         self._leases.record_boot(session.vm, report.state.boot)
@@ -307,6 +325,7 @@
             self.sessions.pop(vm, None)
             tasks = self._registry.tasks_on(vm)
             _log.warning("vm_lost", vm=vm, tasks=len(tasks))
+            self._vm_trust_monitor.record_loss(vm)
             ends += map(self._checkpoints.interrupted_end, tasks)
         return ends
 
@@ -338,6 +357,7 @@
         """Drop what is held of tasks and workflows that have ended."""
         self._interference_monitor.prune_ended(self.sessions.values())
         self._vm_health.prune_ended(self._registry)
+        self._vm_trust_monitor.review()
         self._checkpoints.prune(self._registry)
 
     def record_end(self, end, vm):
--- a/src/radishlanding/dispatch/fleet_loads.py
+++ b/src/radishlanding/dispatch/fleet_loads.py
@@ -13,19 +13,27 @@
 class FleetLoads:
     """Provide the loads of VMs, and of those that may take new tasks."""
 
-    __slots__ = ("_cache", "_health_ignored", "_health_limit", "_vm_health")
-
-    def __init__(self, *, registry, interference, vm_health):
+    __slots__ = (
+        "_cache",
+        "_health_ignored",
+        "_health_limit",
+        "_vm_health",
+        "_vm_trust",
+    )
+
+    def __init__(self, *, registry, interference, vm_health, vm_trust):
         """Initialise without loads.
 
         :param registry: The :class:`radishlanding.workflow.WorkflowRegistry`.
         :param interference: A :class:`radishlanding.policy.Interference`.
         :param vm_health: The :class:`VmHealthTracker`.
+        :param vm_trust: The :class:`radishlanding.policy.VmTrust`.
         """
         self._cache = LoadCache(registry=registry, interference=interference)
         self._health_ignored = set()
         self._health_limit = HealthLimit()
         self._vm_health = vm_health
+        self._vm_trust = vm_trust
 
     def available(self, sessions, site):
         """Return the loads of VMs that may take new tasks.
@@ -49,6 +57,7 @@
                 load.max_new_tasks = None
             else:
                 load.is_stuck = load.vm in stuck
+        self._vm_trust.rate(loads, now_s=now_s)
         return loads
 
     def _ignored_health(self, loads, barred):
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -26,6 +26,7 @@
 from radishlanding.policy import CallerEstimates
 from radishlanding.policy import DEFAULT_LINK_MBPS
 from radishlanding.policy import SendWindow
+from radishlanding.policy import VmTrust
 from radishlanding.store import StoreUnavailable
 from radishlanding.workflow import WorkflowOutcome
 
@@ -111,6 +112,7 @@
         self._log = log
         self._on_store_unreachable = on_store_unreachable
         run_times = run_times or CallerEstimates()
+        vm_trust = VmTrust()
         self._interference_store = InterferenceStore(interference=interference)
         self._run_time_store = RunTimeStore(
             run_times=run_times, counters=counters
@@ -126,8 +128,13 @@
             timing=timing,
             interference=interference,
             run_time_monitor=RunTimeMonitor(
-                registry=registry, run_times=run_times, counters=counters
+                registry=registry,
+                run_times=run_times,
+                vm_trust=vm_trust,
+                counters=counters,
             ),
+            vm_trust=vm_trust,
+            counters=counters,
             inherited_leases_s=log.inherited_leases_s,
             grants_ended_s=grants_ended_s,
         )
--- a/src/radishlanding/dispatch/run_time_monitor.py
+++ b/src/radishlanding/dispatch/run_time_monitor.py
@@ -2,6 +2,8 @@
 
 from radishlanding.dispatch.work_anchor import WorkAnchor
 from radishlanding.observe import EventLog
+from radishlanding.policy import FULL_PERCENT
+from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import TaskId
 
@@ -15,26 +17,29 @@
 
 
 class RunTimeMonitor:
-    """Feed the run times of attempts to the estimates.
+    """Feed the run times of attempts to the estimates and to VM trust.
 
     A run time is the quotient of the differences of time and progress since
     an earlier report of the same attempt. It thus leaves out what the attempt
     resumed from, and what it did before its agent measured it.
     """
 
-    __slots__ = ("_counters", "_registry", "_run_times")
+    __slots__ = ("_counters", "_registry", "_run_times", "_vm_trust")
 
-    def __init__(self, *, registry, run_times, counters):
+    def __init__(self, *, registry, run_times, vm_trust, counters):
         """Initialise the monitor.
 
         :param registry: The :class:`radishlanding.workflow.WorkflowRegistry`.
         :param run_times: The estimates that learn, such as
             :class:`radishlanding.policy.LearnedRunTimes`.
+        :param vm_trust: The :class:`radishlanding.policy.VmTrust` that learns
+            from attempts at full pace.
         :param counters: Metrics counters of the process.
         """
         self._counters = counters
         self._registry = registry
         self._run_times = run_times
+        self._vm_trust = vm_trust
 
     def observe(self, session):
         """Measure the running attempts of a VM.
@@ -87,12 +92,18 @@
         if workflow.steps[number].standing:
             return
         gained = progress - anchor.progress
+        run_ms, weight = 100 * spent_ms / gained, gained / 100
         self._counters.add("run_time_samples")
+        if anchor.pace_percent == FULL_PERCENT:
+            self._vm_trust.observe_run(
+                session.vm,
+                (workflow.workflow_id, number),
+                run_ms=run_ms,
+                weight=weight,
+                now_s=boot_clock_s(),
+            )
         is_shared = self._run_times.observe(
-            workflow,
-            number,
-            run_ms=100 * spent_ms / gained,
-            weight=gained / 100,
+            workflow, number, run_ms=run_ms, weight=weight
         )
         if is_shared:
             self._log_learned(workflow, number)
--- a/src/radishlanding/dispatch/vm_health_tracker.py
+++ b/src/radishlanding/dispatch/vm_health_tracker.py
@@ -3,6 +3,7 @@
 from radishlanding.observe import EventLog
 from radishlanding.policy import Quarantine
 from radishlanding.policy import step_name
+from radishlanding.policy import VmTrust
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import TaskId
@@ -26,10 +27,15 @@
 class VmHealthTracker:
     """Keep tasks away from VMs that fail, refuse or stall them."""
 
-    __slots__ = ("_failed_vms", "_quarantines", "misestimated")
+    __slots__ = ("_failed_vms", "_quarantines", "_vm_trust", "misestimated")
 
-    def __init__(self):
-        """Initialise the tracker with all VMs healthy."""
+    def __init__(self, *, vm_trust=None):
+        """Initialise the tracker with all VMs healthy.
+
+        :param vm_trust: The :class:`radishlanding.policy.VmTrust` that is
+            told of failures and successes, None for a new one.
+        """
+        self._vm_trust = vm_trust or VmTrust()
         # VMs on which a workflow has failed, by its identity.
         self._failed_vms = {}
         self._quarantines = {}
@@ -51,6 +57,7 @@
             self._record_failure(end, session.vm)
         elif end.kind == EndKind.DONE:
             self._quarantines.pop(session.vm, None)
+            self._vm_trust.record_success(session.vm, now_s=boot_clock_s())
         elif end.kind == EndKind.NOT_RUN:
             session.backoff_until_s = boot_clock_s() + REFUSAL_BACKOFF_S
 
@@ -61,9 +68,13 @@
         """
         workflow_id = TaskId.parse(end.task_id).workflow_id
         failed_vms = self._failed_vms.setdefault(workflow_id, set())
+        if len(failed_vms) == 1 and vm not in failed_vms:
+            (first,) = failed_vms
+            self._vm_trust.withdraw_failure(first, now_s=boot_clock_s())
         failed_vms.add(vm)
         if len(failed_vms) > 1:
             return
+        self._vm_trust.record_failure(vm, now_s=boot_clock_s())
         quarantine = self._quarantines.setdefault(
             vm,
             Quarantine(
--- a/src/radishlanding/policy/refusal.py
+++ b/src/radishlanding/policy/refusal.py
@@ -7,6 +7,7 @@
     """The first rule that keeps a task from a VM."""
 
     ACCELERATORS = "accelerators"
+    DOUBTFUL = "doubtful"
     HEADROOM = "headroom"
     IDLE_PROCESSORS = "idle_processors"
     LABEL = "label"
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -2,23 +2,29 @@
 
 import collections
 
+from radishlanding.policy.doubt_limit import DoubtLimit
 from radishlanding.policy.refusal import Refusal
+from radishlanding.policy.vm_selector import is_doubtful
 from radishlanding.policy.vm_selector import VmSelector
+from radishlanding.policy.vm_trust import FULL_TRUST
 from radishlanding.workflow import Assignment
 
 
 class StepPlacer:
     """Assign the tasks of a step to VMs, a gang as a whole."""
 
-    __slots__ = ("_clock_s", "_interference", "_tickets")
+    __slots__ = ("_clock_s", "_doubt_limit", "_interference", "_tickets")
 
     def __init__(self, *, interference, tickets=None, clock_s=None):
         """Prepare a placer; see :class:`WorkflowPlanner`."""
         self._clock_s = clock_s
+        self._doubt_limit = DoubtLimit()
         self._interference = interference
         self._tickets = tickets
 
-    def place(self, record, position, tasks, vms, *, is_starved, orders):
+    def place(
+        self, record, position, tasks, vms, *, is_starved, orders, now_ms
+    ):
         """Return assignments of a step's tasks.
 
         :param record: Record of the workflow.
@@ -29,6 +35,7 @@
         :param is_starved: See :class:`VmSelector`.
         :param orders: The :class:`OrderBudget` of the workflow; a gang is
             placed as a whole.
+        :param now_ms: Unix time, in milliseconds.
         :returns: :class:`radishlanding.workflow.Assignment` objects.
         """
         if not tasks or orders.is_spent:
@@ -37,15 +44,32 @@
         step = workflow.steps[position[1]]
         key = (workflow.workflow_id, *position)
         allowed = self._permitted_vms(key, vms) if workflow.is_advised else vms
+        max_doubtful = self._doubt_limit.max_tasks(key, step, now_ms=now_ms)
         if step.gang:
             assignments = self._place_gang(
-                key, step, tasks, allowed, is_starved=is_starved
+                key,
+                step,
+                tasks,
+                allowed,
+                is_starved=is_starved,
+                max_doubtful=max_doubtful,
             )
+            if not assignments and any(map(is_doubtful, allowed)):
+                self._doubt_limit.hold(key, now_ms=now_ms)
             for assignment in assignments:
                 orders.take(assignment.vm)
             return assignments
-        selector = self._selector(key, step, allowed, is_starved)
-        return self._place_tasks(key, step, tasks, selector, orders)
+        selector = self._selector(
+            key,
+            step,
+            allowed,
+            is_starved,
+            max_doubtful=max_doubtful,
+        )
+        assignments = self._place_tasks(key, step, tasks, selector, orders)
+        if selector.is_held_back and len(assignments) < len(tasks):
+            self._doubt_limit.hold(key, now_ms=now_ms)
+        return assignments
 
     def refusals(self, record, position, vms, *, is_starved):
         """Return how many VMs refuse a task of a step, by reason.
@@ -101,20 +125,21 @@
                 break
             self._add(vm, key, step)
             orders.take(vm.vm)
-            left -= 1
+            left = left - 1 if vm.trust >= FULL_TRUST else 0
             assignments.append(_assign(task, vm, task.attempt + 1))
         return assignments
 
-    def _selector(self, key, step, vms, is_starved):
+    def _selector(self, key, step, vms, is_starved, *, max_doubtful=None):
         return VmSelector(
             interference=self._interference,
             key=key,
             step=step,
             vms=vms,
             is_starved=is_starved,
+            max_doubtful=max_doubtful,
         )
 
-    def _place_gang(self, key, step, tasks, vms, *, is_starved):
+    def _place_gang(self, key, step, tasks, vms, *, is_starved, max_doubtful):
         """Place all tasks of a gang, or none.
 
         They share one attempt number, above any earlier one of a member.
@@ -124,18 +149,24 @@
         racks = sorted({_rack(vm) for vm in vms}) if step.same_rack else [""]
         for rack in racks:
             in_rack = [vm for vm in vms if not rack or _rack(vm) == rack]
-            chosen = self._try_gang(key, step, tasks, in_rack, is_starved)
+            chosen = self._try_gang(
+                key, step, tasks, in_rack, is_starved, max_doubtful
+            )
             if chosen:
                 break
         if not chosen and step.same_rack:
-            chosen = self._try_gang(key, step, tasks, vms, is_starved)
+            chosen = self._try_gang(
+                key, step, tasks, vms, is_starved, max_doubtful
+            )
         return [
             _assign(task, vm, attempt)
             for task, vm in zip(tasks, chosen, strict=False)
         ]
 
-    def _try_gang(self, key, step, tasks, vms, is_starved):
-        selector = self._selector(key, step, vms, is_starved)
+    def _try_gang(self, key, step, tasks, vms, is_starved, max_doubtful):
+        selector = self._selector(
+            key, step, vms, is_starved, max_doubtful=max_doubtful
+        )
         chosen = []
         for _ in tasks:
             vm = selector.choose()
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -28,6 +28,8 @@
     :param spare_headroom: Headroom that its serving tasks can spare.
     :param max_new_tasks: Further tasks that it may take, None for any.
     :param is_stuck: Whether its tasks make no progress.
+    :param trust: Trust in it from 0 to 1, see :class:`VmTrust`.
+    :param planned_tasks: Number of tasks added since the load was copied.
     :param finite_tasks: Number of tasks on it that are not standing.
     :param best_effort_steps: Step of each best-effort task on it.
     :param serving_ids: Identity of each serving task on it.
@@ -48,6 +50,8 @@
     spare_headroom: float = DEFAULT_SPARE_HEADROOM
     max_new_tasks: int | None = None
     is_stuck: bool = False
+    trust: float = 1.0
+    planned_tasks: int = 0
     finite_tasks: int = 0
     best_effort_steps: list[Step] = dataclasses.field(default_factory=list)
     serving_ids: list[str] = dataclasses.field(default_factory=list)
@@ -72,6 +76,7 @@
             spare_headroom=self.spare_headroom,
             max_new_tasks=self.max_new_tasks,
             is_stuck=self.is_stuck,
+            trust=self.trust,
             finite_tasks=self.finite_tasks,
             best_effort_steps=self.best_effort_steps,
             serving_ids=self.serving_ids,
@@ -92,6 +97,7 @@
         self.serving_tasks += bool(step.latency_target_ms)
         self._count_best_effort(step, 1)
         self.steps[key] = self.steps.get(key, 0) + 1
+        self.planned_tasks += 1
         if self.max_new_tasks is not None:
             self.max_new_tasks -= 1
 
@@ -102,6 +108,7 @@
         self.serving_tasks -= bool(step.latency_target_ms)
         self._count_best_effort(step, -1)
         self.steps[key] -= 1
+        self.planned_tasks -= 1
         if self.max_new_tasks is not None:
             self.max_new_tasks += 1
 
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -3,12 +3,17 @@
 import heapq
 
 from radishlanding.policy.refusal import Refusal
+from radishlanding.policy.vm_trust import DOUBTFUL_TRUST
+from radishlanding.policy.vm_trust import FULL_TRUST
 
 # Share of its processors that a best-effort task must find idle to start.
 MIN_IDLE_SHARE = 0.6
 # Of the VMs with serving tasks, one in this many may try a best-effort image
 # that is not known yet, but one at least.
 VMS_PER_TRIAL = 16
+# Tasks without an end on a VM of less than full trust that is probed; further
+# ones go to trusted VMs first.
+PROBE_TASKS = 1
 
 
 class VmSelector:
@@ -20,6 +25,7 @@
 
     __slots__ = (
         "_admits_stuck",
+        "_doubtful_left",
         "_heap",
         "_interference",
         "_is_light",
@@ -28,9 +34,19 @@
         "_key",
         "_step",
         "_trials_left",
+        "is_held_back",
     )
 
-    def __init__(self, *, interference, key, step, vms, is_starved=False):
+    def __init__(
+        self,
+        *,
+        interference,
+        key,
+        step,
+        vms,
+        is_starved=False,
+        max_doubtful=None,
+    ):
         """Rank the VMs for the tasks of a step.
 
         :param interference: An :class:`Interference`.
@@ -43,7 +59,16 @@
             tasks may then run wherever they fit, the others where no
             best-effort task runs yet. VMs on which tasks are stuck may then
             be chosen if no other one suits the step.
+        :param max_doubtful: Tasks of the step that doubtful VMs may have
+            together, None for no limit.
         """
+        # Whether the limit has kept a doubtful VM from being chosen.
+        self.is_held_back = False
+        self._doubtful_left = None
+        if max_doubtful is not None and not is_starved:
+            self._doubtful_left = max_doubtful - sum(
+                vm.steps.get(key, 0) for vm in vms if is_doubtful(vm)
+            )
         self._admits_stuck = is_starved and not any(
             vm.suits(step) for vm in vms if not vm.is_stuck
         )
@@ -64,7 +89,9 @@
     def choose(self, *, avoided_vm=""):
         """Return the best VM for one more task, or None.
 
-        The caller adds the task to the VM and calls :meth:`restore`.
+        The caller adds the task to the VM and calls :meth:`restore`. A
+        doubtful VM gets one task at a time, so that :meth:`restore` can
+        count them.
 
         :param avoided_vm: Identity of a VM that is chosen only if no other
             one is left.
@@ -94,6 +121,8 @@
             self._trials_left -= self._is_trial(vm)
         if self._step.fills:
             self._forced_left = max(0, self._forced_left - 1)
+        if self._doubtful_left is not None:
+            self._doubtful_left -= is_doubtful(vm)
         self._push(vm)
 
     def _push(self, vm):
@@ -134,7 +163,20 @@
             return False
         if self._step.fills and self._best_effort_refusal(vm):
             return False
-        return vm.can_fit(self._key, self._step)
+        if not vm.can_fit(self._key, self._step):
+            return False
+        if self._exceeds_limit(vm):
+            self.is_held_back = True
+            return False
+        return True
+
+    def _exceeds_limit(self, vm):
+        """Return whether the doubtful VMs have their share of the step."""
+        return (
+            self._doubtful_left is not None
+            and self._doubtful_left <= 0
+            and is_doubtful(vm)
+        )
 
     def refusal(self, vm):
         """Return why a VM may not take one more task, or None.
@@ -146,7 +188,9 @@
             return Refusal.STUCK
         refusal = vm.refusal(self._key, self._step)
         if refusal is None and self._step.fills:
-            return self._best_effort_refusal(vm)
+            refusal = self._best_effort_refusal(vm)
+        if refusal is None and self._exceeds_limit(vm):
+            return Refusal.DOUBTFUL
         return refusal
 
     def _best_effort_refusal(self, vm):
@@ -190,22 +234,44 @@
         without serving tasks.
 
         A VM with the data of the step goes before all others, but for those
-        without idle processors, which are the last that a best-effort task
-        goes to.
+        of less trust, and those without idle processors, which are the last
+        that a best-effort task goes to.
         """
         step = self._step
         is_local = vm.has_local_data(step)
+        trust = _trust_rank(vm, step)
         if step.latency_target_ms:
             cost_rank = 0.0 if vm.serving_tasks else -vm.headroom_cost
             free = vm.free.millicores
-            return is_local, vm.serving_tasks > 0, cost_rank, free
+            return trust, is_local, vm.serving_tasks > 0, cost_rank, free
         is_idle = not step.fills or self._is_idle(vm)
         if step.fills and not self._is_light:
             left = vm.spare_headroom if vm.serving_tasks else 0.0
             left -= vm.headroom_cost
             idle = vm.idle_millicores
-            return is_idle, is_local, not vm.serving_tasks, left, idle
-        return is_idle, is_local, vm.serving_tasks > 0, vm.idle_millicores
+            is_free = not vm.serving_tasks
+            return is_idle, trust, is_local, is_free, left, idle
+        idle = vm.idle_millicores
+        return is_idle, trust, is_local, vm.serving_tasks > 0, idle
+
+
+def is_doubtful(vm):
+    """Return whether a VM is to get no more than half of a step."""
+    return vm.trust < DOUBTFUL_TRUST
+
+
+def _trust_rank(vm, step):
+    """Return a rank that is 0 for trusted VMs and least for doubtful ones.
+
+    A VM between the two is probed with few finite tasks, and is for the
+    others behind the trusted ones.
+    """
+    if vm.trust >= FULL_TRUST:
+        return 0
+    if is_doubtful(vm):
+        return -2
+    is_probe = vm.finite_tasks + vm.planned_tasks < PROBE_TASKS
+    return 0 if is_probe and not step.standing else -1
 
 
 def _count_forced(step):
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -145,6 +145,7 @@
                     vms,
                     is_starved=is_starved,
                     orders=orders,
+                    now_ms=now_ms,
                 )
         has_placed_all = ready_count == len(assignments)
         if has_placed_all and not workflow.repeats:
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -21,6 +21,7 @@
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import RunTimeRow
+from radishlanding.policy import VmTrust
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import LeaseTiming
 from radishlanding.workflow import Assignment
@@ -51,6 +52,7 @@
         run_time_monitor=RunTimeMonitor(
             registry=context.registry,
             run_times=context.run_times,
+            vm_trust=VmTrust(),
             counters=context.counters,
         ),
     )
@@ -276,6 +278,7 @@
     monitor = RunTimeMonitor(
         registry=site.registry,
         run_times=site.run_times,
+        vm_trust=VmTrust(),
         counters=site.counters,
     )
     took_ns = 0
