--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -3,9 +3,12 @@
 import collections
 import math
 
+from radishlanding.policy.doubt_limit import DoubtLimit
 from radishlanding.policy.last_tasks import has_last_tasks
 from radishlanding.policy.refusal import Refusal
+from radishlanding.policy.vm_selector import is_doubtful
 from radishlanding.policy.vm_selector import VmSelector
+from radishlanding.policy.vm_trust import FULL_TRUST
 from radishlanding.workflow import Assignment
 
 # A gang is assigned in one entry of the log. With some 150 bytes each, its
@@ -16,17 +19,24 @@
 class StepPlacer:
     """Assign the tasks of a step to VMs, a gang as a whole."""
 
-    __slots__ = ("_clock_s", "_interference", "_tickets", "ranks")
+    __slots__ = (
+        "_clock_s",
+        "_doubt_limit",
+        "_interference",
+        "_tickets",
+        "ranks",
+    )
 
     def __init__(self, *, interference, tickets=None, clock_s=None):
         """Prepare a placer; see :class:`WorkflowPlanner`."""
         self._clock_s = clock_s
+        self._doubt_limit = DoubtLimit()
         self._interference = interference
         self._tickets = tickets
         # Ranks of best-effort steps by name, see TaskPrecedenceOrder.
         self.ranks = {}
 
-    def place(self, record, position, vms, *, is_starved, orders):
+    def place(self, record, position, vms, *, is_starved, orders, now_ms):
         """Return assignments of a step's waiting tasks.
 
         Records are made of no more tasks than are placed, and one.
@@ -38,6 +48,7 @@
         :param is_starved: See :class:`VmSelector`.
         :param orders: The :class:`OrderBudget` of the workflow; a gang is
             placed as a whole if it has no more than ``MAX_GANG_TASKS``.
+        :param now_ms: Unix time, in milliseconds.
         :returns: :class:`radishlanding.workflow.Assignment` objects.
         """
         count = record.pending_count(*position)
@@ -48,17 +59,35 @@
         key = (workflow.workflow_id, *position)
         allowed = self._permitted_vms(key, vms) if workflow.is_advised else vms
         tasks = record.iter_pending(*position)
+        max_doubtful = self._doubt_limit.max_tasks(key, step, now_ms=now_ms)
         if step.gang:
             assignments = self._place_gang(
-                key, step, tasks, allowed, is_starved=is_starved
+                key,
+                step,
+                tasks,
+                allowed,
+                is_starved=is_starved,
+                max_doubtful=max_doubtful,
             )
+            if not assignments and any(map(is_doubtful, allowed)):
+                self._doubt_limit.hold(key, now_ms=now_ms)
             for assignment in assignments:
                 orders.take(assignment.vm)
             return assignments
         selector = self._selector(
-            key, step, allowed, is_starved, self._cost_behind(record, position)
+            key,
+            step,
+            allowed,
+            is_starved,
+            max_doubtful=max_doubtful,
+            cost_behind=self._cost_behind(record, position),
+        )
+        assignments = self._place_tasks(
+            key, step, tasks, selector, orders, count
         )
-        return self._place_tasks(key, step, tasks, selector, orders, count)
+        if selector.is_held_back and len(assignments) < count:
+            self._doubt_limit.hold(key, now_ms=now_ms)
+        return assignments
 
     def refusals(self, record, position, vms, *, is_starved):
         """Return how many VMs refuse a task of a step, by reason.
@@ -77,7 +106,11 @@
         if step.gang and step.count > MAX_GANG_TASKS:
             return collections.Counter({Refusal.GANG_SIZE: len(vms)})
         selector = self._selector(
-            key, step, allowed, is_starved, self._cost_behind(record, position)
+            key,
+            step,
+            allowed,
+            is_starved,
+            cost_behind=self._cost_behind(record, position),
         )
         counts = collections.Counter(map(selector.refusal, allowed))
         without_ticket = len(vms) - len(allowed)
@@ -118,7 +151,7 @@
                 break
             self._add(vm, key, step)
             orders.take(vm.vm)
-            left -= 1
+            left = left - 1 if vm.trust >= FULL_TRUST else 0
             assignments.append(_assign(task, vm, task.attempt + 1))
         return assignments
 
@@ -151,17 +184,27 @@
 
         return cost_behind
 
-    def _selector(self, key, step, vms, is_starved, cost_behind=None):
+    def _selector(
+        self,
+        key,
+        step,
+        vms,
+        is_starved,
+        *,
+        max_doubtful=None,
+        cost_behind=None,
+    ):
         return VmSelector(
             interference=self._interference,
             key=key,
             step=step,
             vms=vms,
             is_starved=is_starved,
+            max_doubtful=max_doubtful,
             cost_behind=cost_behind,
         )
 
-    def _place_gang(self, key, step, tasks, vms, *, is_starved):
+    def _place_gang(self, key, step, tasks, vms, *, is_starved, max_doubtful):
         """Place all tasks of a gang, or none.
 
         They share one attempt number, above any earlier one of a member.
@@ -172,11 +215,13 @@
         racks = sorted({_rack(vm) for vm in vms}) if step.same_rack else [""]
         for rack in racks:
             in_rack = [vm for vm in vms if not rack or _rack(vm) == rack]
-            chosen = self._try_gang(key, step, in_rack, is_starved)
+            chosen = self._try_gang(
+                key, step, in_rack, is_starved, max_doubtful
+            )
             if chosen:
                 break
         if not chosen and step.same_rack:
-            chosen = self._try_gang(key, step, vms, is_starved)
+            chosen = self._try_gang(key, step, vms, is_starved, max_doubtful)
         if not chosen:
             return []
         members = list(tasks)
@@ -186,8 +231,10 @@
             for task, vm in zip(members, chosen, strict=True)
         ]
 
-    def _try_gang(self, key, step, vms, is_starved):
-        selector = self._selector(key, step, vms, is_starved)
+    def _try_gang(self, key, step, vms, is_starved, max_doubtful):
+        selector = self._selector(
+            key, step, vms, is_starved, max_doubtful=max_doubtful
+        )
         chosen = []
         for _ in range(step.count):
             vm = selector.choose()
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -165,7 +165,12 @@
                     self._next_steps[workflow.workflow_id] = position
                 break
             placed = self._step_placer.place(
-                record, position, vms, is_starved=is_starved, orders=orders
+                record,
+                position,
+                vms,
+                is_starved=is_starved,
+                orders=orders,
+                now_ms=now_ms,
             )
             assignments += placed
             has_placed_all &= len(placed) == record.pending_count(*position)
