Rank the workflows that can end in time first in an overload

Beyond capacity the order by deadline makes nearly all workflows late. The new CompletionOrder takes note of the load every 250 ms (WorkflowOrder.update). If all finite workflows of a pool and priority can end in time with 0.4 of its room, it is the order by deadline. Otherwise a set that can end in time goes first (Moore and Hodgson), by worth per remaining work, then late ones, then the others, then expired ones, of which one at a time is brought forward.

--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -194,15 +194,20 @@
         self._lacks_room = not max_bytes
         if not self._site_watch.is_ready or not max_bytes:
             return []
-        active = [
+        records = [
             record
             for record in self._registry.workflows.values()
             if not record.phase.has_ended
-            and not self._planner.is_fully_placed(record)
+        ]
+        self._planner.update(records, self._loads, now_ms=now_ms)
+        active = [
+            record
+            for record in records
+            if not self._planner.is_fully_placed(record)
         ]
         if not active:
             return []
-        loads = self._fleet.loads(self._site_watch.site, with_stuck=True)
+        loads = self._loads()
         if not loads:
             return []
         assignments = self._planner.plan(
@@ -211,6 +216,9 @@
         self._lacks_room = self._planner.was_cut_short
         return assignments
 
+    def _loads(self):
+        return self._fleet.loads(self._site_watch.site, with_stuck=True)
+
     def _publish(self, entry):
         """Make a committed entry visible to callers and VMs."""
         self._counters.add("entries")
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -28,7 +28,8 @@
 from radishlanding.platform import read_site
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
-from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import CallerEstimates
+from radishlanding.policy import CompletionOrder
 from radishlanding.policy import Interference
 from radishlanding.policy import StrongestFirst
 from radishlanding.policy import TicketCache
@@ -161,7 +162,7 @@
             registry=registry,
             site_watch=self._site_watch,
             planner=WorkflowPlanner(
-                order=EarliestDeadline(),
+                order=CompletionOrder(run_times=CallerEstimates()),
                 interference=self._interference,
                 tickets=tickets,
                 clock_s=boot_clock_s,
--- /dev/null
+++ b/src/radishlanding/policy/completion_order.py
@@ -0,0 +1,208 @@
+"""Order of workflows that completes as many as capacity allows."""
+
+import collections
+import functools
+import math
+
+from radishlanding.policy.ageing import Ageing
+from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
+from radishlanding.policy.open_workflow import OpenWorkflow
+from radishlanding.policy.remaining_work import remaining_work
+from radishlanding.policy.selection import select
+from radishlanding.policy.size_history import SizeHistory
+from radishlanding.policy.tier import Tier
+from radishlanding.workflow import WorkflowPhase
+
+# Share of the room that is planned for. The rest goes to workflows that arrive
+# later and ends unused between steps: with the whole room, a queue at 1.5
+# times its capacity completes hardly more in time than by deadline.
+PLANNED_SHARE = 0.4
+# Overload counts as over once everything has fitted for this long, so that
+# ranks do not flip with each arrival.
+CALM_MS = 3000
+# Worth of a result that is late, as a share of one in time.
+LATE_WORTH = 1 / 7
+# Part of a workflow's worth that does not depend on its size.
+BASE_WORTH = 0.3
+# Hysteresis: what has begun or was selected before keeps its place against
+# work of up to this multiple of its worth per core-second.
+BEGUN_FACTOR = 2.0
+SELECTED_FACTOR = 1.5
+# Precedence of size classes that have been served too rarely.
+OWED_FACTOR = 5.0
+
+
+class CompletionOrder:
+    """Order workflows so that those which can still end in time do.
+
+    As long as the capacity suffices, this is :class:`EarliestDeadline`.
+    Beyond it, a set of workflows goes first that can end in time together,
+    chosen by worth per remaining work. Then come those that can end late but
+    before they are worth nothing, then the others, then expired ones. Within
+    a set the greatest worth per remaining work goes first: by deadline, all
+    of them would be late as soon as one estimate is too low.
+    """
+
+    __slots__ = (
+        "_ageing",
+        "_histories",
+        "_open",
+        "_overloaded_ms",
+        "_run_times",
+    )
+
+    def __init__(self, *, run_times):
+        """Start without workflows.
+
+        :param run_times: A :class:`RunTimes`.
+        """
+        self._ageing = Ageing()
+        self._histories = collections.defaultdict(SizeHistory)
+        self._open = {}
+        # Time of the last overload by pool and priority.
+        self._overloaded_ms = {}
+        self._run_times = run_times
+
+    def update(self, records, *, rooms, now_ms):
+        """Select workflows; see :class:`WorkflowOrder`."""
+        finite = [rec for rec in records if _is_selectable(rec.workflow)]
+        self._drop_ended({rec.workflow.workflow_id for rec in finite})
+        groups = collections.defaultdict(list)
+        for record in finite:
+            workflow = record.workflow
+            item = self._refresh(record, rooms.get(workflow.pool, 0.0))
+            groups[workflow.pool, workflow.priority].append(item)
+            self._record_expiry(item, now_ms)
+        used = collections.Counter()
+        for pool, priority in sorted(groups):
+            items = groups[pool, priority]
+            self._select(
+                (pool, priority), items, rooms.get(pool, 0.0), now_ms, used
+            )
+            used[pool] += sum(item.core_ms for item in items)
+
+    def key(self, record, *, now_ms):
+        """Return a sort key; smaller keys are placed first."""
+        workflow = record.workflow
+        item = self._open.get(workflow.workflow_id)
+        if item is not None and item.tier is not None:
+            tier, rank, due_ms = item.tier, item.rank, item.due_ms
+        else:
+            start_ms = record.objective_start_ms(now_ms)
+            objective_ms = workflow.objective_ms()
+            if item is not None:
+                objective_ms = item.objective_ms
+            tier, rank = _tier(now_ms - start_ms, objective_ms), 0.0
+            due_ms = start_ms + objective_ms
+        return (
+            workflow.priority,
+            not workflow.is_standing,
+            tier,
+            rank,
+            due_ms,
+            workflow.workflow_id,
+        )
+
+    def _refresh(self, record, room_millicores):
+        """Return the up-to-date :class:`OpenWorkflow` of a record."""
+        workflow = record.workflow
+        left = remaining_work(
+            record, self._run_times, room_millicores=room_millicores
+        )
+        item = self._open.get(workflow.workflow_id)
+        history = self._histories[workflow.queue]
+        if item is None:
+            history.add(left.total_core_ms)
+            item = OpenWorkflow(record=record)
+            self._open[workflow.workflow_id] = item
+        item.apply(left)
+        item.size_class = history.size_class(left.total_core_ms)
+        item.density = self._density(item, left, history)
+        return item
+
+    def _density(self, item, left, history):
+        """Return the worth per remaining work; 1 is the queue's mean."""
+        mean_core_ms = max(history.mean_core_ms, 1.0)
+        worth = BASE_WORTH
+        worth += (1 - BASE_WORTH) * left.total_core_ms / mean_core_ms
+        density = worth * mean_core_ms / max(left.core_ms, 1.0)
+        if item.is_begun:
+            density *= BEGUN_FACTOR
+        if item.tier == Tier.ON_TIME:
+            density *= SELECTED_FACTOR
+        if history.is_owed(item.size_class):
+            density *= OWED_FACTOR
+        return density
+
+    def _select(self, group, items, room_millicores, now_ms, used):
+        """Set tier and rank of the workflows of one pool and priority."""
+        aged = self._ageing.choose(items, now_ms=now_ms)
+        live = [item for item in items if not item.is_expired]
+        run = functools.partial(
+            select,
+            room_millicores=PLANNED_SHARE * room_millicores,
+            now_ms=now_ms,
+        )
+        used_core_ms = used[group[0]]
+        on_time, others = run(
+            live, limit_ms=_due_ms, used_core_ms=used_core_ms
+        )
+        if any(now_ms + item.path_ms <= _due_ms(item) for item in others):
+            self._overloaded_ms[group] = now_ms
+        if now_ms - self._overloaded_ms.get(group, -CALM_MS) >= CALM_MS:
+            for item in items:
+                item.tier = None
+            return
+        used_core_ms += sum(item.core_ms for item in on_time)
+        late, _ = run(others, limit_ms=_expiry_ms, used_core_ms=used_core_ms)
+        for item in items:
+            if item in aged:
+                item.tier, item.rank = Tier.ON_TIME, -math.inf
+            elif item.is_expired:
+                item.tier, item.rank = Tier.EXPIRED, 0.0
+            else:
+                item.tier = Tier.UNSELECTED
+                if item in on_time:
+                    item.tier = Tier.ON_TIME
+                elif item in late:
+                    item.tier = Tier.LATE
+                item.rank_by_density()
+
+    def _record_expiry(self, item, now_ms):
+        """Count a workflow as not served once it is worth nothing."""
+        if now_ms > item.expiry_ms and not item.is_expired:
+            item.is_expired = True
+            self._history(item).record_end(item.size_class, 0.0)
+
+    def _drop_ended(self, open_ids):
+        for workflow_id in self._open.keys() - open_ids:
+            item = self._open.pop(workflow_id)
+            record = item.record
+            if item.is_expired or record.phase != WorkflowPhase.COMPLETED:
+                continue
+            is_late = record.ended_ms > item.due_ms
+            self._history(item).record_end(
+                item.size_class, LATE_WORTH if is_late else 1.0
+            )
+
+    def _history(self, item):
+        return self._histories[item.record.workflow.queue]
+
+
+def _is_selectable(workflow):
+    """Return whether a workflow has one objective of its own."""
+    return not workflow.is_standing and not workflow.repeats
+
+
+def _due_ms(item):
+    return item.due_ms + item.tolerance_ms
+
+
+def _expiry_ms(item):
+    return item.expiry_ms + item.tolerance_ms
+
+
+def _tier(age_ms, objective_ms):
+    if age_ms > EXPIRY_FACTOR * objective_ms:
+        return Tier.EXPIRED
+    return Tier.LATE if age_ms > objective_ms else Tier.ON_TIME
--- a/src/radishlanding/policy/earliest_deadline.py
+++ b/src/radishlanding/policy/earliest_deadline.py
@@ -14,6 +14,9 @@
 
     __slots__ = ()
 
+    def update(self, records, *, rooms, now_ms):
+        """Do nothing: the order does not depend on the load."""
+
     def key(self, record, *, now_ms):
         """Return a sort key; smaller keys are placed first."""
         workflow = record.workflow
--- /dev/null
+++ b/src/radishlanding/policy/open_workflow.py
@@ -0,0 +1,83 @@
+"""A workflow that has not ended, as its order sees it."""
+
+import dataclasses
+
+from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
+from radishlanding.policy.size_history import SizeClass
+from radishlanding.policy.tier import Tier
+from radishlanding.workflow import WorkflowPhase
+from radishlanding.workflow import WorkflowRecord
+
+# A begun workflow may exceed its limits by this share of its objective, as
+# its remaining path is known only roughly.
+BEGUN_TOLERANCE = 0.25
+# The objective is kept unless the estimates change it by more than this
+# share, so that ranks do not flip with each sample.
+OBJECTIVE_TOLERANCE = 0.1
+# The rank in a tier is kept until the density has changed by this share.
+DENSITY_TOLERANCE = 0.2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class OpenWorkflow:
+    """A finite workflow with what is expected of it.
+
+    :param record: Its record.
+    :param core_ms: Work that is left, in core-milliseconds.
+    :param path_ms: Time that the rest takes at least, in milliseconds.
+    :param objective_ms: Time to complete within, in milliseconds.
+    :param density: Worth per remaining work; 1 is the queue's mean.
+    :param size_class: Its :class:`SizeClass`.
+    :param is_expired: Whether its result is worth nothing any more.
+    :param tier: Its :class:`Tier` in an overload, None without.
+    :param rank: Its place in the tier; smaller goes first.
+    """
+
+    record: WorkflowRecord
+    core_ms: float = 0.0
+    path_ms: float = 0.0
+    objective_ms: float = 0.0
+    density: float = 0.0
+    size_class: SizeClass = SizeClass.REST
+    is_expired: bool = False
+    tier: Tier | None = None
+    rank: float = 0.0
+
+    def apply(self, left):
+        """Take over what is left to do.
+
+        :param left: A :class:`RemainingWork`.
+        """
+        self.core_ms = left.core_ms
+        self.path_ms = left.path_ms
+        change_ms = abs(left.objective_ms - self.objective_ms)
+        if change_ms > OBJECTIVE_TOLERANCE * self.objective_ms:
+            self.objective_ms = left.objective_ms
+
+    def rank_by_density(self):
+        """Set the rank, the greatest density first."""
+        if abs(self.density + self.rank) > DENSITY_TOLERANCE * self.density:
+            self.rank = -self.density
+
+    @property
+    def is_begun(self):
+        """Return whether a task of it has been assigned."""
+        return self.record.phase == WorkflowPhase.RUNNING
+
+    @property
+    def due_ms(self):
+        """Return when it is due, as Unix time in milliseconds."""
+        return self.record.workflow.accepted_ms + self.objective_ms
+
+    @property
+    def expiry_ms(self):
+        """Return when its result is worth nothing, as Unix time in ms."""
+        return (
+            self.record.workflow.accepted_ms
+            + EXPIRY_FACTOR * self.objective_ms
+        )
+
+    @property
+    def tolerance_ms(self):
+        """Return by how much it may be expected to exceed a limit."""
+        return BEGUN_TOLERANCE * self.objective_ms if self.is_begun else 0.0
--- /dev/null
+++ b/src/radishlanding/policy/size_history.py
@@ -0,0 +1,88 @@
+"""How workflows of different sizes of one queue have fared."""
+
+import bisect
+import collections
+import enum
+
+# Workflows that the limits of the size classes are taken from.
+SAMPLE_COUNT = 200
+# Too few sizes give no limits.
+MIN_SAMPLES = 10
+# Each end lets the earlier ones count less, so that an old overload is
+# forgotten after some 50 of them.
+DECAY = 0.98
+# A class that is served at less than this share of its queue's rate goes
+# first. The promise is a half; the rest is the margin of a late reaction.
+OWED_SHARE = 0.75
+# Ends assumed in advance, served at the queue's rate.
+PRIOR_ENDS = 1.0
+
+
+class SizeClass(enum.IntEnum):
+    """Share of a queue by size of its workflows."""
+
+    REST = 0
+    NEXT_FIFTH = 1
+    LARGEST_TENTH = 2
+
+
+class SizeHistory:
+    """Hold sizes and outcomes of the workflows of a queue."""
+
+    __slots__ = ("_ended", "_served", "_sizes", "_sorted")
+
+    def __init__(self):
+        """Start without workflows."""
+        self._ended = [0.0] * len(SizeClass)
+        self._served = [0.0] * len(SizeClass)
+        self._sizes = collections.deque()
+        self._sorted = []
+
+    def add(self, core_ms):
+        """Count a new workflow.
+
+        :param core_ms: Its work, in core-milliseconds.
+        """
+        if len(self._sizes) == SAMPLE_COUNT:
+            oldest = self._sizes.popleft()
+            del self._sorted[bisect.bisect_left(self._sorted, oldest)]
+        self._sizes.append(core_ms)
+        bisect.insort(self._sorted, core_ms)
+
+    @property
+    def mean_core_ms(self):
+        """Return the mean size, in core-milliseconds; 0 without workflows."""
+        return sum(self._sizes) / len(self._sizes) if self._sizes else 0.0
+
+    def size_class(self, core_ms):
+        """Return the :class:`SizeClass` of a workflow.
+
+        :param core_ms: Its work, in core-milliseconds.
+        """
+        count = len(self._sorted)
+        if count < MIN_SAMPLES:
+            return SizeClass.REST
+        share = bisect.bisect_left(self._sorted, core_ms) / count
+        if share >= 0.9:
+            return SizeClass.LARGEST_TENTH
+        return SizeClass.NEXT_FIFTH if share >= 0.7 else SizeClass.REST
+
+    def record_end(self, size_class, served):
+        """Count the end of a workflow, or the end of its value.
+
+        :param size_class: Its :class:`SizeClass`.
+        :param served: What it was worth to its caller, 0 to 1.
+        """
+        for values in (self._ended, self._served):
+            values[:] = [DECAY * value for value in values]
+        self._ended[size_class] += 1
+        self._served[size_class] += served
+
+    def is_owed(self, size_class):
+        """Return whether a class of large workflows is served too rarely."""
+        if size_class == SizeClass.REST or not sum(self._ended):
+            return False
+        rate = sum(self._served) / sum(self._ended)
+        ended = self._ended[size_class] + PRIOR_ENDS
+        own_rate = (self._served[size_class] + PRIOR_ENDS * rate) / ended
+        return own_rate < OWED_SHARE * rate
--- a/src/radishlanding/policy/workflow_order.py
+++ b/src/radishlanding/policy/workflow_order.py
@@ -6,6 +6,18 @@
 class WorkflowOrder(typing.Protocol):
     """Rank the workflows that wait for capacity."""
 
+    def update(self, records, *, rooms, now_ms):
+        """Take note of the load; keys stay as they are until the next call.
+
+        To be called in every placement round, before :meth:`key`.
+
+        :param records: Records of all workflows that have not ended,
+            :class:`radishlanding.workflow.WorkflowRecord` objects.
+        :param rooms: Processors that finite tasks can use, in millicores by
+            pool.
+        :param now_ms: Unix time, in milliseconds.
+        """
+
     def key(self, record, *, now_ms):
         """Return a sort key; smaller keys are placed first.
 
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -2,6 +2,7 @@
 
 import random
 
+from radishlanding.policy.finite_room import finite_rooms
 from radishlanding.policy.idle_clock import IdleClock
 from radishlanding.policy.placement_budget import PlacementBudget
 from radishlanding.policy.placement_wait import PlacementWait
@@ -9,6 +10,8 @@
 
 # Assignments per log entry; a larger entry takes longer to be committed.
 MAX_ASSIGNMENTS = 150
+# Rounds come with each commit; the load changes more slowly.
+UPDATE_INTERVAL_MS = 250
 # Best-effort tasks wait this long for a VM that suits them while nothing of
 # their workflow runs. Callers take a ready workflow for lost after 3 s; round,
 # commit, order and start take up to two on a weak entry VM.
@@ -24,6 +27,7 @@
         "_order",
         "_rng",
         "_step_placer",
+        "_updated_ms",
         "_was_cut_short",
     )
 
@@ -43,6 +47,7 @@
         """
         self._fully_placed = set()
         self._was_cut_short = False
+        self._updated_ms = 0
         self._idle_clock = IdleClock()
         self._order = order
         self._rng = rng or random.Random()
@@ -59,6 +64,21 @@
         """Return the sort key of a workflow; see :class:`WorkflowOrder`."""
         return self._order.key(record, now_ms=now_ms)
 
+    def update(self, records, loads, *, now_ms):
+        """Let the order take note of the load, every few rounds.
+
+        :param records: Records of all workflows that have not ended.
+        :param loads: Callable that returns the :class:`VmLoad` objects; it is
+            called only when due.
+        :param now_ms: Unix time, in milliseconds.
+        """
+        if 0 <= now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+            return
+        rooms = finite_rooms(loads())
+        if rooms:
+            self._updated_ms = now_ms
+            self._order.update(records, rooms=rooms, now_ms=now_ms)
+
     def is_fully_placed(self, record):
         """Return whether no ready task of a workflow waits for a VM.
 
--- /dev/null
+++ b/tests/policy/completion_order.feature
@@ -0,0 +1,41 @@
+Feature: In an overload the workflows that can end in time go first
+
+  By deadline, every workflow of a queue that wants more than its processors
+  can do ends late.
+
+  Scenario: with enough room the order is that of deadlines
+    Given 200 open workflows of random sizes and ages
+    When there is room for all of them
+    Then they are ranked as by deadline
+
+  Scenario Outline: a queue beyond its capacity for 60 s
+    When queues at <load> times their capacity are played with estimates off by nine tenths
+    Then at least <more> of the workflows more end in time than by deadline
+    And callers get at least <worth> of the worth of all
+    And no more workflows are begun and not done than by deadline
+    And the largest tenth and the fifth below it get at least <share> of their queue's share
+
+    Examples:
+      | load | more | worth | share |
+      | 1.5  | 0.1  | 0.6   | 0.5   |
+      | 2.5  | 0.15 | 0.4   | 0.2   |
+
+  Scenario: an overload ends
+    Given workflows whose work exceeds the room
+    When some of them are done and the rest fits
+    Then they are ranked as by deadline after 3 s
+
+  Scenario: a begun workflow keeps its place before slightly smaller ones
+    Given workflows whose work exceeds the room
+    When one of them has begun
+    Then it goes before those that are of half its worth per work more
+
+  Scenario: priorities and standing workflows come first in an overload
+    Given workflows whose work exceeds the room
+    And a standing workflow and one of a higher priority
+    Then the one of a higher priority is first and the standing one second
+
+  Scenario: expired workflows are done one at a time
+    Given workflows whose work exceeds the room
+    When two of them are expired for long
+    Then the older one goes first and the other one last
--- /dev/null
+++ b/tests/policy/completion_order_steps.py
@@ -0,0 +1,214 @@
+"""Steps about the order of workflows in an overload."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.policy import CallerEstimates
+from radishlanding.policy import CompletionOrder
+from radishlanding.policy import EarliestDeadline
+from radishlanding.vm import Capacity
+from radishlanding.workflow import Step
+from radishlanding.workflow import WorkflowPhase
+from radishlanding.workflow import WorkflowRecord
+from tests.policy import overload_play
+from tests.workflow.workflow_steps import make_workflow
+
+NOW_MS = 1_000_000
+POOL = "order-desk"
+SEEDS = 6
+
+
+def _order():
+    return CompletionOrder(run_times=CallerEstimates())
+
+
+def _update(context, room_millicores, now_ms=NOW_MS):
+    context.order.update(
+        [rec for rec in context.records if not rec.phase.has_ended],
+        rooms={POOL: room_millicores},
+        now_ms=now_ms,
+    )
+
+
+def _ranked(context, order, now_ms=NOW_MS):
+    open_records = [rec for rec in context.records if not rec.phase.has_ended]
+    open_records.sort(key=lambda rec: order.key(rec, now_ms=now_ms))
+    return [rec.workflow.workflow_id for rec in open_records]
+
+
+@given("200 open workflows of random sizes and ages")
+def _random(context):
+    rng = random.Random(1)
+    context.order = _order()
+    context.records = [
+        overload_play.make_job(
+            rng, number, NOW_MS - rng.uniform(0, 90_000)
+        ).record
+        for number in range(200)
+    ]
+
+
+@when("there is room for all of them")
+def _ample(context):
+    _update(context, 10**9)
+
+
+@then("they are ranked as by deadline")
+def _as_by_deadline(context, now_ms=NOW_MS):
+    found = _ranked(context, context.order, now_ms)
+    assert found == _ranked(context, EarliestDeadline(), now_ms)
+
+
+def _play(load, make_order):
+    jobs = []
+    for seed in range(SEEDS):
+        played = overload_play.arrivals(seed, load)
+        overload_play.play(played, make_order(), seed=seed)
+        jobs.append(played)
+    return jobs
+
+
+@when(
+    "queues at {load:g} times their capacity are played with estimates off "
+    "by nine tenths"
+)
+def _played(context, load):
+    context.played = _play(load, _order)
+    context.baseline = _play(load, EarliestDeadline)
+
+
+def _share(plays, part=lambda jobs: jobs, outcomes=("in time",)):
+    jobs = [job for play in plays for job in part(play)]
+    return sum(job.outcome in outcomes for job in jobs) / len(jobs)
+
+
+@then("at least {more:g} of the workflows more end in time than by deadline")
+def _more_in_time(context, more):
+    found, baseline = _share(context.played), _share(context.baseline)
+    assert found >= baseline + more, (found, baseline)
+
+
+@then("callers get at least {worth:g} of the worth of all")
+def _worth(context, worth):
+    found = [overload_play.worth(jobs) for jobs in context.played]
+    assert sum(found) / len(found) >= worth, found
+
+
+@then("no more workflows are begun and not done than by deadline")
+def _unfinished(context):
+    found, baseline = (
+        sum(
+            any(job.started) and not job.record.phase.has_ended
+            for jobs in plays
+            for job in jobs
+        )
+        for plays in (context.played, context.baseline)
+    )
+    assert found <= baseline, (found, baseline)
+
+
+@then(
+    "the largest tenth and the fifth below it get at least {share:g} of their "
+    "queue's share"
+)
+def _sizes(context, share):
+    rate = _share(context.played)
+    for first, last in ((0.9, 1.0), (0.7, 0.9)):
+        part = overload_play.part_by_size(first, last)
+        found = _share(context.played, part)
+        assert found >= share * rate, (first, found, rate)
+
+
+@given("workflows whose work exceeds the room")
+def _overload(context):
+    context.order = _order()
+    context.records = [
+        _record(f"{number:016x}", count=10 + number) for number in range(20)
+    ]
+    context.room = 20_000
+    _update(context, context.room)
+    assert _ranked(context, context.order) != _ranked(
+        context, EarliestDeadline()
+    )
+
+
+def _record(name, count=10, age_ms=0, **fields):
+    step = Step(
+        count=count,
+        needs=Capacity(millicores=1000, memory_mb=100),
+        estimated_ms=4000 + 10 * count,
+        standing=fields.pop("standing", False),
+    )
+    workflow = make_workflow(
+        [step],
+        name=name,
+        stretch=2.0,
+        latency_ms=3000 - 25 * count,
+        accepted_ms=NOW_MS - age_ms,
+        **fields,
+    )
+    return WorkflowRecord(workflow=workflow)
+
+
+@when("some of them are done and the rest fits")
+def _some_done(context):
+    for record in context.records[2:]:
+        record.phase = WorkflowPhase.COMPLETED
+        record.ended_ms = NOW_MS
+    context.records += [_record("a" * 16, count=5), _record("b" * 16, count=9)]
+    _update(context, 10**9, NOW_MS + 1000)
+    _update(context, 10**9, NOW_MS + 4000)
+
+
+@then("they are ranked as by deadline after 3 s")
+def _calm(context):
+    _as_by_deadline(context, NOW_MS + 4000)
+
+
+@when("one of them has begun")
+def _begun(context):
+    context.begun = context.records[10]
+    context.begun.phase = WorkflowPhase.RUNNING
+    _update(context, context.room)
+
+
+@then("it goes before those that are of half its worth per work more")
+def _keeps(context):
+    ranked = _ranked(context, context.order)
+    begun = ranked.index(context.begun.workflow.workflow_id)
+    smaller = context.records[5].workflow.workflow_id
+    assert begun < ranked.index(smaller), ranked
+
+
+@given("a standing workflow and one of a higher priority")
+def _others(context):
+    context.records += [
+        _record("b" * 16, standing=True),
+        _record("a" * 16, priority=-1),
+    ]
+    _update(context, context.room)
+
+
+@then("the one of a higher priority is first and the standing one second")
+def _first(context):
+    assert _ranked(context, context.order)[:2] == ["a" * 16, "b" * 16]
+
+
+@when("two of them are expired for long")
+def _expired(context):
+    context.records += [
+        _record("a" * 16, age_ms=200_000),
+        _record("b" * 16, age_ms=190_000),
+    ]
+    _update(context, context.room)
+    _update(context, context.room, NOW_MS + 1000)
+
+
+@then("the older one goes first and the other one last")
+def _aged(context):
+    ranked = _ranked(context, context.order)
+    assert ranked[0] == "a" * 16, ranked
+    assert ranked[-1] == "b" * 16, ranked
