--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -2,6 +2,7 @@
 
 import random
 
+from radishlanding.policy.finite_room import finite_rooms
 from radishlanding.policy.idle_clock import IdleClock
 from radishlanding.policy.placement_budget import PlacementBudget
 from radishlanding.policy.placement_wait import PlacementWait
@@ -16,6 +17,8 @@
 # at all VMs. The next round goes on with the steps behind them, so that rounds
 # of 0.25 s try all 1,000 steps of the longest workflow within 2.5 s.
 MAX_UNPLACED_STEPS = 100
+# Rounds come with each commit; the load changes more slowly.
+UPDATE_INTERVAL_MS = 250
 # Best-effort tasks wait this long for a VM that suits them while nothing of
 # their workflow runs. Callers take a ready workflow for lost after 3 s; round,
 # commit, order and start take up to two on a weak entry VM.
@@ -32,6 +35,7 @@
         "_next_steps",
         "_rng",
         "_step_placer",
+        "_updated_ms",
         "_was_cut_short",
     )
 
@@ -51,6 +55,7 @@
         """
         self._fully_placed = set()
         self._was_cut_short = False
+        self._updated_ms = 0
         self._idle_clock = IdleClock()
         # Position to start from, by workflow, where a round was cut short.
         self._next_steps = {}
@@ -77,6 +82,21 @@
         """
         self._step_placer.ranks = ranks
 
+    def update(self, records, loads, *, now_ms):
+        """Let the order take note of the load, every few rounds.
+
+        :param records: Records of all workflows that have not ended.
+        :param loads: Callable that returns the :class:`VmLoad` objects; it is
+            called only when due.
+        :param now_ms: Unix time, in milliseconds.
+        """
+        if 0 <= now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+            return
+        rooms = finite_rooms(loads())
+        if rooms:
+            self._updated_ms = now_ms
+            self._order.update(records, rooms=rooms, now_ms=now_ms)
+
     def is_fully_placed(self, record):
         """Return whether no ready task of a workflow waits for a VM.
 
