Rank tasks by the selection of workflows in an overload

TaskPrecedenceOrder took the first four parts of a key for the class of a workflow. Keys now have one part for the tier, so that the fourth is the rank within it: in an overload the agents' order is that of CompletionOrder, and otherwise the one by remaining work, as EarliestDeadline's rank is 0.

--- a/src/radishlanding/policy/completion_order.py
+++ b/src/radishlanding/policy/completion_order.py
@@ -5,12 +5,12 @@
 import math
 
 from radishlanding.policy.ageing import Ageing
-from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
 from radishlanding.policy.open_workflow import OpenWorkflow
 from radishlanding.policy.remaining_work import remaining_work
 from radishlanding.policy.selection import select
 from radishlanding.policy.size_history import SizeHistory
 from radishlanding.policy.tier import Tier
+from radishlanding.policy.tier import tier_by_age
 from radishlanding.workflow import WorkflowPhase
 
 # Share of the room that is planned for. The rest goes to workflows that arrive
@@ -92,7 +92,7 @@
             objective_ms = workflow.objective_ms()
             if item is not None:
                 objective_ms = item.objective_ms
-            tier, rank = _tier(now_ms - start_ms, objective_ms), 0.0
+            tier, rank = tier_by_age(now_ms - start_ms, objective_ms), 0.0
             due_ms = start_ms + objective_ms
         return (
             workflow.priority,
@@ -200,9 +200,3 @@
 
 def _expiry_ms(item):
     return item.expiry_ms + item.tolerance_ms
-
-
-def _tier(age_ms, objective_ms):
-    if age_ms > EXPIRY_FACTOR * objective_ms:
-        return Tier.EXPIRED
-    return Tier.LATE if age_ms > objective_ms else Tier.ON_TIME
--- a/src/radishlanding/policy/earliest_deadline.py
+++ b/src/radishlanding/policy/earliest_deadline.py
@@ -1,8 +1,6 @@
 """Earliest-deadline-first order of workflows."""
 
-# Workflows older than this multiple of the objective go last: their
-# completion has no value left.
-EXPIRY_FACTOR = 3.0
+from radishlanding.policy.tier import tier_by_age
 
 
 class EarliestDeadline:
@@ -23,13 +21,11 @@
         start_ms = record.objective_start_ms(now_ms)
         age_ms = now_ms - start_ms
         objective_ms = workflow.objective_ms()
-        is_expired = age_ms > EXPIRY_FACTOR * objective_ms
-        is_late = age_ms > objective_ms
         return (
             workflow.priority,
             not workflow.is_standing,
-            is_expired,
-            is_late,
+            tier_by_age(age_ms, objective_ms),
+            0.0,
             start_ms + objective_ms,
             workflow.workflow_id,
         )
--- a/src/radishlanding/policy/open_workflow.py
+++ b/src/radishlanding/policy/open_workflow.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
+from radishlanding.policy.tier import EXPIRY_FACTOR
 from radishlanding.policy.size_history import SizeClass
 from radishlanding.policy.tier import Tier
 from radishlanding.workflow import WorkflowPhase
--- a/src/radishlanding/policy/workflow_order.py
+++ b/src/radishlanding/policy/workflow_order.py
@@ -3,8 +3,8 @@
 import typing
 
 # Leading parts of a sort key that form the class of a workflow: priority,
-# whether it is finite, has expired and is late. The parts behind them change
-# with each figure of a workflow, the class seldom.
+# whether it is finite, its tier, and its rank within the tier, which is 0
+# unless the order ranks workflows in an overload.
 CLASS_PARTS = 4
 
 
--- a/tests/policy/overload_play.py
+++ b/tests/policy/overload_play.py
@@ -6,6 +6,7 @@
 
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
+from radishlanding.workflow import TaskId
 from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 from tests.workflow.workflow_steps import make_workflow
@@ -137,7 +138,7 @@
 
 def _end(job, number, known, now_ms):
     record = job.record
-    record.done[f"0.{number}"] = record.done.get(f"0.{number}", 0) + 1
+    record.mark_done(TaskId(record.workflow.workflow_id, 0, number, 0))
     if record.is_completed():
         record.phase, record.ended_ms = WorkflowPhase.COMPLETED, now_ms
         job.outcome = job.judge(now_ms)
