--- a/src/radishlanding/policy/open_workflow.py
+++ b/src/radishlanding/policy/open_workflow.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from radishlanding.policy.tier import EXPIRY_FACTOR
 from radishlanding.policy.size_history import SizeClass
+from radishlanding.policy.tier import EXPIRY_FACTOR
 from radishlanding.policy.tier import Tier
 from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
