Test processes under clients that keep to no limit

Cause: in a trial such clients took a process out of memory. Nothing showed the fault. They check that the process lives, that VmHWM plus the bytes that the kernel holds for its port stay below 96 MB, that it has at most 300 descriptors (500 less 200 for files), and that one ordinary request is answered afterwards.

--- /dev/null
+++ b/tests/dispatcher/untrusted_clients.feature
@@ -0,0 +1,28 @@
+Feature: Clients that keep to no limit end no dispatcher
+
+  # Such clients took dispatchers out of memory: up to 1 MiB was held for each
+  # of 1,024 connections, and the kernel held what had not been read.
+  Scenario Outline: 320 clients <behave> at the <door> port
+    Given a dispatcher with 96 MB and 500 descriptors
+    When 320 clients <behave> at its <door> port
+    Then the dispatcher lives
+    And its memory and what the kernel holds for it stayed below 96 MB
+    And it had at most 300 descriptors open
+    And an ordinary job is completed
+
+    Examples:
+      | door    | behave                                                 |
+      | http    | announce bodies over the limit                         |
+      | http    | send bodies over the limit in chunks                   |
+      | http    | send bodies inside the limit and leave them unfinished |
+      | http    | ask for leave to send bodies over the limit            |
+      | http    | send headers without end                               |
+      | http    | stay silent                                            |
+      | http    | never read their answers                               |
+      | http    | send many requests at once                             |
+      | http    | send bodies that are costly to decode                  |
+      | peer    | leave frames of 2 MiB unfinished                       |
+      | peer    | stay silent                                            |
+      | ready   | announce bodies over the limit                         |
+      | metrics | announce bodies over the limit                         |
+      | metrics | stay silent                                            |
--- a/tests/standin/platform_machine.py
+++ b/tests/standin/platform_machine.py
@@ -82,6 +82,7 @@
                 "seeds": [],
                 "peer_port": 1,
                 "vm_lease_s": 4.0,
+                **self._site.agent_settings,
             },
         )
 
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -31,10 +31,13 @@
     __slots__ = (
         "_clients",
         "config_version",
+        "agent_settings",
         "compress_log",
         "cpu_shares",
+        "dispatcher_settings",
         "dispatchers",
         "folder",
+        "limits",
         "link_mbps",
         "machines",
         "nursery",
@@ -56,6 +59,9 @@
         cpu_shares=None,
         link_mbps=None,
         compress_log=True,
+        limits=None,
+        dispatcher_settings=None,
+        agent_settings=None,
     ):
         """Prepare a site.
 
@@ -68,8 +74,14 @@
         :param link_mbps: Bandwidth of each dispatcher's link to the store and
             the agents, in megabits per second; None for no limit.
         :param compress_log: Setting of the dispatchers.
+        :param limits: The operator's limits to clients, by key.
+        :param dispatcher_settings: Further settings of the dispatchers.
+        :param agent_settings: Further settings of the agents.
         """
         self._clients = {}
+        self.agent_settings = agent_settings or {}
+        self.dispatcher_settings = dispatcher_settings or {}
+        self.limits = limits or {}
         self.compress_log = compress_log
         self.folder = folder
         self.link_mbps = link_mbps
@@ -166,6 +178,7 @@
                 "cpu_share": self.cpu_shares[index],
                 "compress_log": self.compress_log,
                 **link,
+                **self.dispatcher_settings,
             },
         )
         self.peer_proxies[index].upstream = process.ports["peer"]
@@ -193,7 +206,7 @@
                 "version": self.config_version,
                 "routes": [route],
                 "services": [{"name": POOL, "enforcesCapacity": False}],
-                "limits": {},
+                "limits": self.limits,
             },
         )
 
