Bound what clients make an HTTP server hold

Cause: each of 1,024 connections could hold 1 MiB, whatever the operators' limits said; nothing related that to the memory and descriptors of the process, and the kernel held up to tens of megabytes unread. Change: ProcessBudget divides memory and descriptors.

--- a/src/radishlanding/http/__init__.py
+++ b/src/radishlanding/http/__init__.py
@@ -11,7 +11,11 @@
     "HttpResponse",
     "HttpServer",
     "Limits",
+    "MemoryExhausted",
+    "MemoryPool",
+    "ProcessBudget",
     "RequestWithdrawn",
+    "Reservation",
     "serve_metrics",
 ]
 
@@ -26,7 +30,11 @@
         "HttpResponse": "response",
         "HttpServer": "server",
         "Limits": "limits",
+        "MemoryExhausted": "memory_exhausted",
+        "MemoryPool": "memory_pool",
+        "ProcessBudget": "process_budget",
         "RequestWithdrawn": "request_withdrawn",
+        "Reservation": "reservation",
         "serve_metrics": "metrics_page",
     },
 )
--- a/src/radishlanding/http/metrics_page.py
+++ b/src/radishlanding/http/metrics_page.py
@@ -2,6 +2,8 @@
 
 import functools
 
+from radishlanding.http.limits import Limits
+from radishlanding.http.process_budget import MAX_METRICS_CONNECTIONS
 from radishlanding.http.response import HttpResponse
 from radishlanding.http.server import HttpServer
 
@@ -46,18 +48,27 @@
         return lines
 
 
-async def serve_metrics(nursery, *, counters, address, program):
+# A request for the page has no body.
+LIMITS = Limits(connections=MAX_METRICS_CONNECTIONS, body_bytes=4096)
+
+
+async def serve_metrics(nursery, *, counters, address, program, budget=None):
     """Serve the metrics page if an address is set.
 
     :param nursery: Nursery that the server runs in.
     :param counters: The process's :class:`radishlanding.observe.Counters`.
     :param address: ``ip:port`` to listen on, or an empty string.
     :param program: Name of the program.
+    :param budget: The process's :class:`radishlanding.http.ProcessBudget`, or
+        None.
     """
     if not address:
         return
     server = HttpServer(
-        handler=MetricsPage(counters=counters, program=program)
+        handler=MetricsPage(counters=counters, program=program),
+        limits=LIMITS,
+        budget=budget,
+        counters=counters,
     )
     host, _, port = address.rpartition(":")
     await nursery.start(
