Bound what strangers make the peer port hold

Cause: each of up to 6,000 connections could hold a frame of 2 MiB before any message had arrived, and a message whose pointers share objects could be decoded into 32 MB. A message may be read for twice its length (512 KiB at least).

--- a/src/radishlanding/peer/connection.py
+++ b/src/radishlanding/peer/connection.py
@@ -21,6 +21,11 @@
 PING_TIMEOUT_S = 2.0
 SEND_TIMEOUT_S = 2.0
 MAX_CALLS_IN_FLIGHT = 2000
+# Memory of a message and of what is made of it, in bytes for each byte of its
+# frame.
+COST_PER_BYTE = 4
+# Messages up to this size are preferred where memory is short.
+SMALL_MESSAGE_BYTES = 4096
 
 _log = EventLog("radishlanding.peer")
 
@@ -36,6 +41,7 @@
     __slots__ = (
         "_closed",
         "_counters",
+        "_frames",
         "_futures",
         "_handler",
         "_in_flight",
@@ -44,17 +50,22 @@
         "_scope",
         "_send_lock",
         "_stream",
+        "is_stranger",
+        "opened_s",
         "peer",
     )
 
-    def __init__(self, *, stream, handler, counters, peer):
+    def __init__(self, *, stream, handler, counters, peer, frames=None):
         """Prepare a connection; :meth:`run` serves it.
 
         :param stream: An open :class:`trio.abc.Stream`.
         :param handler: A :class:`radishlanding.peer.Handler`.
         :param counters: Counters of the process.
         :param peer: Address of the peer, for the log.
+        :param frames: The :class:`radishlanding.http.MemoryPool` of received
+            messages, or None for no bound.
         """
+        self._frames = frames
         self._stream = stream
         self._handler = handler
         self._counters = counters
@@ -65,11 +76,15 @@
         self._next_id = 1
         self._scope = trio.CancelScope()
         self._send_lock = trio.Lock()
+        # No message has arrived yet.
+        self.is_stranger = True
+        self.opened_s = 0.0
         self.peer = peer
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Serve the connection until it ends, then notify the handler."""
         reason = "closed here"
+        self.opened_s = trio.current_time()
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
@@ -102,13 +117,15 @@
 
         :returns: Why it ended.
         """
-        reader = FrameReader(self._stream)
+        reader = FrameReader(self._stream, pool=self._frames)
         try:
             while True:
                 payload = await reader.read()
                 self._counters.add("peer_received_bytes", len(payload))
                 envelope = decode(payload)
-                await self._dispatch(envelope, nursery)
+                reader.is_known = True
+                self.is_stranger = False
+                await self._dispatch(envelope, len(payload), nursery)
         except MalformedMessage as exc:
             self._counters.add("peer_malformed")
             _log.warning("peer_malformed", peer=self.peer, reason=exc)
@@ -116,7 +133,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             return str(exc) or "closed"
 
-    async def _dispatch(self, envelope, nursery):
+    async def _dispatch(self, envelope, size_bytes, nursery):
         if envelope.is_reply:
             fut = self._futures.pop(envelope.call_id, None)
             if fut is None:
@@ -125,16 +142,39 @@
                 fut.set(envelope.message)
         elif isinstance(envelope.message, Ping):
             await self._write(envelope.call_id, Pong(), is_reply=True)
-        elif self._in_flight >= MAX_CALLS_IN_FLIGHT:
+        elif not self._take_call(size_bytes):
             self._counters.add("peer_overloaded")
             await self._write(
                 envelope.call_id, Refused(reason="overloaded"), is_reply=True
             )
         else:
-            self._in_flight += 1
-            nursery.start_soon(self._handle, envelope)
+            nursery.start_soon(self._handle, envelope, size_bytes)
 
-    async def _handle(self, envelope):
+    def _take_call(self, size_bytes):
+        """Return whether a call can be handled, and count it if so.
+
+        :param size_bytes: Length of its frame, in bytes.
+        """
+        if self._in_flight >= MAX_CALLS_IN_FLIGHT:
+            return False
+        if self._frames is not None and not self._frames.try_reserve(
+            self._cost_bytes(size_bytes),
+            is_preferred=size_bytes <= SMALL_MESSAGE_BYTES,
+        ):
+            return False
+        self._in_flight += 1
+        return True
+
+    def _end_call(self, size_bytes):
+        self._in_flight -= 1
+        if self._frames is not None:
+            self._frames.release(self._cost_bytes(size_bytes))
+
+    def _cost_bytes(self, size_bytes):
+        """Return the memory to hold for a call, in bytes."""
+        return min(COST_PER_BYTE * size_bytes, self._frames.largest_bytes)
+
+    async def _handle(self, envelope, size_bytes):
         try:
             reply = await self._handler.handle(envelope.message, self)
         except CallRefused as exc:
@@ -145,7 +185,7 @@
             _log.exception("peer_handler_failed", peer=self.peer)
             reply = Refused(reason="internal error")
         finally:
-            self._in_flight -= 1
+            self._end_call(size_bytes)
         if envelope.call_id:
             await self._write(envelope.call_id, reply, is_reply=True)
 
--- a/src/radishlanding/peer/frames.py
+++ b/src/radishlanding/peer/frames.py
@@ -2,22 +2,41 @@
 
 import trio
 
+from radishlanding.http import MemoryExhausted
+from radishlanding.http import Reservation
 from radishlanding.wire import MalformedMessage
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 2 * 1024 * 1024
-READ_BYTES = 64 * 1024
+READ_BYTES = 32 * 1024
+# Longer frames need memory of the process's pool.
+SMALL_FRAME_BYTES = 64 * 1024
+MEMORY_WAIT_S = 1.0
+# Time for a frame. Its sender gives up after 2 s, and its other messages wait
+# behind it for longer than a ping allows.
+FRAME_TIMEOUT_S = 5.0
 
 
 class FrameReader:
-    """Read frames from a stream."""
+    """Read frames from a stream.
 
-    __slots__ = ("_buffer", "_stream")
+    :param is_known: Whether a message has arrived; its sender's long frames
+        are preferred where memory is short.
+    """
+
+    __slots__ = ("_buffer", "_reservation", "_stream", "is_known")
+
+    def __init__(self, stream, *, pool=None):
+        """Read from a stream.
 
-    def __init__(self, stream):
-        """Read from a :class:`trio.abc.ReceiveStream`."""
+        :param stream: A :class:`trio.abc.ReceiveStream`.
+        :param pool: A :class:`radishlanding.http.MemoryPool` for frames
+            longer than ``SMALL_FRAME_BYTES``, or None for no bound.
+        """
         self._stream = stream
         self._buffer = bytearray()
+        self._reservation = Reservation(pool=pool)
+        self.is_known = False
 
     async def _fill(self, size):
         while len(self._buffer) < size:
@@ -34,9 +53,25 @@
         :raises trio.BrokenResourceError: The stream has ended.
         """
         await self._fill(LENGTH_BYTES)
+        try:
+            with trio.fail_after(FRAME_TIMEOUT_S):
+                return await self._read_payload()
+        except trio.TooSlowError as exc:
+            raise trio.BrokenResourceError("unfinished frame") from exc
+        except MemoryExhausted as exc:
+            raise trio.BrokenResourceError("no memory for a frame") from exc
+        finally:
+            self._reservation.release()
+
+    async def _read_payload(self):
         size = int.from_bytes(self._buffer[:LENGTH_BYTES], "little")
         if not 0 < size <= MAX_FRAME_BYTES:
             raise MalformedMessage(f"invalid frame length: {size} bytes")
+        if size > SMALL_FRAME_BYTES:
+            await self._fill(SMALL_FRAME_BYTES)
+            await self._reservation.grow(
+                size, is_preferred=self.is_known, timeout_s=MEMORY_WAIT_S
+            )
         await self._fill(LENGTH_BYTES + size)
         payload = bytes(self._buffer[LENGTH_BYTES : LENGTH_BYTES + size])
         del self._buffer[: LENGTH_BYTES + size]
--- a/src/radishlanding/wire/codec.py
+++ b/src/radishlanding/wire/codec.py
@@ -10,7 +10,12 @@
 from radishlanding.wire.malformed_message import MalformedMessage
 from radishlanding.wire.struct_codec import StructCodec
 
-TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
+# Words of 8 bytes that may be read of a message. Its encoders refer to each
+# object once, so a message is never read for more than its length; one whose
+# pointers share objects could otherwise be decoded into many times its size.
+MIN_TRAVERSAL_LIMIT_WORDS = 64 * 1024
+TRAVERSALS = 2
+WORD_BYTES = 8
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
@@ -47,9 +52,12 @@
     :returns: An :class:`Envelope`.
     :raises MalformedMessage: The bytes are not a message of the schema.
     """
+    limit_words = max(
+        MIN_TRAVERSAL_LIMIT_WORDS, TRAVERSALS * len(data) // WORD_BYTES
+    )
     try:
         with _schema.Envelope.from_bytes(
-            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+            data, traversal_limit_in_words=limit_words
         ) as reader:
             key = reader.body.which()
             codec = _codec_for(getattr(messages, _type_name_by_key[str(key)]))
