Follow the operators' limits and give processes their budgets

Cause: maxBodyBytes was read and not used, maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were not read, and processes did not know their memory and descriptors. Change: Site has all four; the dispatcher's server follows them. All ports of dispatchers and agents use the budget.

--- a/src/radishlanding/config/site.py
+++ b/src/radishlanding/config/site.py
@@ -16,6 +16,12 @@
     :param spare_pools: Pools whose VMs are powered off.
     :param zones_out: Availability zones in which no task may start.
     :param max_body_bytes: Maximum length of a request body, in bytes.
+    :param max_header_bytes: Maximum length of a request line and its headers,
+        in bytes.
+    :param header_timeout_ms: Maximum time from the first byte of a request to
+        the end of its headers, in milliseconds.
+    :param idle_timeout_ms: How long a connection may stay open without a
+        request, in milliseconds.
     """
 
     version: int = 0
@@ -24,6 +30,9 @@
     spare_pools: frozenset[str] = frozenset()
     zones_out: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 16_384
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
 
     def find_queue(self, host, path):
         """Return the queue with the longest matching prefix, or None.
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -15,6 +15,8 @@
 from radishlanding.dispatcher.handler import DispatcherHandler
 from radishlanding.dispatcher.leader_client import LeaderClient
 from radishlanding.http import HttpServer
+from radishlanding.http import Limits
+from radishlanding.http import ProcessBudget
 from radishlanding.http import serve_metrics
 from radishlanding.membership import Member
 from radishlanding.message import LeaderAway
@@ -26,6 +28,7 @@
 from radishlanding.platform import KvStore
 from radishlanding.platform import PlatformAdvisor
 from radishlanding.platform import read_site
+from radishlanding.platform import READY_LIMITS
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
 from radishlanding.policy import EarliestDeadline
@@ -38,8 +41,6 @@
 from radishlanding.vm import boot_clock_s
 from radishlanding.vm import LeaseTiming
 
-# Agents and dispatchers of a site of the design size, with a margin.
-MAX_PEERS = 6000
 MILLICORES_PER_CORE = 1000
 # An agent takes orders whose clock is 3 s old at most, and carries them out
 # within 2.5 s; see vmagent.
@@ -52,6 +53,7 @@
     """Wire and run a dispatcher; the composition root of its process."""
 
     __slots__ = (
+        "_budget",
         "_candidate",
         "_cfg",
         "_client_server",
@@ -73,6 +75,9 @@
         :param cfg: A :class:`radishlanding.settings.DispatcherSettings`.
         """
         self._cfg = cfg
+        self._budget = ProcessBudget(
+            memory_mb=cfg.memory_mb, max_fds=cfg.max_fds
+        )
         self._counters = Counters()
         self._interference = Interference()
         self._is_stopping = False
@@ -94,7 +99,8 @@
         self._peer_server = PeerServer(
             handler=self._handler,
             counters=self._counters,
-            max_connections=MAX_PEERS,
+            max_connections=self._budget.peer_connections,
+            budget=self._budget,
         )
         self._client_server = self._make_client_server()
 
@@ -140,9 +146,28 @@
         return HttpServer(
             handler=ClientApi(
                 leader_client=leader_client, site=lambda: self._site_watch.site
-            )
+            ),
+            limits=self._client_limits(),
+            budget=self._budget,
+            counters=self._counters,
         )
 
+    def _client_limits(self):
+        """Return the limits to clients that the operators have set."""
+        site = self._site_watch.site
+        return Limits(
+            connections=self._budget.client_connections,
+            header_bytes=site.max_header_bytes,
+            body_bytes=site.max_body_bytes,
+            idle_s=site.idle_timeout_ms / 1000,
+            header_s=site.header_timeout_ms / 1000,
+        )
+
+    async def _follow_limits(self):
+        while True:
+            self._client_server.set_limits(self._client_limits())
+            await self._site_watch.wait_changed()
+
     def _make_store(self):
         rate = self._cfg.store_calls_per_s
         return KvStore(
@@ -237,7 +262,12 @@
             await self._registration.close()
 
     async def _start(self, nursery):
-        ready = HttpServer(handler=ReadyApi(is_ready=self._is_ready))
+        ready = HttpServer(
+            handler=ReadyApi(is_ready=self._is_ready),
+            limits=READY_LIMITS,
+            budget=self._budget,
+            counters=self._counters,
+        )
         bound = []
         for server, address in (
             (self._peer_server, self._cfg.peer_listen),
@@ -256,6 +286,7 @@
             http=bound[1],
             ready=bound[2],
         )
+        nursery.start_soon(self._follow_limits)
         for component in (
             self._site_watch,
             self._site_keys,
@@ -269,4 +300,5 @@
             counters=self._counters,
             address=self._cfg.metrics_listen,
             program="dispatcher",
+            budget=self._budget,
         )
--- a/src/radishlanding/platform/__init__.py
+++ b/src/radishlanding/platform/__init__.py
@@ -7,6 +7,7 @@
 from radishlanding.lazy import lazy_exports
 
 __all__ = [
+    "READY_LIMITS",
     "SITE_PREFIX",
     "ClientApi",
     "KvStore",
@@ -23,6 +24,7 @@
         "ClientApi": "client_api",
         "KvStore": "kv_store",
         "PlatformAdvisor": "advisor",
+        "READY_LIMITS": "ready_api",
         "ReadyApi": "ready_api",
         "RegistrationApi": "registration_api",
         "Runner": "runner",
--- a/src/radishlanding/platform/operator_documents.py
+++ b/src/radishlanding/platform/operator_documents.py
@@ -20,6 +20,9 @@
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 DEFAULT_MAX_BODY_BYTES = 262_144
+DEFAULT_MAX_HEADER_BYTES = 16_384
+DEFAULT_HEADER_TIMEOUT_MS = 3000
+DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
 _log = EventLog("radishlanding.platform")
 
@@ -61,6 +64,11 @@
     )
 
 
+def _read_limit(limits, name, default):
+    """Return a limit to clients; 0, which nobody could keep, is unset."""
+    return read_int(limits, name, default=default) or default
+
+
 def read_site(items):
     """Return the site that the operators' keys describe.
 
@@ -88,8 +96,17 @@
             enforcing_pools=_pools_with(raw, "enforcesCapacity"),
             spare_pools=_pools_with(raw, "spare"),
             zones_out=zones_out,
-            max_body_bytes=read_int(
-                limits, "maxBodyBytes", default=DEFAULT_MAX_BODY_BYTES
+            max_body_bytes=_read_limit(
+                limits, "maxBodyBytes", DEFAULT_MAX_BODY_BYTES
+            ),
+            max_header_bytes=_read_limit(
+                limits, "maxHeaderBytes", DEFAULT_MAX_HEADER_BYTES
+            ),
+            header_timeout_ms=_read_limit(
+                limits, "headerTimeoutMs", DEFAULT_HEADER_TIMEOUT_MS
+            ),
+            idle_timeout_ms=_read_limit(
+                limits, "idleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS
             ),
         )
     except ValueError as exc:
--- a/src/radishlanding/platform/ready_api.py
+++ b/src/radishlanding/platform/ready_api.py
@@ -1,6 +1,11 @@
 """HTTP API for the platform's readiness checks."""
 
 from radishlanding.http import HttpResponse
+from radishlanding.http import Limits
+from radishlanding.http.process_budget import MAX_READY_CONNECTIONS
+
+# A readiness check has no body.
+READY_LIMITS = Limits(connections=MAX_READY_CONNECTIONS, body_bytes=4096)
 
 
 class ReadyApi:
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -25,6 +25,10 @@
     :param cpu_share: Share of a core that the process may use.
     :param cores: Speed of that core, in cores of the platform.
     :param link_mbps: Network bandwidth of the VM, in megabits per second.
+    :param memory_mb: Memory of the VM, in MB of 2^20 bytes; bounds what
+        clients and peers make the process hold.
+    :param max_fds: Descriptors that the process may have open, 200 of them
+        for files; bounds the connections of clients and peers.
     :param compress_log: Whether to write the log of workflows compressed;
         builds from before compression can read only what is not.
     :param store_calls_per_s: Maximum rate of calls to the store, per second.
@@ -57,6 +61,8 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: int = 256
+    max_fds: int = 4096
     compress_log: bool = True
     store_calls_per_s: float = 150.0
     vm_lease_s: float = 7.0
--- a/src/radishlanding/settings/vm_agent.py
+++ b/src/radishlanding/settings/vm_agent.py
@@ -15,6 +15,10 @@
         the port may be that of another service.
     :param peer_port: Port of the dispatchers' peer protocol.
     :param metrics_listen: ``ip:port`` for metrics, empty for none.
+    :param memory_mb: Memory of the process, in MB of 2^20 bytes; bounds what
+        clients make it hold.
+    :param max_fds: Descriptors that the process may have open, 200 of them
+        for files; bounds the connections of clients.
     :param store_calls_per_s: Maximum rate of calls to the store, per second.
     :param vm_lease_s: How long tasks run without an acknowledged report, in
         seconds; must be equal in all processes of a site.
@@ -32,6 +36,8 @@
     seeds: list[str]
     peer_port: int
     metrics_listen: str = ""
+    memory_mb: int = 160
+    max_fds: int = 4096
     store_calls_per_s: float = 5.0
     vm_lease_s: float = 7.0
     hold_max_ms: int = 10_000
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -9,6 +9,8 @@
 from radishlanding.dispatch.keys import LEADER
 from radishlanding.dispatch.keys import SITE
 from radishlanding.http import HttpServer
+from radishlanding.http import Limits
+from radishlanding.http import ProcessBudget
 from radishlanding.http import serve_metrics
 from radishlanding.membership import Member
 from radishlanding.observe import Counters
@@ -29,6 +31,8 @@
 DISCOVERY_INTERVAL_S = 0.5
 # Added to that while one is connected.
 LEADER_CHECK_INTERVAL_S = 5.0
+# A report with all of its labels takes about 20 KB.
+MAX_REPORT_BYTES = 256 * 1024
 
 _log = EventLog("radishlanding.vmagent")
 
@@ -37,6 +41,7 @@
     """Compose and run the agent process."""
 
     __slots__ = (
+        "_budget",
         "_cfg",
         "_counters",
         "_links",
@@ -51,6 +56,9 @@
         :param cfg: A :class:`radishlanding.settings.VmAgentSettings`.
         """
         self._cfg = cfg
+        self._budget = ProcessBudget(
+            memory_mb=cfg.memory_mb, max_fds=cfg.max_fds
+        )
         self._counters = Counters()
         self._member_reader = RecordReader(Member, counters=self._counters)
         self._workers = WorkerRegistry(
@@ -94,7 +102,13 @@
         server = HttpServer(
             handler=RegistrationApi(
                 handler=self._workers, counters=self._counters
-            )
+            ),
+            limits=Limits(
+                connections=self._budget.client_connections,
+                body_bytes=MAX_REPORT_BYTES,
+            ),
+            budget=self._budget,
+            counters=self._counters,
         )
         host, _, port = self._cfg.report_listen.rpartition(":")
         port = await nursery.start(
@@ -107,6 +121,7 @@
             counters=self._counters,
             address=self._cfg.metrics_listen,
             program="vmagent",
+            budget=self._budget,
         )
 
     async def _maintain_links(self):
