Place standing workflows that lost tasks before all others

After a loss of power, tasks wait for their VMs to be followed again, one VM after the other. Finite work of a queue of better priority went first in each round, took the room for start orders on the leader's link, and took the VMs that were followed first. Workflows that the last round had passed over went before standing ones, too.

The planner now begins each round with the standing workflows that have a task that was assigned before and waits again. New standing workflows keep the order of their queues.

--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -86,6 +86,12 @@
     def plan(self, records, loads, *, now_ms, max_bytes=None):
         """Return assignments of ready tasks.
 
+        Standing workflows that have lost tasks go first, whatever the
+        priority of their queue: after a loss of power a backlog of finite
+        work of a better queue would take all rounds, links and VMs for
+        seconds. Workflows that the last round passed over get one task next,
+        then all others go in order.
+
         :param records: Records of workflows that have not ended; those that
             are fully placed may be left out.
         :param loads: :class:`VmLoad` objects, which are shuffled and updated
@@ -106,22 +112,24 @@
         budget = PlacementBudget(
             max_tasks=MAX_ASSIGNMENTS, max_bytes=max_bytes
         )
+        ranked = sorted(records, key=lambda rec: self.rank(rec, now_ms=now_ms))
+        returning = [record for record in ranked if record.is_returning]
         starved = self._passed_over(records, now_ms)
-        for record in starved:
-            if budget.is_spent:
-                break
-            orders = budget.orders(record, max_tasks=1)
-            budget.take(record, self._place(record, loads, now_ms, orders))
-        served = {record.workflow.workflow_id for record in starved}
-        for record in sorted(
-            records, key=lambda rec: self.rank(rec, now_ms=now_ms)
+        served = {rec.workflow.workflow_id for rec in returning + starved}
+        others = [
+            record
+            for record in ranked
+            if record.workflow.workflow_id not in served
+        ]
+        for records_in_turn, max_tasks in (
+            (returning, MAX_WORKFLOW_ASSIGNMENTS),
+            (starved, 1),
+            (others, MAX_WORKFLOW_ASSIGNMENTS),
         ):
-            if budget.is_spent:
-                break
-            if record.workflow.workflow_id not in served:
-                orders = budget.orders(
-                    record, max_tasks=MAX_WORKFLOW_ASSIGNMENTS
-                )
+            for record in records_in_turn:
+                if budget.is_spent:
+                    break
+                orders = budget.orders(record, max_tasks=max_tasks)
                 budget.take(record, self._place(record, loads, now_ms, orders))
         self._was_cut_short = budget.is_spent
         return budget.assignments
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -96,6 +96,18 @@
         """Return whether any task is assigned, and may be running."""
         return self.progress.has_assigned
 
+    @property
+    def is_returning(self):
+        """Return whether a standing task that was assigned has to be again.
+
+        Its VM was lost or has restarted, or the task failed.
+        """
+        return (
+            self.workflow.is_standing
+            and not self.phase.has_ended
+            and self.progress.has_returned
+        )
+
     def clear_tasks(self):
         """Drop the state that an ended workflow does not need."""
         self.tasks.clear()
--- a/src/radishlanding/workflow/workflow_progress.py
+++ b/src/radishlanding/workflow/workflow_progress.py
@@ -61,6 +61,11 @@
         """Return whether any task is assigned."""
         return self._assigned > 0
 
+    @property
+    def has_returned(self):
+        """Return whether a task waits that was assigned before."""
+        return any(step.returned for step in self._steps.values())
+
     def assign(self, task):
         """Record that a task, which has a record, is assigned.
 
