Log and count the seconds of each stage of a recovery

After a loss of power nothing says whether processes, the log, the VMs or the placement took the time. RecoveryMonitor logs event=recovered once in a leadership and counts each stage as a histogram: log read, VMs of the log followed, first start ordered, standing tasks of the log assigned.

--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -51,6 +51,7 @@
 
     ``failures`` counts the latest calls in a row that got no answer, and
     ``failing_since_s`` is the time of the first of them, 0 for none.
+    ``claimed_s`` is when the claim began, in seconds on the boot clock.
     ``predecessors`` are the identities of the last leader and the one before
     it, empty if unknown. ``inherited_leases_s`` holds the remaining leases by
     VM that the last leader handed over, in seconds, None if it did not resign.
@@ -66,6 +67,7 @@
         "_size",
         "_store",
         "_unfinished",
+        "claimed_s",
         "failing_since_s",
         "failures",
         "inherited_leases_s",
@@ -98,6 +100,7 @@
         self._store = store
         # The Snapshot that was begun last, None once its head is written.
         self._unfinished = None
+        self.claimed_s = 0.0
         self.failures = 0
         self.inherited_leases_s = None
         self.failing_since_s = 0.0
@@ -135,6 +138,7 @@
         :raises StoreUnavailable: The store did not answer.
         :raises CorruptRecord: The head, a chunk or an entry is malformed.
         """
+        self.claimed_s = boot_clock_s()
         old = await self._fence.claim(
             process_id=process_id,
             leader_write=leader_write,
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -11,6 +11,7 @@
 from radishlanding.dispatch.leadership_monitor import LeadershipMonitor
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.recorder import Recorder
+from radishlanding.dispatch.recovery_monitor import RecoveryMonitor
 from radishlanding.dispatch.send_gate import SendGate
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.dispatch.task_mover import TaskMover
@@ -53,6 +54,7 @@
         "_on_store_unreachable",
         "_order_sender",
         "_recorder",
+        "_recovery",
         "_registry",
         "_site_watch",
         "_submissions",
@@ -77,6 +79,7 @@
         advisor=None,
         grants_ended_s=None,
         link_mbps=DEFAULT_LINK_MBPS,
+        listening_s=None,
     ):
         """Initialise the leader; :meth:`run` leads.
 
@@ -97,6 +100,7 @@
         :param grants_ended_s: See :class:`LeaseTable`.
         :param link_mbps: Bandwidth of this process's link, in megabits per
             second.
+        :param listening_s: See :class:`RecoveryMonitor`.
         """
         self._registry = registry
         self._log = log
@@ -115,6 +119,13 @@
             inherited_leases_s=log.inherited_leases_s,
             grants_ended_s=grants_ended_s,
         )
+        self._recovery = RecoveryMonitor(
+            registry=registry,
+            fleet=self.fleet,
+            counters=counters,
+            claimed_s=log.claimed_s,
+            listening_s=listening_s,
+        )
         window = SendWindow(link_mbps=link_mbps)
         self._order_sender = OrderSender(
             registry=registry,
@@ -210,6 +221,7 @@
                 await trio.sleep(TICK_S)
                 self._recorder.add_ends(self.fleet.lost_vm_ends(), vm="")
                 self._recorder.wake()
+                self._recovery.check()
             self._mover.rebalance()
             self._wait_reporter.report()
 
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -59,6 +59,7 @@
         "_handler",
         "_interference",
         "_is_stopping",
+        "_listening_s",
         "_member",
         "_peer_server",
         "_registration",
@@ -76,6 +77,7 @@
         self._counters = Counters()
         self._interference = Interference()
         self._is_stopping = False
+        self._listening_s = None
         self._store = self._make_store()
         policy = StrongestFirst()
         self._member = self._make_member(policy)
@@ -180,6 +182,7 @@
             advisor=advisor,
             grants_ended_s=grants_ended_s,
             link_mbps=self._cfg.link_mbps,
+            listening_s=self._listening_s,
         )
 
     async def _announce_leadership(self):
@@ -249,6 +252,7 @@
                 functools.partial(server.run, host=host, port=int(port))
             )
             bound.append(f"{host}:{port}")
+        self._listening_s = boot_clock_s()
         _log.info(
             "listening",
             process=self._member.process_id,
