Dial dispatchers at once that have registered again

After a loss of power agents that are up before the dispatchers are refused, and the pause before the next try grows to two seconds. A link that was waiting stayed so when its dispatcher had registered, and when the store or a redirect named it as the leader. Standing tasks wait for their agents.

Agents without a leader read the members every 0.3 to 0.5 s; what has registered since the last read, and the leader, is now dialled at once.

--- a/src/radishlanding/peer/link.py
+++ b/src/radishlanding/peer/link.py
@@ -40,7 +40,14 @@
 class Link:
     """Keep a connection to one address, reconnecting with backoff."""
 
-    __slots__ = ("_counters", "_handler", "_scope", "address", "conn")
+    __slots__ = (
+        "_counters",
+        "_handler",
+        "_retry",
+        "_scope",
+        "address",
+        "conn",
+    )
 
     def __init__(self, *, address, handler, counters):
         """Prepare a link; :meth:`run` keeps it open.
@@ -52,6 +59,7 @@
         """
         self._handler = handler
         self._counters = counters
+        self._retry = trio.Event()
         self._scope = trio.CancelScope()
         self.address = address
         self.conn = None
@@ -68,7 +76,19 @@
                 else:
                     backoff_s = MIN_RECONNECT_BACKOFF_S
                     await self._run_connection(stream)
-                await trio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                with trio.move_on_after(backoff_s * random.uniform(0.5, 1.0)):
+                    await self._retry.wait()
+                    self._retry = trio.Event()
+                    backoff_s = MIN_RECONNECT_BACKOFF_S
+
+    def retry(self):
+        """Dial now if the next try is being waited for.
+
+        For a peer that is known to have started; the backoff, which may have
+        grown to ``MAX_RECONNECT_BACKOFF_S`` before, starts over.
+        """
+        if self.conn is None:
+            self._retry.set()
 
     async def _run_connection(self, stream):
         conn = Connection(
--- a/src/radishlanding/vmagent/dispatcher_links.py
+++ b/src/radishlanding/vmagent/dispatcher_links.py
@@ -85,6 +85,16 @@
                 self._links[address] = link
                 self._nursery.start_soon(link.run)
 
+    def retry(self, addresses):
+        """Dial again now what is not connected.
+
+        :param addresses: ``ip:port`` of dispatchers that have just started,
+            or that lead; those without a link are left out.
+        """
+        for address in addresses:
+            if address in self._links:
+                self._links[address].retry()
+
     def close_disconnected(self, addresses):
         """Close the links to these addresses that are not connected."""
         for address in addresses:
@@ -217,6 +227,7 @@
         if leader and not self.has_leader:
             self.hints.add(leader)
             self.dial({leader})
+            self.retry({leader})
 
     def ask_leader(self):
         """Introduce the VMs again to all connected dispatchers.
--- a/src/radishlanding/vmagent/program.py
+++ b/src/radishlanding/vmagent/program.py
@@ -40,6 +40,7 @@
         "_cfg",
         "_counters",
         "_links",
+        "_member_ids",
         "_member_reader",
         "_store",
         "_workers",
@@ -52,6 +53,8 @@
         """
         self._cfg = cfg
         self._counters = Counters()
+        # Processes that were registered at the last read of the members.
+        self._member_ids = set()
         self._member_reader = RecordReader(Member, counters=self._counters)
         self._workers = WorkerRegistry(
             make_worker=_make_runner,
@@ -145,7 +148,10 @@
     async def _read_site(self, known):
         """Return the addresses of all dispatchers, and those of the leader.
 
-        Links to others are closed unless they are connected.
+        Links to others are closed unless they are connected. The leader and
+        dispatchers that have registered since the last read are dialled at
+        once: after a loss of power agents that started before them would
+        wait for up to two seconds more.
 
         :param known: Addresses to return if no dispatcher is registered.
         :raises StoreUnavailable: The store gave no answer.
@@ -161,6 +167,13 @@
         addresses = {member.address for member in members}
         if addresses:
             self._links.close_disconnected(self._links.addresses - addresses)
+        started = {
+            member.address
+            for member in members
+            if member.process_id not in self._member_ids
+        }
+        self._member_ids = {member.process_id for member in members}
+        self._links.retry(started | named)
         return addresses or known, named
 
     async def _run_supervisor(self, supervisor):
