--- a/src/radishlanding/policy/learned_run_times.py
+++ b/src/radishlanding/policy/learned_run_times.py
@@ -27,7 +27,7 @@
 MIN_STEPS = 3.0
 # Largest factor between a task and its siblings that is believed: beyond it
 # the VM is slow, or the task was held up.
-MAX_SIBLING_FACTOR = 2.0
+MAX_SIBLING_FACTOR = 1.5
 
 
 def log_variance(spread):
