Stop a moved attempt once, and test observed gains

Cause: a stopped attempt is reported as running for up to a second, so that a second round would count another of its three moves. Change: an attempt is moved once; a stop that is not answered leaves it where it is until a report shows its end.

--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -51,6 +51,7 @@
         "_interference",
         "_min_idle_share",
         "_move_counts",
+        "_moved_attempts",
         "_slow_rounds",
     )
 
@@ -64,6 +65,8 @@
         self._interference = interference
         self._min_idle_share = min_idle_share
         self._move_counts = collections.Counter()
+        # A stopped attempt is reported as running until its end is known.
+        self._moved_attempts = {}
         self._slow_rounds = collections.Counter()
 
     def prune(self, is_open):
@@ -72,7 +75,7 @@
         :param is_open: Callable that takes the id of a task.
         """
         for task_id in [key for key in self._move_counts if not is_open(key)]:
-            del self._move_counts[task_id]
+            del self._move_counts[task_id], self._moved_attempts[task_id]
 
     def choose(self, tasks, loads):
         """Return the moves to make, the most urgent first; one round.
@@ -110,6 +113,7 @@
             by_room.sort(key=_room, reverse=True)
             by_vm[item.load.vm].remove(item)
             self._move_counts[item.task.task_id] += 1
+            self._moved_attempts[item.task.task_id] = item.task.attempt
             moves.append(move)
         return moves
 
@@ -129,6 +133,7 @@
             self._slow_rounds[task_id] >= MIN_SLOW_ROUNDS
             and item.age_ms >= MIN_AGE_MS
             and not item.step.gang
+            and self._moved_attempts.get(task_id) != item.task.attempt
             and self._move_counts[task_id] < MAX_MOVES_PER_TASK
         )
 
--- a/tests/policy/migration.feature
+++ b/tests/policy/migration.feature
@@ -37,9 +37,15 @@
   Scenario: a task that stays slow is moved three times at most
     Given a task in front of it on a that has 8 s left
     And a task of rank 1 on a that has 4 s left there and 4 s elsewhere, at a pace of 0, for 3 s
-    When moves are chosen in 12 rounds
+    When moves are chosen in 12 rounds, and it starts again after each
     Then it has moved 3 times
 
+  Scenario: an attempt whose stop takes long is stopped once
+    Given a task in front of it on a that has 8 s left
+    And a task of rank 1 on a that has 4 s left there and 4 s elsewhere, at a pace of 0, for 3 s
+    When moves are chosen in 12 rounds
+    Then it has moved 1 times
+
   Scenario Outline: run times come from the progress of siblings
     Given tasks of one step that report their work at full pace <how>
       | task | percent_per_s | pace |
@@ -78,3 +84,15 @@
       | 5     | 2    | 1      |
       | 5     | 3    | 0      |
       | 0     | 2    | 0      |
+
+  Scenario Outline: gains are observed when moved tasks end
+    Given a task that was moved as it would have ended after 10 s
+    When after <end_s> s its task is <state>
+    Then the observed gain is <gain>
+
+    Examples: a task that is cancelled says nothing
+      | end_s | state     | gain    |
+      | 4     | done      | 6000 ms |
+      | 12    | done      | -2000 ms |
+      | 4     | running   | none    |
+      | 4     | cancelled | none    |
--- a/tests/policy/task_precedence_order.feature
+++ b/tests/policy/task_precedence_order.feature
@@ -60,3 +60,16 @@
   Scenario: a round costs in proportion to the VMs
     When rounds of 160 and of 640 VMs with 4 heavy tasks each are ranked
     Then a round of 640 VMs takes less than 8 times that of 160
+
+  Scenario Outline: a workflow without running tasks keeps its rank for a time
+    Given workflows with running tasks
+      | name | priority | age_s | tasks |
+      | a    | 1        | 1     | 10    |
+      | b    | 1        | 1     | 12    |
+    When they are ranked, and then <rounds> times with no task of a running
+    Then the order is <order>
+
+    Examples: its next step starts within three rounds
+      | rounds | order   |
+      | 3      | a and b |
+      | 4      | b       |
--- a/tests/policy/task_precedence_order_steps.py
+++ b/tests/policy/task_precedence_order_steps.py
@@ -345,3 +345,15 @@
 def _ratio(context, factor):
     ratio = context.round_s[640] / context.round_s[160]
     assert ratio < factor, context.round_s
+
+
+@when("they are ranked, and then {rounds:d} times with no task of a running")
+def _ranked_without_a(context, rounds):
+    order = TaskPrecedenceOrder(run_times=CallerEstimates())
+    tasks = [
+        (record, TaskId(name, 0, 0, 0), 0)
+        for name, record in context.records.items()
+    ]
+    _rank(order, tasks)
+    for _ in range(rounds):
+        context.ranks = _rank(order, tasks[1:])
