Keep large workflows from starving in a lasting overload

Size classes are now counted as missed as soon as they are late, not at their expiry; an overload lasts until nothing is late; and it is planned for a tenth of the room, so that fewer workflows are begun that cannot end in time.

--- a/src/radishlanding/policy/completion_order.py
+++ b/src/radishlanding/policy/completion_order.py
@@ -13,23 +13,23 @@
 from radishlanding.policy.tier import Tier
 from radishlanding.workflow import WorkflowPhase
 
-# Share of the room that is planned for. The rest goes to workflows that arrive
-# later and ends unused between steps: with the whole room, a queue at 1.5
-# times its capacity completes hardly more in time than by deadline.
-PLANNED_SHARE = 0.4
+# There is an overload if the workflows that could end in time need more than
+# this share of the room: the rest ends unused between steps.
+FULL_SHARE = 0.5
+# Share of the room that is planned for in an overload. The rest is left to
+# workflows that arrive later; with more, those in the set end late, too.
+PLANNED_SHARE = 0.1
 # Overload counts as over once everything has fitted for this long, so that
 # ranks do not flip with each arrival.
 CALM_MS = 3000
-# Worth of a result that is late, as a share of one in time.
-LATE_WORTH = 1 / 7
 # Part of a workflow's worth that does not depend on its size.
 BASE_WORTH = 0.3
 # Hysteresis: what has begun or was selected before keeps its place against
 # work of up to this multiple of its worth per core-second.
-BEGUN_FACTOR = 2.0
-SELECTED_FACTOR = 1.5
+BEGUN_FACTOR = 1.5
+SELECTED_FACTOR = 1.2
 # Precedence of size classes that have been served too rarely.
-OWED_FACTOR = 5.0
+OWED_FACTOR = 3.0
 
 
 class CompletionOrder:
@@ -72,7 +72,7 @@
             workflow = record.workflow
             item = self._refresh(record, rooms.get(workflow.pool, 0.0))
             groups[workflow.pool, workflow.priority].append(item)
-            self._record_expiry(item, now_ms)
+            self._record_lateness(item, now_ms)
         used = collections.Counter()
         for pool, priority in sorted(groups):
             items = groups[pool, priority]
@@ -138,23 +138,40 @@
         """Set tier and rank of the workflows of one pool and priority."""
         aged = self._ageing.choose(items, now_ms=now_ms)
         live = [item for item in items if not item.is_expired]
-        run = functools.partial(
-            select,
-            room_millicores=PLANNED_SHARE * room_millicores,
-            now_ms=now_ms,
-        )
         used_core_ms = used[group[0]]
-        on_time, others = run(
-            live, limit_ms=_due_ms, used_core_ms=used_core_ms
+        run = functools.partial(select, now_ms=now_ms)
+        _, others = run(
+            live,
+            room_millicores=FULL_SHARE * room_millicores,
+            limit_ms=_due_ms,
+            used_core_ms=used_core_ms,
         )
-        if any(now_ms + item.path_ms <= _due_ms(item) for item in others):
+        # Late workflows prolong an overload and do not begin one.
+        is_known = group in self._overloaded_ms
+        if any(
+            is_known or now_ms + item.path_ms <= _due_ms(item)
+            for item in others
+        ):
             self._overloaded_ms[group] = now_ms
         if now_ms - self._overloaded_ms.get(group, -CALM_MS) >= CALM_MS:
+            self._overloaded_ms.pop(group, None)
             for item in items:
                 item.tier = None
             return
+        planned = PLANNED_SHARE * room_millicores
+        on_time, others = run(
+            live,
+            room_millicores=planned,
+            limit_ms=_due_ms,
+            used_core_ms=used_core_ms,
+        )
         used_core_ms += sum(item.core_ms for item in on_time)
-        late, _ = run(others, limit_ms=_expiry_ms, used_core_ms=used_core_ms)
+        late, _ = run(
+            others,
+            room_millicores=planned,
+            limit_ms=_expiry_ms,
+            used_core_ms=used_core_ms,
+        )
         for item in items:
             if item in aged:
                 item.tier, item.rank = Tier.ON_TIME, -math.inf
@@ -168,21 +185,21 @@
                     item.tier = Tier.LATE
                 item.rank_by_density()
 
-    def _record_expiry(self, item, now_ms):
-        """Count a workflow as not served once it is worth nothing."""
-        if now_ms > item.expiry_ms and not item.is_expired:
-            item.is_expired = True
-            self._history(item).record_end(item.size_class, 0.0)
+    def _record_lateness(self, item, now_ms):
+        """Count a workflow as not served in time once it is late."""
+        item.is_expired = now_ms > item.expiry_ms
+        if now_ms > item.due_ms and not item.is_late:
+            item.is_late = True
+            self._history(item).record_end(item.size_class, is_in_time=False)
 
     def _drop_ended(self, open_ids):
         for workflow_id in self._open.keys() - open_ids:
             item = self._open.pop(workflow_id)
-            record = item.record
-            if item.is_expired or record.phase != WorkflowPhase.COMPLETED:
+            if item.is_late or item.record.phase != WorkflowPhase.COMPLETED:
                 continue
-            is_late = record.ended_ms > item.due_ms
             self._history(item).record_end(
-                item.size_class, LATE_WORTH if is_late else 1.0
+                item.size_class,
+                is_in_time=item.record.ended_ms <= item.due_ms,
             )
 
     def _history(self, item):
--- a/src/radishlanding/policy/open_workflow.py
+++ b/src/radishlanding/policy/open_workflow.py
@@ -28,6 +28,7 @@
     :param objective_ms: Time to complete within, in milliseconds.
     :param density: Worth per remaining work; 1 is the queue's mean.
     :param size_class: Its :class:`SizeClass`.
+    :param is_late: Whether it is past its objective.
     :param is_expired: Whether its result is worth nothing any more.
     :param tier: Its :class:`Tier` in an overload, None without.
     :param rank: Its place in the tier; smaller goes first.
@@ -39,6 +40,7 @@
     objective_ms: float = 0.0
     density: float = 0.0
     size_class: SizeClass = SizeClass.REST
+    is_late: bool = False
     is_expired: bool = False
     tier: Tier | None = None
     rank: float = 0.0
