--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -163,7 +163,6 @@
             run_times=run_times,
             tickets=tickets,
         )
-        run_times = CallerEstimates()
         self._ranker = TaskRanker(
             registry=registry,
             fleet=self.fleet,
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -31,7 +31,6 @@
 from radishlanding.platform import READY_LIMITS
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
-from radishlanding.policy import CallerEstimates
 from radishlanding.policy import CompletionOrder
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
@@ -192,7 +191,7 @@
             registry=registry,
             site_watch=self._site_watch,
             planner=WorkflowPlanner(
-                order=CompletionOrder(run_times=CallerEstimates()),
+                order=CompletionOrder(run_times=self._run_times),
                 interference=self._interference,
                 tickets=tickets,
                 clock_s=boot_clock_s,
