--- a/src/radishlanding/policy/learned_run_times.py
+++ b/src/radishlanding/policy/learned_run_times.py
@@ -13,6 +13,8 @@
 MAX_ROWS = 500
 # Longer names, which callers choose, are replaced by a digest.
 MAX_NAME_CHARS = 96
+# Names of rows of steps begin so.
+STEP_PREFIX = "step/"
 # Tasks of a step, and steps of an image or a queue, whose run times are kept;
 # a change of the load shows in as many.
 MAX_TASKS = 100.0
@@ -28,6 +30,8 @@
 # Largest factor between a task and its siblings that is believed: beyond it
 # the VM is slow, or the task was held up.
 MAX_SIBLING_FACTOR = 1.5
+# Beyond this variance of a logarithm, a spread of sevenfold, nothing is known.
+MAX_VARIANCE = 4.0
 
 
 def log_variance(spread):
@@ -47,7 +51,7 @@
     tasks are added to that. Figures are medians.
     """
 
-    __slots__ = ("_caller", "_revision", "_rows")
+    __slots__ = ("_caller", "_revision", "_rows", "_usual")
 
     def __init__(self):
         """Start without observations."""
@@ -55,6 +59,8 @@
         self._revision = 0
         # The least recently used first.
         self._rows = collections.OrderedDict()
+        # Figures of queues and images, which change with new steps only.
+        self._usual = {}
 
     @property
     def revision(self):
@@ -77,29 +83,51 @@
             )
         return RunTimeEstimate(
             run_ms=math.exp(mean),
-            spread=math.sqrt(math.expm1(variance)),
+            spread=math.sqrt(math.expm1(min(variance, MAX_VARIANCE))),
             samples=samples,
         )
 
     def _prior(self, workflow, step):
         """Return mean, variance and samples by image and queue, or None."""
+        key = workflow.queue, step.image
+        if key not in self._usual:
+            if len(self._usual) >= MAX_ROWS:
+                self._usual.clear()
+            self._usual[key] = self._find_usual(workflow, step)
+        rows, figures = self._usual[key]
+        for row in rows:
+            self._rows.move_to_end(row.name)
+        if figures is None:
+            return None
+        (mean, variance), (ratio, ratio_variance), samples = figures
+        if step.estimated_ms:
+            # Weighted by their precisions.
+            share = variance / (variance + ratio_variance)
+            caller = math.log(step.estimated_ms) + ratio
+            mean += share * (caller - mean)
+            variance *= 1 - share
+        return mean, variance, samples
+
+    def _find_usual(self, workflow, step):
+        """Return the rows of a queue and an image, and what they say.
+
+        :returns: The rows, and means and variances of run time and ratio and
+            the number of steps behind them; None for these if they are few.
+        """
         rows = [self._find(name) for name in _shared_names(workflow, step)]
         rows = [row for row in rows if row and row.weight >= MIN_STEPS]
         if not rows:
-            return None
+            return rows, None
         usual = [_usual(row.weight, row.mean, row.deviation) for row in rows]
-        found = [min(usual, key=lambda item: item[1])]
-        caller = _caller_prior(step)
-        if caller is not None:
-            ratios = [
-                _usual(row.ratio_weight, row.ratio_mean, row.ratio_deviation)
-                for row in rows
-            ]
-            mean, variance = min(ratios, key=lambda item: item[1])
-            found.append((caller[0] + mean, variance))
-        precision = sum(1 / variance for _, variance in found)
-        mean = sum(mean / variance for mean, variance in found) / precision
-        return mean, 1 / precision, max(row.weight for row in rows)
+        ratios = [
+            _usual(row.ratio_weight, row.ratio_mean, row.ratio_deviation)
+            for row in rows
+        ]
+        return rows, (
+            min(usual, key=lambda item: item[1]),
+            min(ratios, key=lambda item: item[1]),
+            max(row.weight for row in rows),
+        )
 
     def _find(self, name):
         """Return a row, None if there is none, and mark it as used."""
@@ -112,10 +140,16 @@
         row = self._find(name)
         if row is None:
             row = self._rows[name] = RunTimeRow(name=name)
-            if len(self._rows) > MAX_ROWS:
-                self._rows.popitem(last=False)
+            self._drop_surplus()
         return row
 
+    def _drop_surplus(self):
+        """Drop the least recently used rows beyond ``MAX_ROWS``."""
+        while len(self._rows) > MAX_ROWS:
+            name, _ = self._rows.popitem(last=False)
+            if not name.startswith(STEP_PREFIX):
+                self._usual.clear()
+
     def observe(self, workflow, number, *, run_ms, weight):
         """Process the run time of one task, or of a part of its work.
 
@@ -138,6 +172,7 @@
         if row.is_shared or row.weight < SHARE_WEIGHT:
             return False
         row.is_shared = True
+        self._usual.clear()
         for name in _shared_names(workflow, step):
             self._find_or_add(name).add(
                 row.mean, estimate=estimate, weight=1, max_weight=MAX_STEPS
@@ -157,15 +192,15 @@
         self._rows = collections.OrderedDict(
             (row.name, row)
             for row in rows
-            if row.is_finite and row.name not in own
+            if row.is_plausible and row.name not in own
         )
         self._rows.update(own)
-        while len(self._rows) > MAX_ROWS:
-            self._rows.popitem(last=False)
+        self._usual.clear()
+        self._drop_surplus()
 
 
 def _step_name(workflow, number):
-    return _bounded(f"step/{workflow.workflow_id}.{number}")
+    return _bounded(f"{STEP_PREFIX}{workflow.workflow_id}.{number}")
 
 
 def _shared_names(workflow, step):
--- a/src/radishlanding/policy/run_time_row.py
+++ b/src/radishlanding/policy/run_time_row.py
@@ -3,6 +3,9 @@
 import dataclasses
 import math
 
+# Logarithm of more milliseconds, or of a larger ratio, than any task can have.
+MAX_MEAN = 40.0
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RunTimeRow:
@@ -50,17 +53,18 @@
             )
 
     @property
-    def is_finite(self):
+    def is_plausible(self):
         """Return whether a row from the store can be reckoned with."""
-        figures = (
+        sums = (
             self.weight,
-            self.mean,
             self.deviation,
             self.ratio_weight,
-            self.ratio_mean,
             self.ratio_deviation,
         )
-        return all(map(math.isfinite, figures)) and min(figures[::3]) >= 0
+        means = self.mean, self.ratio_mean
+        return all(0 <= item < math.inf for item in sums) and all(
+            abs(item) <= MAX_MEAN for item in means
+        )
 
 
 def _add(moments, value, weight, max_weight):
--- a/tests/policy/learned_run_times.feature
+++ b/tests/policy/learned_run_times.feature
@@ -35,6 +35,6 @@
 
   Scenario: another process goes on from 500 rows, which old steps leave
     When 700 steps of 6 images have done 1 times 1.0 of a task
-    And another process restores the rows and one that is not finite
+    And another process restores the rows and two that no run time has
     Then both hold 500 rows, 6 images and the queue among them, of at most 25 kB
     And both estimate alike
--- a/tests/policy/learned_run_times_steps.py
+++ b/tests/policy/learned_run_times_steps.py
@@ -160,11 +160,14 @@
     assert abs(ratios[25] - 1) < percent / 100, ratios[25]
 
 
-@when("another process restores the rows and one that is not finite")
+@when("another process restores the rows and two that no run time has")
 def _restored(context):
     context.other = LearnedRunTimes()
-    bad = RunTimeRow(name="image/image-9", weight=math.inf)
-    context.other.restore([bad, *copy.deepcopy(context.run_times.rows())])
+    bad = [
+        RunTimeRow(name="image/image-8", weight=math.inf),
+        RunTimeRow(name="image/image-9", weight=9, mean=1e9),
+    ]
+    context.other.restore([*bad, *copy.deepcopy(context.run_times.rows())])
     # What a process has itself goes before what it reads.
     name = context.other.rows()[-1].name
     context.other.restore([RunTimeRow(name=name, weight=1)])
