Bound first frames of strangers, decoded messages and logged values

Cause: a stranger's first frame could have 2 MiB, and messages could be read for more than their length; paths and request identities of 16 KB were logged and passed on. Change: a first frame from a stranger has 512 KiB at most. A message is read for its length and 32 KiB; decoding a workflow of 1,000 steps (227,240 bytes) needs 28,403 of its 28,405 words. Paths, hosts and request identities are cut at 200 characters. Tests: unfinished first frames, and a dispatcher that follows a lower maxBodyBytes on an open connection; the earlier rows with frames of 2 MiB stay.

--- a/src/radishlanding/peer/frames.py
+++ b/src/radishlanding/peer/frames.py
@@ -9,6 +9,10 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 READ_BYTES = 32 * 1024
+# Longest first frame where strangers reach the port. It has room for a
+# workflow of 262,144 bytes of JSON (one of 167,910 bytes with 1,000 steps
+# takes 227,240). A crafted frame can be decoded into 17 times its length.
+MAX_FIRST_FRAME_BYTES = 512 * 1024
 # Longer frames need memory of the process's pool.
 SMALL_FRAME_BYTES = 64 * 1024
 MEMORY_WAIT_S = 1.0
@@ -24,15 +28,17 @@
         are preferred where memory is short.
     """
 
-    __slots__ = ("_buffer", "_reservation", "_stream", "is_known")
+    __slots__ = ("_buffer", "_pool", "_reservation", "_stream", "is_known")
 
     def __init__(self, stream, *, pool=None):
         """Read from a stream.
 
         :param stream: A :class:`trio.abc.ReceiveStream`.
         :param pool: A :class:`radishlanding.http.MemoryPool` for frames
-            longer than ``SMALL_FRAME_BYTES``, or None for no bound.
+            longer than ``SMALL_FRAME_BYTES``, or None where no stranger
+            reaches the port.
         """
+        self._pool = pool
         self._stream = stream
         self._buffer = bytearray()
         self._reservation = Reservation(pool=pool)
@@ -49,7 +55,8 @@
         """Return the payload of the next frame.
 
         :raises radishlanding.wire.MalformedMessage: The frame is empty or
-            longer than ``MAX_FRAME_BYTES``.
+            longer than ``MAX_FRAME_BYTES``, for the first one from a stranger
+            ``MAX_FIRST_FRAME_BYTES``.
         :raises trio.BrokenResourceError: The stream has ended.
         """
         await self._fill(LENGTH_BYTES)
@@ -63,9 +70,14 @@
         finally:
             self._reservation.release()
 
+    def _max_bytes(self):
+        if self._pool is None or self.is_known:
+            return MAX_FRAME_BYTES
+        return MAX_FIRST_FRAME_BYTES
+
     async def _read_payload(self):
         size = int.from_bytes(self._buffer[:LENGTH_BYTES], "little")
-        if not 0 < size <= MAX_FRAME_BYTES:
+        if not 0 < size <= self._max_bytes():
             raise MalformedMessage(f"invalid frame length: {size} bytes")
         if size > SMALL_FRAME_BYTES:
             await self._fill(SMALL_FRAME_BYTES)
--- a/src/radishlanding/platform/client_api.py
+++ b/src/radishlanding/platform/client_api.py
@@ -13,6 +13,9 @@
 
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 MAX_DEADLINE_MS = 3_600_000
+# Longer identities of requests and paths are cut where they are logged and
+# passed on.
+MAX_LOGGED_CHARS = 200
 # The platform's pages specify no default; the callers that its sheets
 # describe wait 3 s.
 DEFAULT_DEADLINE_MS = 3000
@@ -56,8 +59,8 @@
             _log.info(
                 "queue_unknown",
                 request=_request_id(req),
-                host=host,
-                path=path,
+                host=host[:MAX_LOGGED_CHARS],
+                path=path[:MAX_LOGGED_CHARS],
                 version=site.version,
             )
             raise HttpError(status=404, reason="no such queue")
@@ -104,7 +107,7 @@
 
 
 def _request_id(req):
-    return req.headers.get("request-id", "none")
+    return req.headers.get("request-id", "none")[:MAX_LOGGED_CHARS]
 
 
 def _timeout_s(req):
--- a/src/radishlanding/wire/codec.py
+++ b/src/radishlanding/wire/codec.py
@@ -10,12 +10,12 @@
 from radishlanding.wire.malformed_message import MalformedMessage
 from radishlanding.wire.struct_codec import StructCodec
 
-# Words of 8 bytes that may be read of a message. Its encoders refer to each
-# object once, so a message is never read for more than its length; one whose
-# pointers share objects could otherwise be decoded into many times its size.
-MIN_TRAVERSAL_LIMIT_WORDS = 64 * 1024
-TRAVERSALS = 2
 WORD_BYTES = 8
+# Words that may be read of a message beyond its length. Decoding what our
+# encoder makes reads each word once (28,403 of 28,405 for a workflow of 1,000
+# steps); a message whose pointers share objects could otherwise be decoded
+# into many times its size.
+TRAVERSAL_SLACK_WORDS = 4096
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
@@ -52,9 +52,7 @@
     :returns: An :class:`Envelope`.
     :raises MalformedMessage: The bytes are not a message of the schema.
     """
-    limit_words = max(
-        MIN_TRAVERSAL_LIMIT_WORDS, TRAVERSALS * len(data) // WORD_BYTES
-    )
+    limit_words = len(data) // WORD_BYTES + TRAVERSAL_SLACK_WORDS
     try:
         with _schema.Envelope.from_bytes(
             data, traversal_limit_in_words=limit_words
--- a/tests/dispatcher/untrusted_clients.feature
+++ b/tests/dispatcher/untrusted_clients.feature
@@ -22,7 +22,13 @@
       | http    | send many requests at once                             |
       | http    | send bodies that are costly to decode                  |
       | peer    | leave frames of 2 MiB unfinished                       |
+      | peer    | leave first frames unfinished                          |
       | peer    | stay silent                                            |
       | ready   | announce bodies over the limit                         |
       | metrics | announce bodies over the limit                         |
       | metrics | stay silent                                            |
+
+  Scenario: an open connection follows the limits that operators set
+    Given a dispatcher with 96 MB and 500 descriptors
+    When a client is answered, and the operators lower maxBodyBytes to 100
+    Then a body of 101 bytes on the same connection is answered with 413
--- a/tests/dispatcher/untrusted_clients_steps.py
+++ b/tests/dispatcher/untrusted_clients_steps.py
@@ -148,3 +148,43 @@
                 status = response.status
                 assert status in (200, 503), response
             await trio.sleep(0.1)
+
+
+@when("a client is answered, and the operators lower maxBodyBytes to 100")
+def _lower_limit(context):
+    context.bridge.call(_connect_and_lower, context)
+
+
+async def _connect_and_lower(context):
+    host, _, port = context.addresses["http"].rpartition(":")
+    context.stream = await trio.open_tcp_stream(host, int(port))
+    assert await _post(context.stream) == 400
+    site = context.platform_site
+    site.limits = {**LIMITS, "maxBodyBytes": 100}
+    site.set_config()
+
+
+async def _post(stream):
+    """Send a body of 101 bytes that is no job; return the status."""
+    head = "POST /jobs/00000000000000bb HTTP/1.1\r\nhost: desk.example\r\n"
+    head += "content-length: 101\r\n\r\n"
+    await stream.send_all(head.encode() + b"x" * 101)
+    received = b""
+    while b"\r\n\r\n" not in received:
+        data = await stream.receive_some(65536)
+        assert data, received
+        received += data
+    return int(received.split()[1])
+
+
+@then("a body of 101 bytes on the same connection is answered with 413")
+def _is_too_large(context):
+    context.bridge.call(_post_until_refused, context.stream)
+
+
+async def _post_until_refused(stream):
+    async with stream:
+        with trio.fail_after(HANG_S):
+            while (status := await _post(stream)) == 400:
+                await trio.sleep(0.05)
+    assert status == 413, status
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -62,6 +62,7 @@
   Scenario: the operators' documents are decoded into a site
     Given operators' keys with a queue, two zones out and a spare pool
     Then the site has that queue, both zones and that pool
+    And the site has the limits to clients, and the default of one that is 0
     And a request is matched by its host and the longest prefix
 
   Scenario Outline: a malformed configuration yields a site without queues
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -298,6 +298,12 @@
             },
         ],
         "services": [{"name": "pool-b", "spare": True}],
+        "limits": {
+            "maxHeaderBytes": 8000,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 2000,
+            "idleTimeoutMs": 0,
+        },
         **changes,
     }
 
@@ -335,6 +341,15 @@
     )
 
 
+@then("the site has the limits to clients, and the default of one that is 0")
+def _limits(context):
+    site = context.site
+    assert site.max_header_bytes == 8000
+    assert site.max_body_bytes == 100_000
+    assert site.header_timeout_ms == 2000
+    assert site.idle_timeout_ms == 15_000
+
+
 @then("a request is matched by its host and the longest prefix")
 def _matched(context):
     find = context.site.find_queue
--- a/tests/standin/crowd.py
+++ b/tests/standin/crowd.py
@@ -97,6 +97,13 @@
     await _read_to_end(stream)
 
 
+async def _leave_first_frame_unfinished(stream):
+    """Send all but one byte of a frame that a stranger may send."""
+    size = MEGABYTE // 2
+    await stream.send_all(size.to_bytes(4, "little") + LARGE_BODY[: size - 1])
+    await _read_to_end(stream)
+
+
 BEHAVIOURS = {
     "announce bodies over the limit": _announce,
     "send bodies over the limit in chunks": _send_chunked,
@@ -110,6 +117,7 @@
     "send many requests at once": _pipeline,
     "send bodies that are costly to decode": _send_costly_body,
     "leave frames of 2 MiB unfinished": _leave_frame_unfinished,
+    "leave first frames unfinished": _leave_first_frame_unfinished,
 }
 
 
