--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -5,6 +5,7 @@
 import trio
 
 from radishlanding.dispatch import submission_queue
+from radishlanding.dispatch.admission_control import AdmissionControl
 from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.interference_store import InterferenceStore
@@ -55,6 +56,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_interference_store",
         "_leadership",
         "_log",
@@ -196,11 +198,20 @@
             order_sender=self._order_sender,
             counters=counters,
         )
+        self._admission = AdmissionControl(
+            registry=registry,
+            planner=planner,
+            fleet=self.fleet,
+            site_watch=site_watch,
+            run_times=run_times,
+            counters=counters,
+        )
         self._submissions = SubmissionQueue(
             registry=registry,
             wake=self._recorder.wake,
             max_entry_bytes=min(window.size_bytes, MAX_PART_BYTES),
             stored_size=log.stored_size,
+            admission=self._admission,
         )
         self._recorder.connect(self._submissions)
         self._ticket_prefetcher = None
@@ -264,6 +275,7 @@
                 self._recorder.wake()
                 self._recovery.check()
             self._ranker.rank()
+            self._admission.update()
             self._mover.rebalance()
             self._wait_reporter.report()
 
--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -3,6 +3,7 @@
 from radishlanding.lazy import lazy_exports
 
 __all__ = [
+    "Admission",
     "AdviceSchedule",
     "AdvisedStep",
     "CLASS_PARTS",
@@ -34,6 +35,7 @@
     "Preemption",
     "ProgressMonitor",
     "Quarantine",
+    "Prospect",
     "RandomPlacement",
     "RandomRouting",
     "RetryBudget",
@@ -59,14 +61,17 @@
     "WorkMeter",
     "WorkflowOrder",
     "WorkflowPlanner",
+    "finite_rooms",
     "has_last_tasks",
     "headroom_of",
+    "work_left",
     "step_name",
 ]
 
 __getattr__ = lazy_exports(
     __name__,
     {
+        "Admission": "admission",
         "AdviceSchedule": "advice_schedule",
         "AdvisedStep": "advised_step",
         "CLASS_PARTS": "workflow_order",
@@ -98,6 +103,7 @@
         "Preemption": "preemption",
         "ProgressMonitor": "progress_monitor",
         "Quarantine": "quarantine",
+        "Prospect": "prospect",
         "RandomPlacement": "random_placement",
         "RandomRouting": "random_routing",
         "RetryBudget": "retry_budget",
@@ -123,8 +129,10 @@
         "WorkMeter": "work_meter",
         "WorkflowOrder": "workflow_order",
         "WorkflowPlanner": "workflow_planner",
+        "finite_rooms": "finite_room",
         "has_last_tasks": "last_tasks",
         "headroom_of": "interference",
+        "work_left": "remaining_work",
         "step_name": "straggler_mitigation",
     },
 )
