--- a/src/radishlanding/policy/prospect.py
+++ b/src/radishlanding/policy/prospect.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
+from radishlanding.policy.tier import EXPIRY_FACTOR
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
