Place and move ranked tasks in front of lower ranks

Cause: a workflow in front waits for headroom that workflows behind it take, not only with its last tasks. Change: any step with a rank counts only the tasks in front of it, where the VM's best-effort tasks then lack headroom of 1.0 at most; the notion of last tasks goes.

--- a/src/radishlanding/policy/__init__.py
+++ b/src/radishlanding/policy/__init__.py
@@ -51,7 +51,6 @@
     "VmView",
     "WorkflowOrder",
     "WorkflowPlanner",
-    "has_last_tasks",
     "headroom_of",
     "step_name",
 ]
@@ -107,7 +106,6 @@
         "VmView": "vm_view",
         "WorkflowOrder": "workflow_order",
         "WorkflowPlanner": "workflow_planner",
-        "has_last_tasks": "last_tasks",
         "headroom_of": "interference",
         "step_name": "straggler_mitigation",
     },
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -5,6 +5,7 @@
 
 from radishlanding.policy.headroom_schedule import end_times_ms
 from radishlanding.policy.move import Move
+from radishlanding.policy.vm_selector import MAX_LACK
 
 # Moves in one round: one for so many VMs, and this many at least. The next
 # measurements should show their effect before there are more.
@@ -177,8 +178,7 @@
     def _find_destination(self, item, by_room, by_vm):
         """Return the VM that can spare the most, None if none can.
 
-        The last tasks of a step may take the headroom of tasks behind them
-        in precedence.
+        A task may take the headroom of tasks behind it in precedence.
 
         :param by_room: :class:`VmLoad` objects, the one with the most room
             first.
@@ -186,7 +186,7 @@
         step = item.step
         min_idle_millicores = step.needs.millicores * self._min_idle_share
         for load in by_room:
-            if not item.is_last and not _has_headroom(load):
+            if _lack(load) > MAX_LACK:
                 break
             if (
                 load.pool == item.load.pool
@@ -205,18 +205,21 @@
         """
         if not load.serving_tasks:
             return True
-        cost = load.headroom_cost + self._cost(item.step, load)
-        if item.is_last and cost > load.spare_headroom:
-            cost -= sum(
+        lack = _lack(load) + self._cost(item.step, load)
+        if 0 < lack <= MAX_LACK:
+            lack -= sum(
                 self._cost(other.step, load)
                 for other in others
                 if other.rank > item.rank
             )
-        return cost <= load.spare_headroom
+        return lack <= 0
 
 
-def _has_headroom(load):
-    return not load.serving_tasks or load.spare_headroom >= load.headroom_cost
+def _lack(load):
+    """Return the headroom that the tasks of a VM lack, negative for none."""
+    if not load.serving_tasks:
+        return -math.inf
+    return load.headroom_cost - load.spare_headroom
 
 
 def _room(load):
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -3,7 +3,6 @@
 import collections
 import math
 
-from radishlanding.policy.last_tasks import has_last_tasks
 from radishlanding.policy.refusal import Refusal
 from radishlanding.policy.vm_selector import VmSelector
 from radishlanding.workflow import Assignment
@@ -114,21 +113,16 @@
         return assignments
 
     def _cost_behind(self, record, position):
-        """Return how the last tasks of a step see the headroom of a VM.
+        """Return how the tasks of a ranked step see the headroom of a VM.
 
         They need not wait for headroom that tasks behind them in precedence
         take: the agent gives it to them.
 
         :returns: See :class:`VmSelector`.
         """
-        step = record.workflow.steps[position[1]]
         name = ".".join(map(str, (record.workflow.workflow_id, *position)))
         rank = self.ranks.get(name)
-        if (
-            rank is None
-            or not step.fills
-            or not has_last_tasks(record, *position)
-        ):
+        if rank is None:
             return None
 
         def cost_behind(vm):
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -6,6 +6,10 @@
 
 # Share of its processors that a best-effort task must find idle to start.
 MIN_IDLE_SHARE = 0.6
+# Headroom that the best-effort tasks of a VM may lack in total, as those
+# behind in precedence leave it to others: about that of one heavy task. Those
+# that are paced down keep their memory.
+MAX_LACK = 1.0
 # Of the VMs with serving tasks, one in this many may try a best-effort image
 # that is not known yet, but one at least.
 VMS_PER_TRIAL = 16
@@ -183,7 +187,7 @@
             return Refusal.UNKNOWN_IMAGE
         cost = self._interference.headroom_cost(self._step, vm.capacity)
         excess = vm.headroom_cost + cost - vm.spare_headroom
-        if excess > 0 and self._cost_behind is not None:
+        if 0 < excess <= MAX_LACK and self._cost_behind is not None:
             excess -= self._cost_behind(vm)
         return Refusal.HEADROOM if excess > 0 else None
 
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -60,7 +60,7 @@
         return self._order.key(record, now_ms=now_ms)
 
     def use_ranks(self, ranks):
-        """Place the last tasks of steps in front of tasks of larger ranks.
+        """Place tasks of ranked steps in front of tasks of larger ranks.
 
         :param ranks: Ranks by the name of a step, see
             :class:`TaskPrecedenceOrder`.
