Show operators the queues, their backlog and what is refused

Whether a queue is overloaded, how long its backlog takes and what was refused could only be put together from logs. The leader serves /queues beside its metrics, `radishlanding queues` asks the dispatchers for it; overload_began, overload_ended and admission_refused carry the figures, workflow_waits those that rank the workflow.

Seen only with tests' servers, not on a running site.

--- a/src/radishlanding/cli/root_commands.py
+++ b/src/radishlanding/cli/root_commands.py
@@ -5,6 +5,7 @@
 from radishlanding.cli.config_commands import ConfigCommands
 from radishlanding.cli.entry_client import EntryClient
 from radishlanding.cli.job_commands import JobCommands
+from radishlanding.cli.queue_report import QueueReport
 from radishlanding.cli.report_commands import ReportCommands
 from radishlanding.cli.table import print_json
 from radishlanding.cli.table import print_table
@@ -76,6 +77,16 @@
         """Report on service levels."""
         return ReportCommands(_LazyClient(self._client))
 
+    def queues(self, metrics, json=False):
+        """Show the queues of the leader: backlog, predicted wait, refusals.
+
+        METRICS is the IP:PORT of the metrics pages of the dispatchers,
+        separated by commas.
+        """
+        if isinstance(metrics, str):
+            metrics = metrics.split(",")
+        QueueReport(addresses=list(map(str, metrics))).show(as_json=json)
+
     def status(self, json=False):
         """Show the live processes and the revisions they have in force."""
         answer = self._client().call("GET", "/v1/status")
--- a/src/radishlanding/dispatch/admission_control.py
+++ b/src/radishlanding/dispatch/admission_control.py
@@ -1,5 +1,7 @@
 """Refuses workflows that could only end when they are worth nothing."""
 
+import collections
+
 from radishlanding.dispatch.backlog import Backlog
 from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.observe import EventLog
@@ -25,12 +27,15 @@
         "_counters",
         "_fleet",
         "_loads",
+        "_overloads",
         "_planner",
         "_registry",
         "_rooms",
         "_run_times",
         "_site_watch",
         "backlog",
+        "refused",
+        "submitted",
     )
 
     def __init__(
@@ -59,12 +64,16 @@
         self._counters = counters
         self._fleet = fleet
         self._loads = []
+        self._overloads = set()
         self._planner = planner
         self._registry = registry
         self._rooms = {}
         self._run_times = run_times
         self._site_watch = site_watch
         self.backlog = Backlog(run_times=run_times)
+        # Workflows by queue.
+        self.refused = collections.Counter()
+        self.submitted = collections.Counter()
 
     def update(self):
         """Take note of loads and progress; to be called every second."""
@@ -82,6 +91,23 @@
             now_ms=self._clock_ms(),
         )
 
+        self._log_overloads()
+
+    def _log_overloads(self):
+        """Log which priorities of a pool have more work than room."""
+        overloads = self._planner.overloads
+        for pool, priority in overloads ^ self._overloads:
+            is_new = (pool, priority) in overloads
+            self._counters.add("overloads", is_new)
+            _log.info(
+                "overload_began" if is_new else "overload_ended",
+                pool=pool,
+                priority=priority,
+                room_cores=round(self._rooms.get(pool, 0.0) / 1000),
+                wait_ms=round(self.backlog.wait_ms(pool, priority) or 0),
+            )
+        self._overloads = set(overloads)
+
     def retry_after_s(self, workflow):
         """Return after how many seconds to submit again, 0 to accept now.
 
@@ -89,6 +115,7 @@
             not known yet.
         """
         at_ms = self._clock_ms()
+        self.submitted[workflow.queue] += 1
         if workflow.is_standing or workflow.repeats:
             return 0
         if not self.backlog.is_known(at_ms) or not self._loads:
@@ -134,6 +161,7 @@
         )
 
     def _record_refusal(self, workflow, prospect, retry_after_s):
+        self.refused[workflow.queue] += 1
         self._counters.add("admission_refused")
         self._counters.add("admission_refused_core_s", prospect.core_ms / 1000)
         _log.info(
--- a/src/radishlanding/dispatch/backlog.py
+++ b/src/radishlanding/dispatch/backlog.py
@@ -100,6 +100,24 @@
         """Return whether the rates cover a whole window."""
         return 0 < self._since_ms <= now_ms - WINDOW_MS
 
+    def wait_ms(self, pool, priority):
+        """Return how long the work of a priority and of higher ones takes.
+
+        :param pool: Name of the pool.
+        :param priority: The priority; smaller numbers go first.
+        :returns: The time at the rate of the last seconds, in milliseconds;
+            None if there is work and none was done.
+        """
+        core_ms = sum(
+            queue.core_ms
+            for queue in self.queues.values()
+            if queue.pool == pool and queue.priority <= priority
+        )
+        drained = self.drained_millicores(pool, priority)
+        if core_ms and not drained:
+            return None
+        return 1000 * core_ms / drained if core_ms else 0.0
+
     def drained_millicores(self, pool, priority):
         """Return how fast work of a priority and of higher ones is done.
 
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -11,6 +11,7 @@
 from radishlanding.dispatch.interference_store import InterferenceStore
 from radishlanding.dispatch.leadership_monitor import LeadershipMonitor
 from radishlanding.dispatch.order_sender import OrderSender
+from radishlanding.dispatch.queue_view import QueueView
 from radishlanding.dispatch.recorder import Recorder
 from radishlanding.dispatch.send_gate import SendGate
 from radishlanding.dispatch.submission_queue import SubmissionQueue
@@ -54,6 +55,7 @@
         "_mover",
         "_on_store_unreachable",
         "_order_sender",
+        "_queue_view",
         "_recorder",
         "_registry",
         "_site_watch",
@@ -160,6 +162,9 @@
             run_times=run_times or CallerEstimates(),
             counters=counters,
         )
+        self._queue_view = QueueView(
+            admission=self._admission, planner=planner, counters=counters
+        )
         self._submissions = SubmissionQueue(
             registry=registry,
             wake=self._recorder.wake,
@@ -366,6 +371,10 @@
             outcome=WorkflowOutcome.UNCERTAIN, reason="being recorded"
         )
 
+    def queues(self):
+        """Return the state of all queues; see :class:`QueueView`."""
+        return {"epoch": self.epoch, **self._queue_view.summary()}
+
     def backlog(self, queue):
         """Return how many workflows of a queue have not started."""
         return self._registry.backlog(queue)
--- a/src/radishlanding/dispatch/wait_reporter.py
+++ b/src/radishlanding/dispatch/wait_reporter.py
@@ -63,6 +63,7 @@
                 refused=_join(wait.refusals),
                 excluded=excluded,
                 waiting=len(waiting),
+                order=_join(self._planner.explain_rank(record)),
             )
             lines += 1
             if lines == MAX_LINES:
@@ -84,6 +85,6 @@
 
 
 def _join(counts):
-    """Return counts by name as text, ``none`` for no counts."""
+    """Return values by name as text, ``none`` for no values."""
     pairs = sorted(counts.items())
     return ",".join(f"{name}:{count}" for name, count in pairs) or "none"
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -200,6 +200,11 @@
             for conn in self._peer_server.connections:
                 nursery.start_soon(conn.notify, notice)
 
+    def _queues(self):
+        """Return the queues if this process leads, otherwise None."""
+        leader = self._candidate.leader
+        return None if leader is None else leader.queues()
+
     def _is_ready(self):
         return self._site_watch.is_ready and not self._is_stopping
 
@@ -272,4 +277,5 @@
             counters=self._counters,
             address=self._cfg.metrics_listen,
             program="dispatcher",
+            pages={"/queues": self._queues},
         )
--- a/src/radishlanding/http/metrics_page.py
+++ b/src/radishlanding/http/metrics_page.py
@@ -4,6 +4,7 @@
 
 from radishlanding.http.response import HttpResponse
 from radishlanding.http.server import HttpServer
+from radishlanding.http.status_pages import StatusPages
 
 
 class MetricsPage:
@@ -46,18 +47,22 @@
         return lines
 
 
-async def serve_metrics(nursery, *, counters, address, program):
+async def serve_metrics(nursery, *, counters, address, program, pages=None):
     """Serve the metrics page if an address is set.
 
     :param nursery: Nursery that the server runs in.
     :param counters: The process's :class:`radishlanding.observe.Counters`.
     :param address: ``ip:port`` to listen on, or an empty string.
     :param program: Name of the program.
+    :param pages: See :class:`StatusPages`.
     """
     if not address:
         return
     server = HttpServer(
-        handler=MetricsPage(counters=counters, program=program)
+        handler=StatusPages(
+            metrics=MetricsPage(counters=counters, program=program),
+            pages=pages or {},
+        )
     )
     host, _, port = address.rpartition(":")
     await nursery.start(
--- a/src/radishlanding/policy/completion_order.py
+++ b/src/radishlanding/policy/completion_order.py
@@ -73,6 +73,8 @@
             item = self._refresh(record, rooms.get(workflow.pool, 0.0))
             groups[workflow.pool, workflow.priority].append(item)
             self._record_lateness(item, now_ms)
+        for group in self._overloaded_ms.keys() - groups.keys():
+            del self._overloaded_ms[group]
         used = collections.Counter()
         for pool, priority in sorted(groups):
             items = groups[pool, priority]
@@ -103,6 +105,24 @@
             workflow.workflow_id,
         )
 
+    @property
+    def overloads(self):
+        """Return the overloads; see :class:`WorkflowOrder`."""
+        return set(self._overloaded_ms)
+
+    def explain(self, record):
+        """Return what ranks a workflow in an overload."""
+        item = self._open.get(record.workflow.workflow_id)
+        if item is None or item.tier is None:
+            return {}
+        return {
+            "tier": item.tier.name.lower(),
+            "density": f"{item.density:.2f}",
+            "left_core_s": f"{item.core_ms / 1000:.0f}",
+            "left_path_ms": f"{item.path_ms:.0f}",
+            "objective_ms": f"{item.objective_ms:.0f}",
+        }
+
     def work_ahead_core_ms(self, record, *, millicores, now_ms):
         """Return the work that would go before a new workflow.
 
--- a/src/radishlanding/policy/earliest_deadline.py
+++ b/src/radishlanding/policy/earliest_deadline.py
@@ -21,6 +21,15 @@
         """Return 0, as the order keeps no account of work."""
         return 0.0
 
+    @property
+    def overloads(self):
+        """Return an empty set, as the order keeps no account of work."""
+        return set()
+
+    def explain(self, record):
+        """Return nothing: the deadline ranks a workflow."""
+        return {}
+
     def key(self, record, *, now_ms):
         """Return a sort key; smaller keys are placed first."""
         workflow = record.workflow
--- a/src/radishlanding/policy/workflow_order.py
+++ b/src/radishlanding/policy/workflow_order.py
@@ -28,6 +28,20 @@
             not known.
         """
 
+    @property
+    def overloads(self):
+        """Return pairs of pool and priority that have more work than room.
+
+        :returns: A set, as of the last :meth:`update`.
+        """
+
+    def explain(self, record):
+        """Return the figures that rank a workflow, as text by name.
+
+        :param record: A :class:`radishlanding.workflow.WorkflowRecord`.
+        :returns: Empty if its deadline alone ranks it.
+        """
+
     def key(self, record, *, now_ms):
         """Return a sort key; smaller keys are placed first.
 
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -79,6 +79,15 @@
             self._updated_ms = now_ms
             self._order.update(records, rooms=rooms, now_ms=now_ms)
 
+    @property
+    def overloads(self):
+        """Return the overloads; see :class:`WorkflowOrder`."""
+        return self._order.overloads
+
+    def explain_rank(self, record):
+        """Return what ranks a workflow; see :class:`WorkflowOrder`."""
+        return self._order.explain(record)
+
     def work_ahead_core_ms(self, record, *, millicores, now_ms):
         """Return the work before a workflow; see :class:`WorkflowOrder`."""
         return self._order.work_ahead_core_ms(
--- a/tests/policy/overload_play.py
+++ b/tests/policy/overload_play.py
@@ -96,14 +96,18 @@
             )
         ]
 
+    @property
+    def overloads(self):
+        return self._order.overloads
+
     def work_ahead_core_ms(self, record, *, millicores, now_ms):
         return self._order.work_ahead_core_ms(
             record, millicores=millicores, now_ms=now_ms
         )
 
-    def run(self, jobs):
+    def run(self, jobs, *, drain_ms=DRAIN_MS):
         coming = list(reversed(jobs))
-        end_ms = jobs[-1].record.workflow.accepted_ms + DRAIN_MS
+        end_ms = jobs[-1].record.workflow.accepted_ms + drain_ms
         for self.now_ms in range(START_MS, end_ms, ROUND_MS):
             if self._control and self.now_ms % 1000 == 0:
                 self._control.update()
