--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -229,6 +229,11 @@
             for conn in self._peer_server.connections:
                 nursery.start_soon(conn.notify, notice)
 
+    def _queues(self):
+        """Return the queues if this process leads, otherwise None."""
+        leader = self._candidate.leader
+        return None if leader is None else leader.queues()
+
     def _is_ready(self):
         return self._site_watch.is_ready and not self._is_stopping
 
@@ -309,4 +314,5 @@
             address=self._cfg.metrics_listen,
             program="dispatcher",
             budget=self._budget,
+            pages={"/queues": self._queues},
         )
--- a/src/radishlanding/http/metrics_page.py
+++ b/src/radishlanding/http/metrics_page.py
@@ -6,6 +6,7 @@
 from radishlanding.http.process_budget import MAX_METRICS_CONNECTIONS
 from radishlanding.http.response import HttpResponse
 from radishlanding.http.server import HttpServer
+from radishlanding.http.status_pages import StatusPages
 
 
 class MetricsPage:
@@ -52,7 +53,9 @@
 LIMITS = Limits(connections=MAX_METRICS_CONNECTIONS, body_bytes=4096)
 
 
-async def serve_metrics(nursery, *, counters, address, program, budget=None):
+async def serve_metrics(
+    nursery, *, counters, address, program, budget=None, pages=None
+):
     """Serve the metrics page if an address is set.
 
     :param nursery: Nursery that the server runs in.
@@ -61,11 +64,15 @@
     :param program: Name of the program.
     :param budget: The process's :class:`radishlanding.http.ProcessBudget`, or
         None.
+    :param pages: See :class:`StatusPages`.
     """
     if not address:
         return
     server = HttpServer(
-        handler=MetricsPage(counters=counters, program=program),
+        handler=StatusPages(
+            metrics=MetricsPage(counters=counters, program=program),
+            pages=pages or {},
+        ),
         limits=LIMITS,
         budget=budget,
         counters=counters,
