Leave peers what clients do not take, and bound connections not yet accepted

Cause: half of the descriptors for peers would not have held 4,400 VMs in 8,192 descriptors; the queue of connections to be accepted at the peer port had no bound of its own, and each one there holds memory of the kernel. Change: peers get what clients' connections and their calls leave. The queue of the peer port is as long as the number of connections without a message, 128 at least.

--- a/src/radishlanding/http/process_budget.py
+++ b/src/radishlanding/http/process_budget.py
@@ -80,7 +80,9 @@
             sockets // 4,
             int(memory_bytes * CONNECTIONS_SHARE) // CLIENT_CONNECTION_BYTES,
         )
-        self.peer_connections = min(MAX_PEER_CONNECTIONS, sockets // 2)
+        self.peer_connections = min(
+            MAX_PEER_CONNECTIONS, sockets - 2 * self.client_connections
+        )
         self.stranger_connections = min(
             self.peer_connections,
             int(memory_bytes * STRANGERS_SHARE) // PEER_CONNECTION_BYTES,
--- a/src/radishlanding/peer/server.py
+++ b/src/radishlanding/peer/server.py
@@ -11,6 +11,9 @@
 # A connection on which no message has arrived for this long may be closed for
 # another one. Agents and dispatchers send a message at once.
 STRANGER_S = 1.0
+# Connections that wait to be accepted hold memory of the kernel, too. All
+# agents of a site connect at once when a leader is replaced.
+MIN_BACKLOG = 128
 
 _log = EventLog("radishlanding.peer")
 
@@ -53,7 +56,12 @@
         :param port: Port to listen on, 0 for any free port.
         :param task_status: Started with the port that was bound.
         """
-        listeners = await trio.open_tcp_listeners(port, host=host)
+        backlog = None
+        if self._budget is not None:
+            backlog = max(MIN_BACKLOG, self._budget.stranger_connections)
+        listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=backlog
+        )
         if self._budget is not None:
             for listener in listeners:
                 # Accepted connections inherit the size.
