Slow best-effort tasks down before others take their headroom

Cause: with ranks a task that has just started may be the first in order. It ran at full pace beside the tasks that it replaces until the next control round, 0.6 s later; a task without progress came last before. Change: the pacer slows tasks down before it speeds others up, and adjusts all tasks of the VM when one has started.

--- a/src/radishlanding/vmagent/task_pacer.py
+++ b/src/radishlanding/vmagent/task_pacer.py
@@ -159,9 +159,7 @@
             best_effort = self._best_effort()
             self._observe(best_effort)
             self._update_control(best_effort)
-            async with trio.open_nursery() as nursery:
-                for task, percent in self._changes(best_effort):
-                    nursery.start_soon(self._set_pace, task, percent)
+            await self._set_paces(self._changes(best_effort))
 
     def _changes(self, best_effort):
         """Return pairs of a task and the pace to send, in percent."""
@@ -212,11 +210,32 @@
     async def apply_to(self, task):
         """Set the current pace of a task that has just started.
 
+        If it takes precedence over others, they are slowed down at once.
+
         :param task: A :class:`TaskAttempt` of a best-effort task.
         """
-        percent = self._percents(self._best_effort()).get(task.key)
-        if percent is not None and percent != task.pace_percent:
-            await self._set_pace(task, percent)
+        best_effort = self._best_effort()
+        percents = self._percents(best_effort)
+        await self._set_paces(
+            [
+                (other, percents[other.key])
+                for other in best_effort
+                if other is task or percents[other.key] < _pace(other)
+                if percents[other.key] != other.pace_percent
+            ]
+        )
+
+    async def _set_paces(self, changes):
+        """Slow tasks down before others speed up in their place.
+
+        :param changes: Pairs of a task and its pace, in percent.
+        """
+        slower = [item for item in changes if item[1] < _pace(item[0])]
+        faster = [item for item in changes if item not in slower]
+        for group in (slower, faster):
+            async with trio.open_nursery() as nursery:
+                for task, percent in group:
+                    nursery.start_soon(self._set_pace, task, percent)
 
     async def _set_pace(self, task, percent):
         sent_s, before = boot_clock_s(), task.pace_percent
@@ -255,3 +274,8 @@
                 taken=is_taken,
                 took_ms=int((now_s - sent_s) * 1000),
             )
+
+
+def _pace(task):
+    """Return the pace of a task in percent, the full one if unknown."""
+    return FULL_PERCENT if task.pace_percent is None else task.pace_percent
--- a/tests/vmagent/task_pacer.feature
+++ b/tests/vmagent/task_pacer.feature
@@ -20,6 +20,13 @@
     Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
     When the leader ranks the second one first
     Then within 1.5 s only the second one runs
+    And the first one was paused before the second one ran
+
+  Scenario: a new task in front does not run beside the one that it replaces
+    Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
+    When the leader ranks the second one first
+    And the second one has just started
+    Then within 0.3 s only the second one runs
 
   Scenario: ranks that the leader does not renew are dropped
     Given a supervisor whose worker runs a serving task and 2 heavy best-effort ones, with headroom for one
--- a/tests/vmagent/task_pacer_steps.py
+++ b/tests/vmagent/task_pacer_steps.py
@@ -194,3 +194,20 @@
             return
         assert time.monotonic() < deadline_s, paces
         context.bridge.call(trio.sleep, 0.05)
+
+
+@then("the first one was paused before the second one ran")
+def _paused_before(context):
+    first, second = (
+        context.worker.paces_at_s[task] for task in context.best_effort
+    )
+    assert first <= second, (first, second)
+
+
+@when("the second one has just started")
+def _has_started(context):
+    context.bridge.call(_start, context.supervisor, context.best_effort[1])
+
+
+async def _start(supervisor, task_id):
+    await supervisor.pacer.apply_to(supervisor.table.get(task_id, 1))
