Hold the ranks and costs of a VM's tasks for a round of placement

Change: ranks and costs are looked up once for each VM and round, and VMs without a larger rank are told at once.

--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -11,16 +11,28 @@
 class StepPlacer:
     """Assign the tasks of a step to VMs, a gang as a whole."""
 
-    __slots__ = ("_clock_s", "_interference", "_tickets", "ranks")
+    __slots__ = (
+        "_clock_s",
+        "_interference",
+        "_ranked_costs",
+        "_tickets",
+        "ranks",
+    )
 
     def __init__(self, *, interference, tickets=None, clock_s=None):
         """Prepare a placer; see :class:`WorkflowPlanner`."""
         self._clock_s = clock_s
         self._interference = interference
         self._tickets = tickets
+        # By VM, the largest rank on it, and rank and cost of each task.
+        self._ranked_costs = {}
         # Ranks of best-effort steps by name, see TaskPrecedenceOrder.
         self.ranks = {}
 
+    def begin_round(self):
+        """Drop what is held of VMs, whose tasks may have changed."""
+        self._ranked_costs = {}
+
     def place(self, record, position, tasks, vms, *, is_starved, orders):
         """Return assignments of a step's tasks.
 
@@ -126,16 +138,30 @@
             return None
 
         def cost_behind(vm):
-            return sum(
-                self._interference.headroom_cost(other, vm.capacity)
-                for other, other_name in zip(
-                    vm.best_effort_steps, vm.best_effort_names, strict=True
-                )
-                if self.ranks.get(other_name, math.inf) > rank
-            )
+            largest, costs = self._costs_by_rank(vm)
+            if largest <= rank:
+                return 0.0
+            return sum(cost for other, cost in costs if other > rank)
 
         return cost_behind
 
+    def _costs_by_rank(self, vm):
+        """Return the largest rank on a VM, and rank and cost of each task."""
+        found = self._ranked_costs.get(vm.vm)
+        if found is None:
+            costs = [
+                (
+                    self.ranks.get(name, math.inf),
+                    self._interference.headroom_cost(step, vm.capacity),
+                )
+                for step, name in zip(
+                    vm.best_effort_steps, vm.best_effort_names, strict=True
+                )
+            ]
+            largest = max((rank for rank, _ in costs), default=-math.inf)
+            found = self._ranked_costs[vm.vm] = largest, costs
+        return found
+
     def _selector(self, key, step, vms, is_starved, cost_behind=None):
         return VmSelector(
             interference=self._interference,
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -95,6 +95,7 @@
         :returns: :class:`radishlanding.workflow.Assignment` objects.
         """
         self._rng.shuffle(loads)
+        self._step_placer.begin_round()
         self._idle_clock.update(records, now_ms=now_ms)
         budget = PlacementBudget(
             max_tasks=MAX_ASSIGNMENTS, max_bytes=max_bytes
@@ -176,6 +177,7 @@
         :returns: A :class:`PlacementWait`, None if no task is ready.
         """
         workflow = record.workflow
+        self._step_placer.begin_round()
         position, tasks = self._first_ready(record, now_ms)
         if not tasks:
             return None
