--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -146,6 +146,7 @@
         :returns: :class:`radishlanding.workflow.Assignment` objects.
         """
         self._rng.shuffle(loads)
+        self._step_placer.begin_round()
         self._idle_clock.update(records, now_ms=now_ms)
         self._next_steps = {
             record.workflow.workflow_id: position
@@ -253,6 +254,7 @@
         :returns: A :class:`PlacementWait`, None if no task is ready.
         """
         workflow = record.workflow
+        self._step_placer.begin_round()
         position = next(_waiting_steps(record, now_ms), None)
         if position is None:
             return None
