--- a/src/radishlanding/dispatcher/leader_client.py
+++ b/src/radishlanding/dispatcher/leader_client.py
@@ -25,7 +25,7 @@
 LEADER_TIMEOUT_S = 0.6
 # Timeout once no leader has answered for longer than ``LEADER_TIMEOUT_S``. In
 # an outage of the store callers wait without a call; refused without a wait,
-# 13 of 50 who came in the second after its return missed it, else none.
+# 13 of 50 who came in the second after its return missed it, with it none.
 OUTAGE_LEADER_TIMEOUT_S = 0.15
 POLL_INTERVAL_S = 0.02
 # An uncertain outcome is resolved once the store answers again, which takes
