Count on the pace that best-effort tasks really get

PaceShare compares the work done over 10 s with the processors assigned 5 s earlier, by pool and priority, and the room shrinks by it, to a tenth at most. The first 10 s of a burst count as full pace.

completion_order: 13 passed; admission_control, queue_view and leader: 66 passed.

--- a/src/radishlanding/policy/completion_order.py
+++ b/src/radishlanding/policy/completion_order.py
@@ -7,6 +7,7 @@
 from radishlanding.policy.ageing import Ageing
 from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
 from radishlanding.policy.open_workflow import OpenWorkflow
+from radishlanding.policy.pace_share import PaceShare
 from radishlanding.policy.remaining_work import work_left
 from radishlanding.policy.selection import select
 from radishlanding.policy.size_history import SizeHistory
@@ -48,6 +49,7 @@
         "_histories",
         "_open",
         "_overloaded_ms",
+        "_paces",
         "_run_times",
     )
 
@@ -61,26 +63,35 @@
         self._open = {}
         # Time of the last overload by pool and priority.
         self._overloaded_ms = {}
+        # By pool and priority.
+        self._paces = collections.defaultdict(PaceShare)
         self._run_times = run_times
 
     def update(self, records, *, rooms, now_ms):
         """Select workflows; see :class:`WorkflowOrder`."""
         finite = [rec for rec in records if _is_selectable(rec.workflow)]
-        self._drop_ended({rec.workflow.workflow_id for rec in finite})
+        done = collections.Counter()
+        self._drop_ended({rec.workflow.workflow_id for rec in finite}, done)
         groups = collections.defaultdict(list)
         for record in finite:
             workflow = record.workflow
-            item = self._refresh(record, rooms.get(workflow.pool, 0.0))
-            groups[workflow.pool, workflow.priority].append(item)
+            group = workflow.pool, workflow.priority
+            item, done_core_ms = self._refresh(
+                record, rooms.get(workflow.pool, 0.0)
+            )
+            groups[group].append(item)
+            done[group] += done_core_ms
             self._record_lateness(item, now_ms)
         for group in self._overloaded_ms.keys() - groups.keys():
             del self._overloaded_ms[group]
+        for group in self._paces.keys() | groups.keys():
+            self._observe_pace(group, groups[group], done[group], now_ms)
         used = collections.Counter()
         for pool, priority in sorted(groups):
             items = groups[pool, priority]
-            self._select(
-                (pool, priority), items, rooms.get(pool, 0.0), now_ms, used
-            )
+            room = rooms.get(pool, 0.0)
+            room *= self._paces[pool, priority].share(now_ms)
+            self._select((pool, priority), items, room, now_ms, used)
             used[pool] += sum(item.core_ms for item in items)
 
     def key(self, record, *, now_ms):
@@ -160,7 +171,10 @@
         return core_ms
 
     def _refresh(self, record, room_millicores):
-        """Return the up-to-date :class:`OpenWorkflow` of a record."""
+        """Bring the :class:`OpenWorkflow` of a record up to date.
+
+        :returns: A pair of it and the work done, in core-milliseconds.
+        """
         workflow = record.workflow
         left = work_left(
             record, self._run_times, room_millicores=room_millicores
@@ -171,10 +185,10 @@
             history.add(left.total_core_ms)
             item = OpenWorkflow(record=record)
             self._open[workflow.workflow_id] = item
-        item.apply(left)
+        done_core_ms = item.apply(left)
         item.size_class = history.size_class(left.total_core_ms)
         item.density = self._density(item, left, history)
-        return item
+        return item, done_core_ms
 
     def _density(self, item, left, history):
         """Return the worth per remaining work; 1 is the queue's mean."""
@@ -248,9 +262,25 @@
             item.is_late = True
             self._history(item).record_end(item.size_class, is_in_time=False)
 
-    def _drop_ended(self, open_ids):
+    def _observe_pace(self, group, items, done_core_ms, now_ms):
+        self._paces[group].observe(
+            done_core_ms,
+            count_millicores=lambda: sum(
+                item.assigned_millicores() for item in items
+            ),
+            now_ms=now_ms,
+        )
+
+    def _drop_ended(self, open_ids, done):
+        """Drop ended workflows, and add up what was left to do of them.
+
+        :param done: Work done by pool and priority, in core-milliseconds.
+        """
         for workflow_id in self._open.keys() - open_ids:
             item = self._open.pop(workflow_id)
+            if item.record.phase == WorkflowPhase.COMPLETED:
+                workflow = item.record.workflow
+                done[workflow.pool, workflow.priority] += item.core_ms
             if item.is_late or item.record.phase != WorkflowPhase.COMPLETED:
                 continue
             self._history(item).record_end(
--- a/src/radishlanding/policy/open_workflow.py
+++ b/src/radishlanding/policy/open_workflow.py
@@ -5,6 +5,7 @@
 from radishlanding.policy.earliest_deadline import EXPIRY_FACTOR
 from radishlanding.policy.size_history import SizeClass
 from radishlanding.policy.tier import Tier
+from radishlanding.workflow import TaskId
 from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 
@@ -24,6 +25,7 @@
 
     :param record: Its record.
     :param core_ms: Work that is left, in core-milliseconds.
+    :param total_core_ms: Work of all its tasks, in core-milliseconds.
     :param path_ms: Time that the rest takes at least, in milliseconds.
     :param objective_ms: Time to complete within, in milliseconds.
     :param density: Worth per remaining work; 1 is the queue's mean.
@@ -36,6 +38,7 @@
 
     record: WorkflowRecord
     core_ms: float = 0.0
+    total_core_ms: float = 0.0
     path_ms: float = 0.0
     objective_ms: float = 0.0
     density: float = 0.0
@@ -49,12 +52,29 @@
         """Take over what is left to do.
 
         :param left: A :class:`RemainingWork`.
+        :returns: Work done since the last call by the estimates of now, in
+            core-milliseconds.
         """
+        scale = left.total_core_ms / max(self.total_core_ms, 1.0)
+        done_core_ms = max(0.0, scale * self.core_ms - left.core_ms)
+        self.total_core_ms = left.total_core_ms
         self.core_ms = left.core_ms
         self.path_ms = left.path_ms
         change_ms = abs(left.objective_ms - self.objective_ms)
         if change_ms > OBJECTIVE_TOLERANCE * self.objective_ms:
             self.objective_ms = left.objective_ms
+        return done_core_ms
+
+    def assigned_millicores(self):
+        """Return the processors that its running tasks would use."""
+        if not self.is_begun:
+            return 0
+        steps = self.record.workflow.steps
+        return sum(
+            steps[TaskId.parse(task.task_id).step].needs.millicores
+            for task in self.record.tasks.values()
+            if task.is_assigned
+        )
 
     def rank_by_density(self):
         """Set the rank, the greatest density first."""
--- a/tests/policy/completion_order.feature
+++ b/tests/policy/completion_order.feature
@@ -39,3 +39,29 @@
     Given workflows whose work exceeds the room
     When two of them are expired for long
     Then the older one goes first and the other one last
+
+  Scenario Outline: tasks that are paced down leave less room than processors
+    Given tasks that hold 100 processors and do <share> of their work in time
+    When they have run for 20 s
+    Then <seen> of the room is counted on
+
+    Examples:
+      | share | seen |
+      | 1     | 1    |
+      | 0.4   | 0.4  |
+      | 0     | 0.1  |
+
+  Scenario: the first tasks of a burst are not taken for slow ones
+    Given tasks that hold 100 processors and do 0 of their work in time
+    When they have run for 6 s
+    Then 1 of the room is counted on
+
+  Scenario Outline: an overload shows although processors seem to be idle
+    Given 20 workflows whose tasks are all assigned, with room for twice as many
+    When none of them is done within <seconds> s
+    Then this is <taken> for an overload
+
+    Examples:
+      | seconds | taken     |
+      | 5       | not taken |
+      | 50      | taken     |
--- a/tests/policy/completion_order_steps.py
+++ b/tests/policy/completion_order_steps.py
@@ -9,6 +9,7 @@
 from radishlanding.policy import CallerEstimates
 from radishlanding.policy import CompletionOrder
 from radishlanding.policy import EarliestDeadline
+from radishlanding.policy.pace_share import PaceShare
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
 from radishlanding.workflow import WorkflowPhase
@@ -152,7 +153,7 @@
         [step],
         name=name,
         stretch=2.0,
-        latency_ms=3000 - 25 * count,
+        latency_ms=fields.pop("latency_ms", 3000 - 25 * count),
         accepted_ms=NOW_MS - age_ms,
         **fields,
     )
@@ -218,3 +219,57 @@
     ranked = _ranked(context, context.order)
     assert ranked[0] == "a" * 16, ranked
     assert ranked[-1] == "b" * 16, ranked
+
+
+@given(
+    "tasks that hold {cores:d} processors and do {share:g} of their work in "
+    "time"
+)
+def _paced(context, cores, share):
+    context.pace, context.cores, context.share = PaceShare(), cores, share
+
+
+@when("they have run for {seconds:d} s")
+def _run(context, seconds):
+    context.now_ms = NOW_MS + 1000 * seconds
+    # Nothing runs in the first 20 s.
+    for now_ms in range(NOW_MS - 20_000, context.now_ms, 250):
+        cores = context.cores if now_ms >= NOW_MS else 0
+        context.pace.observe(
+            context.share * cores * 250,
+            count_millicores=lambda cores=cores: 1000 * cores,
+            now_ms=now_ms,
+        )
+
+
+@then("{share:g} of the room is counted on")
+def _counted_on(context, share):
+    found = context.pace.share(context.now_ms)
+    assert abs(found - share) < 0.05, found
+
+
+@given(
+    "20 workflows whose tasks are all assigned, with room for twice as many"
+)
+def _assigned(context):
+    context.order = _order()
+    context.records = [
+        _record(f"{number:016x}", latency_ms=60_000) for number in range(20)
+    ]
+    for record in context.records:
+        record.phase = WorkflowPhase.RUNNING
+        for index in range(record.workflow.steps[0].count):
+            task = record.task(0, 0, index)
+            task.vm = "a"
+            record.tasks[task.task_id] = task
+
+
+@when("none of them is done within {seconds:d} s")
+def _none_done(context, seconds):
+    for now_ms in range(NOW_MS, NOW_MS + 1000 * seconds + 1, 250):
+        _update(context, 400_000, now_ms)
+
+
+@then("this is {taken} for an overload")
+def _overload_seen(context, taken):
+    assert bool(context.order.overloads) == (taken == "taken")
