Show rates of a new leader's first seconds, and the count of overloads

On a stand-in site /queues divided the work of the first seconds by ten, so that the predicted wait was 631 s where it was 97 s a little later, and the counter of overloads was left out. A site of the tests with 30 workflows of 40 tasks now shows both; queue_view and admission_control: 12 passed, 0 failed.

--- a/src/radishlanding/dispatch/backlog.py
+++ b/src/radishlanding/dispatch/backlog.py
@@ -9,6 +9,8 @@
 # Long enough for several ends of tasks of some seconds, short enough to
 # follow a burst.
 WINDOW_MS = 10_000
+# A new leader shows rates from its first second on.
+MIN_SPAN_MS = 1000
 
 
 class Backlog:
@@ -92,8 +94,9 @@
                 queues[name] = QueueBacklog(
                     queue=name, pool=queue.pool, priority=queue.priority
                 )
+        span_ms = min(max(now_ms - self._since_ms, MIN_SPAN_MS), WINDOW_MS)
         for name, queue in queues.items():
-            queue.drained_millicores = 1000 * totals[name] / WINDOW_MS
+            queue.drained_millicores = 1000 * totals[name] / span_ms
         self.queues = queues
 
     def is_known(self, now_ms):
--- a/src/radishlanding/dispatch/queue_view.py
+++ b/src/radishlanding/dispatch/queue_view.py
@@ -1,7 +1,7 @@
 """What the leader shows of its queues."""
 
 # Counters of decisions about the load of the whole site.
-COUNTER_PREFIXES = ("admission_", "moves_", "precedence_")
+COUNTER_PREFIXES = ("admission_", "moves_", "overloads", "precedence_")
 
 
 class QueueView:
