Give the pace of light tasks to those in front

Cause: light tasks of a VM that is near a latency target all got the same pace, which falls to 0 and rises by a fifth each 0.6 s. Change: light tasks share what they would take together at that pace in the order of the leader's ranks, as heavy ones do.

--- a/src/radishlanding/policy/pace_controller.py
+++ b/src/radishlanding/policy/pace_controller.py
@@ -18,6 +18,11 @@
 # The budget exceeds the measured cost of heavy tasks by this headroom at
 # most, as the weights of images may be wrong.
 MAX_BUDGET_RAISE = 0.7
+# The weight of an image may be learned as 0, and its tasks still use
+# processors.
+MIN_LIGHT_COST = 0.01
+# Keeps a quotient that is a whole step from being rounded down.
+ROUNDING = 1e-9
 
 
 class PaceController:
@@ -29,8 +34,8 @@
     budget: the headroom that serving tasks would have without them, less a
     reserve. The budget follows measurements that lag by half a second, so
     wrong weights only change how fast it settles. Once no heavy task runs
-    any more, light tasks are slowed down near the latency target and stopped
-    above it.
+    any more, light tasks are slowed down near the latency target, the last
+    ones first, and stopped above it.
 
     Headroom is what :func:`headroom_of` returns.
     """
@@ -111,14 +116,40 @@
         """
         if self._has_no_serving:
             return [FULL_PERCENT] * len(costs)
-        percents, left = [], self.budget
-        for cost in costs:
-            percent = FULL_PERCENT
-            if cost > left:
-                steps = left / cost * FULL_PERCENT // STEP_PERCENT
-                percent = int(steps) * STEP_PERCENT
-            if left <= 0:
-                percent = 0
-            percents.append(percent)
-            left -= cost * percent / FULL_PERCENT
-        return percents
+        return _divide(self.budget, costs)
+
+    def light_percents(self, costs):
+        """Return the paces of light tasks, in percent.
+
+        Together they take no more headroom than if all of them ran at
+        ``light_percent``. A workflow waits for its last task, so that some
+        tasks at full speed end more workflows than all at the same pace.
+
+        :param costs: Headroom that each task takes at full speed; earlier
+            tasks are served first.
+        :returns: A pace for each cost, in the same order.
+        """
+        if self.light_percent == FULL_PERCENT:
+            return [FULL_PERCENT] * len(costs)
+        costs = [max(cost, MIN_LIGHT_COST) for cost in costs]
+        return _divide(sum(costs) * self.light_percent / FULL_PERCENT, costs)
+
+
+def _divide(budget, costs):
+    """Return paces that take no more than a budget of headroom.
+
+    :param budget: Headroom that all tasks may take together.
+    :param costs: Headroom that each task takes at full speed; earlier tasks
+        are served first.
+    """
+    percents, left = [], budget
+    for cost in costs:
+        percent = FULL_PERCENT
+        if cost > left:
+            steps = (left / cost + ROUNDING) * FULL_PERCENT // STEP_PERCENT
+            percent = int(steps) * STEP_PERCENT
+        if left <= 0:
+            percent = 0
+        percents.append(percent)
+        left -= cost * percent / FULL_PERCENT
+    return percents
--- a/src/radishlanding/vmagent/task_pacer.py
+++ b/src/radishlanding/vmagent/task_pacer.py
@@ -99,15 +99,14 @@
     def _percents(self, best_effort):
         """Return the pace of each best-effort task by its key, in percent.
 
-        Light tasks have the same pace. Heavy tasks have precedence by the
-        leader's ranks, and those without a rank follow. Of the same rank, or
-        without recent ranks, those that have made the most progress go first.
+        Tasks have precedence by the leader's ranks, and those without a rank
+        follow. Of the same rank, or without recent ranks, those that have
+        made the most progress go first.
         """
-        controller = self._controller
         is_ranked = boot_clock_s() - self._ranked_at_s <= MAX_RANK_AGE_S
         ranks = self._ranks if is_ranked else {}
-        heavy = sorted(
-            (task for task in best_effort if not self._is_light(task)),
+        in_order = sorted(
+            best_effort,
             key=lambda task: (
                 ranks.get(task.task_id, math.inf),
                 -task.progress,
@@ -115,14 +114,19 @@
                 task.key,
             ),
         )
-        percents = {task.key: controller.light_percent for task in best_effort}
-        costs = [
-            self._headroom_cost(task, task.order.millicores) for task in heavy
-        ]
-        for task, percent in zip(
-            heavy, controller.heavy_percents(costs), strict=True
+        heavy = [task for task in in_order if not self._is_light(task)]
+        light = [task for task in in_order if self._is_light(task)]
+        percents = {}
+        for tasks, divide in (
+            (heavy, self._controller.heavy_percents),
+            (light, self._controller.light_percents),
         ):
-            percents[task.key] = percent
+            costs = [
+                self._headroom_cost(task, task.order.millicores)
+                for task in tasks
+            ]
+            keys = [task.key for task in tasks]
+            percents.update(zip(keys, divide(costs), strict=True))
         return percents
 
     @property
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -157,6 +157,20 @@
     Then heavy tasks run at less than half of the full pace
     And the first runs at full pace and the last is stopped
 
+  Scenario Outline: slowed light tasks in front run at full pace
+    Given light best-effort tasks that take <costs> of headroom, paced at <percent> %
+    Then their paces are <paces>
+    And they take no more headroom than at the same pace
+
+    Examples:
+      | costs               | percent | paces          |
+      | 0.1, 0.1, 0.1, 0.1  | 100     | 100 100 100 100 |
+      | 0.1, 0.1, 0.1, 0.1  | 50      | 100 100 0 0    |
+      | 0.1, 0.1, 0.1, 0.1  | 40      | 100 60 0 0     |
+      | 0.3, 0.1, 0.1       | 40      | 60 20 0        |
+      | 0, 0, 0             | 60      | 100 80 0       |
+      | 0.2, 0.2            | 0       | 0 0            |
+
   Scenario: without serving tasks no task is paced down
     Given a VM with heavy and light best-effort tasks at full pace
     When it has no serving tasks
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -537,3 +537,29 @@
     record = WorkflowRecord(workflow=context.workflow)
     expected = {"is left out": True, "is planned again": False}[state]
     assert context.planner.is_fully_placed(record) == expected
+
+
+@given(
+    "light best-effort tasks that take {costs} of headroom, paced at "
+    "{percent:d} %"
+)
+def _slowed_light(context, costs, percent):
+    context.controller = PaceController()
+    context.controller.light_percent = percent
+    context.costs = [float(cost) for cost in costs.split(",")]
+
+
+@then("their paces are {paces}")
+def _light_paces(context, paces):
+    context.paces = context.controller.light_percents(context.costs)
+    assert context.paces == [int(p) for p in paces.split()], context.paces
+
+
+@then("they take no more headroom than at the same pace")
+def _light_headroom(context):
+    taken = sum(
+        cost * pace
+        for cost, pace in zip(context.costs, context.paces, strict=True)
+    )
+    allowed = sum(context.costs) * context.controller.light_percent
+    assert taken <= allowed + 1e-6, (taken, allowed)
