--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -9,6 +9,7 @@
 from radishlanding.message import STORE_UNANSWERED
 from radishlanding.message import WorkflowAnswer
 from radishlanding.peer import CallRefused
+from radishlanding.policy import MAX_GANG_TASKS
 from radishlanding.workflow import WorkflowOutcome
 
 # Callers wait 3 s for an answer; this leaves them time for a retry.
@@ -77,6 +78,10 @@
                 return refused_answer(
                     f"the workflow exceeds {MAX_ENTRY_BYTES} bytes"
                 )
+            if _has_oversized_gang(workflow):
+                return refused_answer(
+                    f"a gang has more than {MAX_GANG_TASKS} tasks"
+                )
             if record is None and self._admission is not None:
                 retry_after_s = self._admission.retry_after_s(workflow)
                 if retry_after_s:
@@ -200,6 +205,13 @@
                 item.settled.set()
 
 
+def _has_oversized_gang(workflow):
+    """Return whether the workflow has a gang that can never be placed."""
+    return any(
+        step.gang and step.count > MAX_GANG_TASKS for step in workflow.steps
+    )
+
+
 def found_answer(record):
     """Return the answer for a recorded workflow."""
     return WorkflowAnswer(
--- a/tests/dispatch/submission_queue_steps.py
+++ b/tests/dispatch/submission_queue_steps.py
@@ -9,6 +9,7 @@
 from radishlanding.dispatch.entry_room import EntryRoom
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.workflow import Step
+from radishlanding.workflow import WorkflowOutcome
 from radishlanding.workflow import WorkflowRegistry
 from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NEEDS
@@ -59,3 +60,15 @@
 @then("each entry takes {count:d} of them")
 def _each(context, count):
     assert [len(entry) for entry in context.entries] == [count] * 3
+
+
+@when("a workflow with a gang of {count:d} tasks is submitted")
+def _gang(context, count):
+    step = Step(count=count, needs=NEEDS, gang=True)
+    context.answer = trio.run(context.queue.submit, make_workflow([step]))
+
+
+@then("it is refused, and no entry takes it")
+def _is_refused(context):
+    assert context.answer.outcome == WorkflowOutcome.REFUSED, context.answer
+    assert context.queue.collect(EntryRoom()) == ([], [])
