Let size classes keep their precedence until they have caught up

A class whose rate moves around the threshold gained and lost its precedence with single ends, and the ranks of all its workflows flipped. It now keeps it from 0.75 to 0.85 of its queue's rate.

completion_order 13 passed, admission_control 8 passed, 0 failed.

--- a/src/radishlanding/policy/size_history.py
+++ b/src/radishlanding/policy/size_history.py
@@ -14,6 +14,8 @@
 # A class that is in time at less than this share of its queue's rate goes
 # first. The promise is a half; the rest is the margin of a late reaction.
 OWED_SHARE = 0.75
+# It goes first until it is at this share, so that ranks don't flip.
+SETTLED_SHARE = 0.85
 # Ends assumed in advance, in time at the queue's rate.
 PRIOR_ENDS = 1.0
 
@@ -29,12 +31,13 @@
 class SizeHistory:
     """Hold sizes and outcomes of the workflows of a queue."""
 
-    __slots__ = ("_ended", "_in_time", "_sizes", "_sorted")
+    __slots__ = ("_ended", "_in_time", "_owed", "_sizes", "_sorted")
 
     def __init__(self):
         """Start without workflows."""
         self._ended = [0.0] * len(SizeClass)
         self._in_time = [0.0] * len(SizeClass)
+        self._owed = set()
         self._sizes = collections.deque()
         self._sorted = []
 
@@ -78,11 +81,18 @@
         self._ended[size_class] += 1
         self._in_time[size_class] += is_in_time
 
+        self._update_owed()
+
+    def _update_owed(self):
+        rate = sum(self._in_time) / sum(self._ended)
+        for size_class in (SizeClass.NEXT_FIFTH, SizeClass.LARGEST_TENTH):
+            ended = self._ended[size_class] + PRIOR_ENDS
+            in_time = self._in_time[size_class] + PRIOR_ENDS * rate
+            if in_time < OWED_SHARE * rate * ended:
+                self._owed.add(size_class)
+            elif in_time > SETTLED_SHARE * rate * ended:
+                self._owed.discard(size_class)
+
     def is_owed(self, size_class):
         """Return whether a class of large workflows is in time too rarely."""
-        if size_class == SizeClass.REST or not sum(self._ended):
-            return False
-        rate = sum(self._in_time) / sum(self._ended)
-        ended = self._ended[size_class] + PRIOR_ENDS
-        own_rate = (self._in_time[size_class] + PRIOR_ENDS * rate) / ended
-        return own_rate < OWED_SHARE * rate
+        return size_class in self._owed
