--- a/tests/dispatcher/untrusted_clients.feature
+++ b/tests/dispatcher/untrusted_clients.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Clients that keep to no limit end no dispatcher
 
   # Such clients took dispatchers out of memory: up to 1 MiB was held for each
--- a/tests/run.py
+++ b/tests/run.py
@@ -21,6 +21,8 @@
 MAX_ERROR_CHARS = 400
 # Marks features that start a site for each row: their rows are split.
 ROWS_TAG = "@rows"
+# Marks features that measure memory: they run one at a time, after the others.
+ALONE_TAG = "@alone"
 PROMISES = "tests/promises"
 
 
@@ -142,6 +144,21 @@
     return name, passed, failed, completed.stdout + completed.stderr
 
 
+def _runs_alone(job):
+    """Return whether a job is to run with no other one beside it."""
+    path = ROOT / job[1][0]
+    return path.is_file() and ALONE_TAG in path.read_text()
+
+
+def _results(chosen):
+    """Yield the results of jobs, those that run alone last."""
+    alone = [job for job in chosen if _runs_alone(job)]
+    together = [job for job in chosen if job not in alone]
+    with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL) as pool:
+        yield from pool.map(run, together)
+    yield from map(run, alone)
+
+
 def main():
     """Run the selected jobs and print the counts."""
     wanted = sys.argv[1:]
@@ -151,16 +168,15 @@
         if not wanted or any(word in job[0] for word in wanted)
     ]
     passed, failed = 0, []
-    with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL) as pool:
-        for name, passed_count, failures, output in pool.map(run, chosen):
-            passed += passed_count
-            failed += failures
-            print(
-                f"{name}: {passed_count} passed, {len(failures)} failed",
-                flush=True,
-            )
-            if failures:
-                print(output, flush=True)
+    for name, passed_count, failures, output in _results(chosen):
+        passed += passed_count
+        failed += failures
+        print(
+            f"{name}: {passed_count} passed, {len(failures)} failed",
+            flush=True,
+        )
+        if failures:
+            print(output, flush=True)
     for name in known_failures():
         print(f"known red, passed over: {name}")
     for name in failed:
--- a/tests/vmagent/untrusted_clients.feature
+++ b/tests/vmagent/untrusted_clients.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Clients that keep to no limit end no agent
 
   # The port for reports of workers buffered up to 1 MiB for each of 1,024
