Divide headroom among tasks without processors

Cause: rounding could leave slightly less than nothing of the budget, and a following task that takes no headroom divided that by zero, which would have ended the agent. Change: nothing is divided once the budget is used up. Result: the new scenario raised ZeroDivisionError before.

--- a/src/radishlanding/policy/pace_controller.py
+++ b/src/radishlanding/policy/pace_controller.py
@@ -145,11 +145,11 @@
     percents, left = [], budget
     for cost in costs:
         percent = FULL_PERCENT
-        if cost > left:
-            steps = (left / cost + ROUNDING) * FULL_PERCENT // STEP_PERCENT
-            percent = int(steps) * STEP_PERCENT
         if left <= 0:
             percent = 0
+        elif cost > left:
+            steps = (left / cost + ROUNDING) * FULL_PERCENT // STEP_PERCENT
+            percent = int(steps) * STEP_PERCENT
         percents.append(percent)
         left -= cost * percent / FULL_PERCENT
     return percents
--- a/tests/policy/workflows.feature
+++ b/tests/policy/workflows.feature
@@ -171,6 +171,11 @@
       | 0, 0, 0             | 60      | 100 80 0       |
       | 0.2, 0.2            | 0       | 0 0            |
 
+  Scenario: a heavy task without processors does not end the pacer
+    Given a budget of 0.0728 of headroom
+    When heavy tasks that take 0.091 and 0 of it are paced
+    Then the first runs at 80 %
+
   Scenario: without serving tasks no task is paced down
     Given a VM with heavy and light best-effort tasks at full pace
     When it has no serving tasks
--- a/tests/policy/workflows_steps.py
+++ b/tests/policy/workflows_steps.py
@@ -563,3 +563,20 @@
     )
     allowed = sum(context.costs) * context.controller.light_percent
     assert taken <= allowed + 1e-6, (taken, allowed)
+
+
+@given("a budget of {budget:g} of headroom")
+def _budget(context, budget):
+    context.controller = PaceController()
+    context.controller.update(2.0, heavy_count=2, heavy_cost=0.0)
+    context.controller.budget = budget
+
+
+@when("heavy tasks that take {first:g} and {second:g} of it are paced")
+def _pace_heavy(context, first, second):
+    context.paces = context.controller.heavy_percents([first, second])
+
+
+@then("the first runs at {percent:d} %")
+def _first_pace(context, percent):
+    assert context.paces[0] == percent, context.paces
