--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -23,9 +23,9 @@
 from radishlanding.dispatch.ticket_prefetcher import TicketPrefetcher
 from radishlanding.dispatch.wait_reporter import WaitReporter
 from radishlanding.journal import Fenced
-from radishlanding.message import STORE_UNANSWERED
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
+from radishlanding.message.refused import STORE_UNANSWERED
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
 from radishlanding.policy import CallerEstimates
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -6,8 +6,8 @@
 from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.entry_room import packed_size
 from radishlanding.dispatch.submission import Submission
-from radishlanding.message import STORE_UNANSWERED
 from radishlanding.message import WorkflowAnswer
+from radishlanding.message.refused import STORE_UNANSWERED
 from radishlanding.peer import CallRefused
 from radishlanding.policy import MAX_GANG_TASKS
 from radishlanding.workflow import WorkflowOutcome
--- a/src/radishlanding/dispatcher/leader_client.py
+++ b/src/radishlanding/dispatcher/leader_client.py
@@ -8,9 +8,9 @@
 from radishlanding.message import CancelWorkflow
 from radishlanding.message import GetBacklog
 from radishlanding.message import GetWorkflow
-from radishlanding.message import STORE_UNANSWERED
 from radishlanding.message import SubmitWorkflow
 from radishlanding.message import WorkflowAnswer
+from radishlanding.message.refused import STORE_UNANSWERED
 from radishlanding.observe import EventLog
 from radishlanding.peer import CallRefused
 from radishlanding.peer import ConnectionLost
--- a/tests/dispatcher/store_outage_steps.py
+++ b/tests/dispatcher/store_outage_steps.py
@@ -12,8 +12,8 @@
 from radishlanding.config import Queue
 from radishlanding.dispatcher.leader_client import LeaderClient
 from radishlanding.message import GetWorkflow
-from radishlanding.message import STORE_UNANSWERED
 from radishlanding.message import WorkflowAnswer
+from radishlanding.message.refused import STORE_UNANSWERED
 from radishlanding.observe import Counters
 from radishlanding.peer import CallRefused
 from radishlanding.policy import StoreOutage
