Measure run times of tasks from their first report here

StepProgress divided all the work of an attempt at full pace by the progress since its own first report. After a change of leader, or when a VM was missing from one list of loads, healthy tasks got a multiple of their run time and were moved.

Both are now differences since the first report, and an attempt whose figures fall, as its agent counts anew, is measured anew.

--- a/src/radishlanding/policy/step_progress.py
+++ b/src/radishlanding/policy/step_progress.py
@@ -24,6 +24,8 @@
     first_progress: int
     last_s: float
     progress: int
+    first_full_pace_ms: int
+    full_pace_ms: int
     work_ms: float = 0.0
 
     @property
@@ -62,11 +64,28 @@
         before, self._attempts = self._attempts, {}
         for task_id, number, progress, full_pace_ms, pace in reports:
             attempt = before.get(task_id)
-            if attempt is None or attempt.number != number:
-                attempt = _Attempt(number, now_s, progress, now_s, progress)
-            attempt.work_ms = full_pace_ms or (
-                attempt.work_ms + 1000 * pace * (now_s - attempt.last_s)
-            )
+            if (
+                attempt is None
+                or attempt.number != number
+                # Falling figures come from an agent that counts anew.
+                or full_pace_ms < attempt.full_pace_ms
+                or progress < attempt.progress
+            ):
+                attempt = _Attempt(
+                    number=number,
+                    first_s=now_s,
+                    first_progress=progress,
+                    last_s=now_s,
+                    progress=progress,
+                    first_full_pace_ms=full_pace_ms,
+                    full_pace_ms=full_pace_ms,
+                )
+            if full_pace_ms:
+                # The attempt may have worked before its first report here.
+                attempt.work_ms = full_pace_ms - attempt.first_full_pace_ms
+            else:
+                attempt.work_ms += 1000 * pace * (now_s - attempt.last_s)
+            attempt.full_pace_ms = full_pace_ms
             attempt.progress, attempt.last_s = progress, now_s
             self._attempts[task_id] = attempt
         run_times = collections.defaultdict(list)
--- a/tests/policy/migration.feature
+++ b/tests/policy/migration.feature
@@ -60,6 +60,21 @@
       | exactly |
       | as 0    |
 
+  Scenario Outline: work before the first report does not count as slowness
+    Given tasks of one step that report their work at full pace exactly
+      | task | percent_per_s | pace |
+      | x    | 20            | 1    |
+      | y    | 10            | 0.5  |
+      | z    | 5             | 1    |
+    When they are reported from <first> to 5 s, but not at <gap> s, by agents that count anew at <anew> s
+    Then a task of the step runs for 5 s, and z for 20 s
+
+    Examples: a new leader, a VM that is missing once, a new agent
+      | first | gap | anew |
+      | 2     | 9   | 0    |
+      | 0     | 2   | 0    |
+      | 0     | 9   | 2    |
+
   Scenario Outline: a task moves in front of tasks behind it in precedence
     Given a task in front of it on a that has 8 s left
     And <count> tasks of rank <other> take all the headroom of b
--- a/tests/policy/migration_steps.py
+++ b/tests/policy/migration_steps.py
@@ -177,6 +177,29 @@
         )
 
 
+@when(
+    "they are reported from {first:d} to {last:d} s, but not at {gap:d} s, by "
+    "agents that count anew at {anew:d} s"
+)
+def _reported_late(context, first, last, gap, anew):
+    context.progress = StepProgress()
+    for now_s in range(first, last + 1):
+        began_s = anew if now_s >= anew else 0
+        reports = [
+            (
+                task_id,
+                1,
+                rate * now_s,
+                int(1000 * pace * (now_s - began_s)),
+                pace,
+            )
+            for task_id, rate, pace in context.siblings
+        ]
+        context.progress.update(
+            [] if now_s == gap else reports, now_s=float(now_s)
+        )
+
+
 @then("a task of the step runs for {run_s:g} s, and z for {own_s:g} s")
 def _run_times(context, run_s, own_s):
     found = (
