Place moved tasks away from the VM that they left

A task that was moved as its worker was slow or stuck was often placed on the same VM again: the planner avoided only the VM of a failed attempt. Doubtful VMs also counted as destinations that justify a move.

The mover now tells the planner which VM a moved task left. It is avoided for the next placement, unless no other VM admits the task, and forgotten then or when the task cannot run again. Only VMs of full trust are destinations.

--- a/src/radishlanding/dispatch/task_mover.py
+++ b/src/radishlanding/dispatch/task_mover.py
@@ -83,6 +83,7 @@
                 self._stop(task, "stuck")
             self._fleet.ignore_stuck(self._straggler_mitigation.misestimated)
         self._migration.prune(self._is_open)
+        self._planner.prune(self._is_open)
         self._migrate(self._candidates.find(loads), loads)
 
     def _migrate(self, tasks, loads):
@@ -137,4 +138,5 @@
             **figures,
         )
         self._counters.add(f"moves_{reason}")
+        self._planner.avoid(task.task_id, task.vm)
         self._order_sender.stop(self._fleet.sessions[task.vm], [task])
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -6,6 +6,7 @@
 from radishlanding.policy.headroom_schedule import end_times_ms
 from radishlanding.policy.move import Move
 from radishlanding.policy.vm_selector import MAX_LACK
+from radishlanding.policy.vm_trust import FULL_TRUST
 
 # Moves in one round: one for so many VMs, and this many at least. The next
 # measurements should show their effect before there are more.
@@ -176,7 +177,7 @@
         return self._interference.headroom_cost(step, load.capacity)
 
     def _find_destination(self, item, by_room, by_vm):
-        """Return the VM that can spare the most, None if none can.
+        """Return the trusted VM that can spare the most, None if none can.
 
         A task may take the headroom of tasks behind it in precedence.
 
@@ -191,6 +192,7 @@
             if (
                 load.pool == item.load.pool
                 and load.vm != item.load.vm
+                and load.trust >= FULL_TRUST
                 and load.idle_millicores >= min_idle_millicores
                 and self._spares(load, item, by_vm.get(load.vm, ()))
                 and load.can_fit((item.task.task_id, 0, 0), step)
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -19,6 +19,7 @@
     """Assign the tasks of a step to VMs, a gang as a whole."""
 
     __slots__ = (
+        "_avoided_vms",
         "_clock_s",
         "_doubt_limit",
         "_interference",
@@ -29,6 +30,8 @@
 
     def __init__(self, *, interference, tickets=None, clock_s=None):
         """Prepare a placer; see :class:`WorkflowPlanner`."""
+        # VMs that moved tasks have left, by task until it is placed again.
+        self._avoided_vms = {}
         self._clock_s = clock_s
         self._doubt_limit = DoubtLimit()
         self._interference = interference
@@ -42,6 +45,25 @@
         """Drop what is held of VMs, whose tasks may have changed."""
         self._ranked_costs = {}
 
+    def avoid(self, task_id, vm):
+        """Place a moved task on another VM next time, if one admits it.
+
+        :param task_id: Identity of the task.
+        :param vm: Identity of the VM that it leaves.
+        """
+        self._avoided_vms[task_id] = vm
+
+    def prune(self, is_open):
+        """Drop what is held of moved tasks that cannot run again.
+
+        :param is_open: Callable that takes the id of a task.
+        """
+        self._avoided_vms = {
+            task_id: vm
+            for task_id, vm in self._avoided_vms.items()
+            if is_open(task_id)
+        }
+
     def place(self, record, position, vms, *, is_starved, orders, now_ms):
         """Return assignments of a step's waiting tasks.
 
@@ -144,18 +166,20 @@
         for task in tasks:
             if orders.is_spent:
                 break
+            avoided_vm = self._avoided_vms.get(task.task_id, task.failed_vm)
             if (
                 not left
-                or task.failed_vm == vm.vm
+                or avoided_vm == vm.vm
                 or selector.refusal(vm) is not None
             ):
                 if vm is not None:
                     selector.restore(vm)
-                vm = selector.choose(avoided_vm=task.failed_vm)
+                vm = selector.choose(avoided_vm=avoided_vm)
                 left = together
             if vm is None:
                 break
             self._add(vm, key, step)
+            self._avoided_vms.pop(task.task_id, None)
             orders.take(vm.vm)
             left = left - 1 if vm.trust >= FULL_TRUST else 0
             assignments.append(_assign(task, vm, task.attempt + 1))
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -85,6 +85,14 @@
         """
         self._step_placer.ranks = ranks
 
+    def avoid(self, task_id, vm):
+        """Place a moved task elsewhere; see :meth:`StepPlacer.avoid`."""
+        self._step_placer.avoid(task_id, vm)
+
+    def prune(self, is_open):
+        """Drop what is held of ended tasks; see :meth:`StepPlacer.prune`."""
+        self._step_placer.prune(is_open)
+
     def update(self, records, loads, *, now_ms):
         """Let the order take note of the load, every few rounds.
 
--- a/tests/policy/migration.feature
+++ b/tests/policy/migration.feature
@@ -100,6 +100,28 @@
       | 0     | 1     | 1    | 0      |
       | 5     | 1     | none | 0      |
 
+  Scenario Outline: a task moves to trusted VMs only
+    Given a task in front of it on a that has 8 s left
+    And a task of rank 1 on a that has 4 s left there and 4 s elsewhere, at a pace of 0, for 3 s
+    And b has a trust of <trust>
+    When moves are chosen in 2 rounds
+    Then it <result>
+
+    Examples:
+      | trust | result |
+      | 0.8   | moves  |
+      | 0.79  | stays  |
+
+  Scenario Outline: a moved task does not go back to its VM at once
+    Given a task that has left a, the best VM, and <other>
+    When it is placed and stopped 2 times
+    Then its attempts were on <vms>
+
+    Examples: it does not wait for a VM that does not fit
+      | other        | vms   |
+      | a free VM b  | b a   |
+      | a full VM b  | a a   |
+
   Scenario Outline: gains are observed when moved tasks end
     Given a task that was moved as it would have ended after 10 s
     When after <end_s> s its task is <state>
--- a/tests/policy/migration_steps.py
+++ b/tests/policy/migration_steps.py
@@ -266,6 +266,45 @@
     assert len(context.placed) == count, context.placed
 
 
+@given("b has a trust of {trust:g}")
+def _trust(context, trust):
+    context.loads[1].trust = trust
+
+
+@given("a task that has left a, the best VM, and a {state:w} VM b")
+def _left(context, state):
+    context.interference = Interference()
+    context.loads = [_load("a"), _load("b")]
+    other = context.loads[1]
+    other.idle_millicores //= 2
+    if state == "full":
+        other.free = Capacity()
+    context.planner = WorkflowPlanner(
+        order=EarliestDeadline(), interference=context.interference
+    )
+    step = dataclasses.replace(STEP, count=1)
+    context.record = WorkflowRecord(workflow=make_workflow([step]))
+    context.planner.avoid(f"{NAME}.0.0.0", "a")
+    # It is pruned each second.
+    context.planner.prune(lambda task_id: task_id == f"{NAME}.0.0.0")
+
+
+@when("it is placed and stopped {times:d} times")
+def _placed_again(context, times):
+    context.vms = []
+    for _ in range(times):
+        (placed,) = context.planner.plan(
+            [context.record], copy.deepcopy(context.loads), now_ms=1
+        )
+        context.vms.append(placed.vm)
+        context.planner.mark_changed({NAME})
+
+
+@then("its attempts were on {vms}")
+def _attempts_on(context, vms):
+    assert context.vms == vms.split(), context.vms
+
+
 @given("a task that was moved as it would have ended after {here_s:g} s")
 def _was_moved(context, here_s):
     context.gains = MoveGains()
