Count the loss of a VM once while its record waits

A VM that was lost once during an outage of the store came back as one that flaps. The session that it opened with a new boot counted as one more loss.

A lost VM is now remembered until its tasks have recorded ends or it opens a session, and is counted and logged once.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -32,6 +32,7 @@
         "_interference_monitor",
         "_leases",
         "_loads",
+        "_lost_vms",
         "_registry",
         "_run_time_monitor",
         "_vm_health",
@@ -92,6 +93,9 @@
             vm_health=self._vm_health,
             vm_trust=vm_trust,
         )
+        # Lost VMs whose tasks have no recorded end yet. Each loss counts once,
+        # however long the store takes to record them.
+        self._lost_vms = set()
         self.sessions = {}
         # Tasks whose end or assignment is not committed yet. No VM knows of
         # these assignments, so that a report without them does not mean that
@@ -111,7 +115,9 @@
         session = self.find(hello.vm, conn)
         if session is None:
             session = self._add_session(hello, conn)
-            if self._other_boots(hello.vm, hello.state.boot):
+            if hello.vm in self._lost_vms:
+                self._lost_vms.remove(hello.vm)
+            elif self._other_boots(hello.vm, hello.state.boot):
                 self._vm_trust_monitor.record_loss(hello.vm)
         else:
             self._vm_trust_monitor.observe_boot(session, hello.state.boot)
@@ -317,13 +323,17 @@
     def lost_vm_ends(self):
         """Return ends for all tasks on VMs whose lease has expired."""
         ends = []
-        for vm in self._registry.busy_vms():
+        busy_vms = self._registry.busy_vms()
+        self._lost_vms.intersection_update(busy_vms)
+        for vm in busy_vms:
             if not self._leases.has_expired(vm):
                 continue
             self.sessions.pop(vm, None)
             tasks = self._registry.tasks_on(vm)
-            _log.warning("vm_lost", vm=vm, tasks=len(tasks))
-            self._vm_trust_monitor.record_loss(vm)
+            if vm not in self._lost_vms:
+                self._lost_vms.add(vm)
+                _log.warning("vm_lost", vm=vm, tasks=len(tasks))
+                self._vm_trust_monitor.record_loss(vm)
             ends += map(self._checkpoints.interrupted_end, tasks)
         return ends
 
--- a/tests/dispatch/run_time_monitor.feature
+++ b/tests/dispatch/run_time_monitor.feature
@@ -33,6 +33,7 @@
       | fails tasks of 2 workflows that fail on vm1   | trusted  |
       | starts again twice                            | doubtful |
       | starts again together with all others         | trusted  |
+      | is lost once, which is recorded late          | probed   |
 
   Scenario: doubt and its end are logged and counted once
     When one of the VMs fails tasks of 2 workflows
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -56,7 +56,7 @@
     "a fleet of {vms:d} VMs that run a step of {tasks:d} tasks of 4 s, "
     "estimated at 10 s"
 )
-def _fleet(context, vms, tasks):
+def _fleet(context, vms, tasks, inherited_leases_s=None):
     context.counters, context.registry = Counters(), WorkflowRegistry()
     context.run_times, trust = LearnedRunTimes(), VmTrust()
     context.monitor = RunTimeMonitor(
@@ -73,6 +73,7 @@
         run_time_monitor=context.monitor,
         vm_trust=trust,
         counters=context.counters,
+        inherited_leases_s=inherited_leases_s,
     )
     context.vms = [f"vm{number}" for number in range(vms)]
     step = Step(count=tasks, needs=NEEDS, estimated_ms=10_000)
@@ -193,6 +194,15 @@
             _open(context, vm, boot)
 
 
+def _lose(context, vm):
+    """Lose a VM whose tasks get no recorded end before it is back."""
+    vms = len(context.vms)
+    _fleet(context, vms, vms * TASKS_PER_VM, {vm: 0.0})
+    for _ in range(5):
+        assert len(context.fleet.lost_vm_ends()) == TASKS_PER_VM
+    _open(context, vm, boot=2)
+
+
 HISTORIES = {
     "runs at a quarter of the speed": lambda ctx: _run(ctx, 100),
     "runs at a quarter of the speed, paced": lambda ctx: _run(ctx, 40),
@@ -206,6 +216,7 @@
     "starts again together with all others": lambda ctx: _start_again(
         ctx, ctx.vms, 2
     ),
+    "is lost once, which is recorded late": lambda ctx: _lose(ctx, "vm0"),
 }
 
 
