Learn run times anew in each leadership

A dispatcher kept one LearnedRunTimes for all its leaderships, and what a process has itself goes before the rows of the store. When it led again, it went on from its old rows instead of those that other leaders had stored since.

Each leadership now starts with a new LearnedRunTimes, shared by its order and its leader, and reads the rows of the store.

--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -66,7 +66,6 @@
         "_member",
         "_peer_server",
         "_registration",
-        "_run_times",
         "_site_keys",
         "_site_watch",
         "_store",
@@ -83,7 +82,6 @@
         )
         self._counters = Counters()
         self._interference = Interference()
-        self._run_times = LearnedRunTimes()
         self._is_stopping = False
         self._listening_s = None
         self._store = self._make_store()
@@ -186,12 +184,15 @@
         if self._cfg.advisor:
             advisor = PlatformAdvisor(address=self._cfg.advisor)
         tickets = TicketCache()
+        # Other processes may have led since this one last did, so that their
+        # rows in the store are newer than what it learned then.
+        run_times = LearnedRunTimes()
         return Leader(
             log=log,
             registry=registry,
             site_watch=self._site_watch,
             planner=WorkflowPlanner(
-                order=CompletionOrder(run_times=self._run_times),
+                order=CompletionOrder(run_times=run_times),
                 interference=self._interference,
                 tickets=tickets,
                 clock_s=boot_clock_s,
@@ -206,7 +207,7 @@
             ),
             counters=self._counters,
             on_store_unreachable=self._announce_store_unreachable,
-            run_times=self._run_times,
+            run_times=run_times,
             tickets=tickets,
             advisor=advisor,
             grants_ended_s=grants_ended_s,
--- a/tests/dispatch/run_time_monitor.feature
+++ b/tests/dispatch/run_time_monitor.feature
@@ -47,5 +47,10 @@
     Then the store was written once, and another process loads the same rows
     And another process goes on without a damaged value
 
+  Scenario: a process that leads again goes on from what others learned since
+    When a dispatcher leads, learns that a task runs for 2 s, and leads again
+    And the store has learned 8 s since
+    Then its leader and its order both expect 8 s
+
   Scenario: the cost of a report does not depend on the number of VMs
     Then a report costs at 640 VMs at most 2 times as much as at 160
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -2,6 +2,7 @@
 
 import time
 import types
+import unittest.mock
 
 import trio
 from behave import given
@@ -13,6 +14,7 @@
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
 from radishlanding.dispatch.run_time_store import RunTimeStore
+from radishlanding.dispatcher import program
 from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
 from radishlanding.message import VmHello
@@ -22,6 +24,7 @@
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import VmTrust
+from radishlanding.settings import DispatcherSettings
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import Capacity
 from radishlanding.vm import LeaseTiming
@@ -302,6 +305,61 @@
     assert _load(context) == []
 
 
+def _learn(run_times, run_s):
+    workflow = make_workflow([Step(count=1, needs=NEEDS)], name=NAME)
+    run_times.observe(workflow, 0, run_ms=1000 * run_s, weight=1)
+
+
+def _expected_s(run_times):
+    workflow = make_workflow([Step(count=1, needs=NEEDS)], name=NAME)
+    return round(run_times.estimate(workflow, 0).run_ms / 1000, 3)
+
+
+@when(
+    "a dispatcher leads, learns that a task runs for {run_s:d} s, and leads "
+    "again"
+)
+def _lead_again(context, run_s):
+    address = "127.0.0.1:1"
+    cfg = DispatcherSettings(
+        id="d",
+        zone="z0",
+        store=address,
+        http_listen=address,
+        ready_listen=address,
+        peer_listen=address,
+    )
+    patch = unittest.mock.patch.object
+    with (
+        patch(program, "Candidate") as candidate,
+        patch(program, "Leader") as leader,
+        patch(program, "CompletionOrder") as order,
+    ):
+        program.DispatcherProgram(cfg=cfg)
+        make_leader = candidate.call_args.kwargs["make_leader"]
+        for _ in range(2):
+            make_leader(log=None, registry=None, grants_ended_s=None)
+        first, context.run_times = (
+            call.kwargs["run_times"] for call in leader.call_args_list
+        )
+        _learn(order.call_args_list[0].kwargs["run_times"], run_s)
+        assert _expected_s(first) == run_s
+        context.of_order = order.call_args.kwargs["run_times"]
+
+
+@when("the store has learned {run_s:d} s since")
+def _learned_since(context, run_s):
+    others = LearnedRunTimes()
+    _learn(others, run_s)
+    context.run_times.restore(others.rows())
+
+
+@then("its leader and its order both expect {run_s:d} s")
+def _both_expect(context, run_s):
+    found = _expected_s(context.run_times), _expected_s(context.of_order)
+    assert found == (run_s, run_s), found
+
+
 def _cost_us(vms):
     """Return the least processor time of one report, in microseconds."""
     site = types.SimpleNamespace()
