Pass over reported tasks that the log does not assign

The ranker and the run time monitor looked up the step of each reported task without a check that the log has it. A report of a step that the workflow lacks ended the leader with an IndexError, and run times of unknown tasks and attempts were learned.

The ranker now takes only attempts that the log assigns to the VM. The monitor takes only current attempts, as the end of one may be reported after its record is changed.

--- a/src/radishlanding/dispatch/run_time_monitor.py
+++ b/src/radishlanding/dispatch/run_time_monitor.py
@@ -85,8 +85,10 @@
 
     def _measure(self, session, item, anchor, *, progress):
         spent_ms = item.full_pace_ms - anchor.full_pace_ms
-        record, _ = self._registry.find(item.task_id)
-        if spent_ms <= 0 or record is None or not record.workflow.steps:
+        record, task = self._registry.find(item.task_id)
+        if spent_ms <= 0 or task is None or task.attempt != item.attempt:
+            return
+        if not record.workflow.steps:
             return
         workflow, number = record.workflow, TaskId.parse(item.task_id).step
         if workflow.steps[number].standing:
--- a/src/radishlanding/dispatch/task_ranker.py
+++ b/src/radishlanding/dispatch/task_ranker.py
@@ -78,9 +78,9 @@
         found = []
         for session in self._fleet.sessions.values():
             for item in session.running.values():
-                record, _ = self._registry.find(item.task_id)
-                if record is None or record.phase.has_ended:
+                if not self._fleet.is_wanted(session, item):
                     continue
+                record, _ = self._registry.find(item.task_id)
                 parsed_id = TaskId.parse(item.task_id)
                 if record.workflow.steps[parsed_id.step].fills:
                     found.append((record, parsed_id, item.progress))
--- a/tests/dispatch/run_time_monitor.feature
+++ b/tests/dispatch/run_time_monitor.feature
@@ -47,6 +47,16 @@
     Then the store was written once, and another process loads the same rows
     And another process goes on without a damaged value
 
+  Scenario Outline: a report of <kind> is passed over
+    When attempt <attempt> of task <task> is reported at 3, 40 and 80 %
+    Then it gives no samples, and best-effort tasks are ranked
+
+    Examples: an agent may know of tasks that no log has
+      | kind                         | task   | attempt |
+      | a step that no workflow has  | 0.7.0  | 1       |
+      | a task that its step lacks   | 0.0.99 | 1       |
+      | an attempt that is not known | 0.0.0  | 2       |
+
   Scenario: a process that leads again goes on from what others learned since
     When a dispatcher leads, learns that a task runs for 2 s, and leads again
     And the store has learned 8 s since
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -14,6 +14,7 @@
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
 from radishlanding.dispatch.run_time_store import RunTimeStore
+from radishlanding.dispatch.task_ranker import TaskRanker
 from radishlanding.dispatcher import program
 from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
@@ -21,9 +22,11 @@
 from radishlanding.message import VmReport
 from radishlanding.message import VmState
 from radishlanding.observe import Counters
+from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import VmTrust
+from radishlanding.policy import WorkflowPlanner
 from radishlanding.settings import DispatcherSettings
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import Capacity
@@ -305,6 +308,36 @@
     assert _load(context) == []
 
 
+@when("attempt {attempt:d} of task {task} is reported at 3, 40 and 80 %")
+def _report_unknown(context, attempt, task):
+    for progress in (3, 40, 80):
+        item = RunningTask(
+            task_id=f"{NAME}.{task}",
+            attempt=attempt,
+            progress=progress,
+            full_pace_ms=40 * progress,
+            pace_percent=100,
+        )
+        _report(context, "vm0", [item])
+
+
+@then("it gives no samples, and best-effort tasks are ranked")
+def _passed_over(context):
+    assert context.counters.get("run_time_samples") == 0
+    planner = WorkflowPlanner(
+        order=EarliestDeadline(), interference=Interference()
+    )
+    ranker = TaskRanker(
+        registry=context.registry,
+        fleet=context.fleet,
+        planner=planner,
+        run_times=context.run_times,
+        counters=context.counters,
+    )
+    ranker.rank()
+    assert context.counters.get("precedence_rounds") == 1
+
+
 def _learn(run_times, run_s):
     workflow = make_workflow([Step(count=1, needs=NEEDS)], name=NAME)
     run_times.observe(workflow, 0, run_ms=1000 * run_s, weight=1)
