Stop each attempt for one reason only

The mover could stop a task as stuck and as slowed in the same round, or stop it for the other reason while its first stop was not answered. The second stop was counted as a move of its own, with gains, and took the place of another task. StragglerMitigation kept the tasks that it had moved for as long as the leader led.

Attempts that were stopped as stuck are no longer offered to the migration, and those that migration has moved are not stopped as stuck. Moves of tasks that cannot run again are dropped.

--- a/src/radishlanding/dispatch/task_mover.py
+++ b/src/radishlanding/dispatch/task_mover.py
@@ -30,6 +30,7 @@
         "_registry",
         "_site_watch",
         "_straggler_mitigation",
+        "_stuck_attempts",
     )
 
     def __init__(
@@ -70,6 +71,8 @@
         self._planner = planner
         self._registry = registry
         self._straggler_mitigation = StragglerMitigation()
+        # Attempts that were stopped as stuck, by task.
+        self._stuck_attempts = {}
         self._site_watch = site_watch
 
     def rebalance(self):
@@ -80,11 +83,35 @@
         if stuck:
             tasks = self._by_urgency(self._fleet.all_loads())
             for task in self._straggler_mitigation.choose(tasks, loads, stuck):
-                self._stop(task, "stuck")
+                if not self._migration.has_moved(task):
+                    self._stuck_attempts[task.task_id] = task.attempt
+                    self._stop(task, "stuck")
             self._fleet.ignore_stuck(self._straggler_mitigation.misestimated)
-        self._migration.prune(self._is_open)
-        self._planner.prune(self._is_open)
-        self._migrate(self._candidates.find(loads), loads)
+        self._prune()
+        movable = [
+            item
+            for item in self._candidates.find(loads)
+            if not self._was_stuck(item.task)
+        ]
+        self._migrate(movable, loads)
+
+    def _prune(self):
+        """Drop what is held of tasks that cannot run again."""
+        for holder in (
+            self._migration,
+            self._planner,
+            self._straggler_mitigation,
+        ):
+            holder.prune(self._is_open)
+        self._stuck_attempts = {
+            task_id: attempt
+            for task_id, attempt in self._stuck_attempts.items()
+            if self._is_open(task_id)
+        }
+
+    def _was_stuck(self, task):
+        """Return whether an attempt was stopped as stuck."""
+        return self._stuck_attempts.get(task.task_id) == task.attempt
 
     def _migrate(self, tasks, loads):
         for move in self._migration.choose(tasks, loads):
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -79,6 +79,13 @@
         for task_id in [key for key in self._move_counts if not is_open(key)]:
             del self._move_counts[task_id], self._moved_attempts[task_id]
 
+    def has_moved(self, task):
+        """Return whether an attempt was chosen for a move.
+
+        :param task: Record of the task.
+        """
+        return self._moved_attempts.get(task.task_id) == task.attempt
+
     def choose(self, tasks, loads):
         """Return the moves to make, the most urgent first; one round.
 
@@ -135,7 +142,7 @@
             self._slow_rounds[task_id] >= MIN_SLOW_ROUNDS
             and item.age_ms >= MIN_AGE_MS
             and not item.step.gang
-            and self._moved_attempts.get(task_id) != item.task.attempt
+            and not self.has_moved(item.task)
             and self._move_counts[task_id] < MAX_MOVES_PER_TASK
         )
 
--- a/src/radishlanding/policy/straggler_mitigation.py
+++ b/src/radishlanding/policy/straggler_mitigation.py
@@ -30,6 +30,13 @@
         # their tasks without the index.
         self.misestimated = frozenset()
 
+    def prune(self, is_open):
+        """Forget the moves of tasks that cannot run again.
+
+        :param is_open: Callable that takes the id of a task.
+        """
+        self._moved = set(filter(is_open, self._moved))
+
     def choose(self, tasks, loads, stuck):
         """Return the tasks to stop, so that they are placed elsewhere.
 
