--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -6,6 +6,7 @@
 from radishlanding.policy.headroom_schedule import end_times_ms
 from radishlanding.policy.move import Move
 from radishlanding.policy.vm_selector import MAX_LACK
+from radishlanding.policy.vm_trust import FULL_TRUST
 
 # Moves in one round: one for so many VMs, and this many at least. The next
 # measurements should show their effect before there are more.
@@ -78,6 +79,13 @@
         for task_id in [key for key in self._move_counts if not is_open(key)]:
             del self._move_counts[task_id], self._moved_attempts[task_id]
 
+    def has_moved(self, task):
+        """Return whether an attempt was chosen for a move.
+
+        :param task: Record of the task.
+        """
+        return self._moved_attempts.get(task.task_id) == task.attempt
+
     def choose(self, tasks, loads):
         """Return the moves to make, the most urgent first; one round.
 
@@ -134,7 +142,7 @@
             self._slow_rounds[task_id] >= MIN_SLOW_ROUNDS
             and item.age_ms >= MIN_AGE_MS
             and not item.step.gang
-            and self._moved_attempts.get(task_id) != item.task.attempt
+            and not self.has_moved(item.task)
             and self._move_counts[task_id] < MAX_MOVES_PER_TASK
         )
 
@@ -176,7 +184,7 @@
         return self._interference.headroom_cost(step, load.capacity)
 
     def _find_destination(self, item, by_room, by_vm):
-        """Return the VM that can spare the most, None if none can.
+        """Return the trusted VM that can spare the most, None if none can.
 
         A task may take the headroom of tasks behind it in precedence.
 
@@ -191,6 +199,7 @@
             if (
                 load.pool == item.load.pool
                 and load.vm != item.load.vm
+                and load.trust >= FULL_TRUST
                 and load.idle_millicores >= min_idle_millicores
                 and self._spares(load, item, by_vm.get(load.vm, ()))
                 and load.can_fit((item.task.task_id, 0, 0), step)
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -2,6 +2,7 @@
 
 import time
 import types
+import unittest.mock
 
 import trio
 from behave import given
@@ -13,15 +14,20 @@
 from radishlanding.dispatch.order_sender import OrderSender
 from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
 from radishlanding.dispatch.run_time_store import RunTimeStore
+from radishlanding.dispatch.task_ranker import TaskRanker
+from radishlanding.dispatcher import program
 from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
 from radishlanding.message import VmHello
 from radishlanding.message import VmReport
 from radishlanding.message import VmState
 from radishlanding.observe import Counters
+from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import VmTrust
+from radishlanding.policy import WorkflowPlanner
+from radishlanding.settings import DispatcherSettings
 from radishlanding.store import StoreUnavailable
 from radishlanding.vm import Capacity
 from radishlanding.vm import LeaseTiming
@@ -56,7 +62,7 @@
     "a fleet of {vms:d} VMs that run a step of {tasks:d} tasks of 4 s, "
     "estimated at 10 s"
 )
-def _fleet(context, vms, tasks):
+def _fleet(context, vms, tasks, inherited_leases_s=None):
     context.counters, context.registry = Counters(), WorkflowRegistry()
     context.run_times, trust = LearnedRunTimes(), VmTrust()
     context.monitor = RunTimeMonitor(
@@ -73,6 +79,7 @@
         run_time_monitor=context.monitor,
         vm_trust=trust,
         counters=context.counters,
+        inherited_leases_s=inherited_leases_s,
     )
     context.vms = [f"vm{number}" for number in range(vms)]
     step = Step(count=tasks, needs=NEEDS, estimated_ms=10_000)
@@ -193,6 +200,15 @@
             _open(context, vm, boot)
 
 
+def _lose(context, vm):
+    """Lose a VM whose tasks get no recorded end before it is back."""
+    vms = len(context.vms)
+    _fleet(context, vms, vms * TASKS_PER_VM, {vm: 0.0})
+    for _ in range(5):
+        assert len(context.fleet.lost_vm_ends()) == TASKS_PER_VM
+    _open(context, vm, boot=2)
+
+
 HISTORIES = {
     "runs at a quarter of the speed": lambda ctx: _run(ctx, 100),
     "runs at a quarter of the speed, paced": lambda ctx: _run(ctx, 40),
@@ -206,6 +222,7 @@
     "starts again together with all others": lambda ctx: _start_again(
         ctx, ctx.vms, 2
     ),
+    "is lost once, which is recorded late": lambda ctx: _lose(ctx, "vm0"),
 }
 
 
@@ -291,6 +308,91 @@
     assert _load(context) == []
 
 
+@when("attempt {attempt:d} of task {task} is reported at 3, 40 and 80 %")
+def _report_unknown(context, attempt, task):
+    for progress in (3, 40, 80):
+        item = RunningTask(
+            task_id=f"{NAME}.{task}",
+            attempt=attempt,
+            progress=progress,
+            full_pace_ms=40 * progress,
+            pace_percent=100,
+        )
+        _report(context, "vm0", [item])
+
+
+@then("it gives no samples, and best-effort tasks are ranked")
+def _passed_over(context):
+    assert context.counters.get("run_time_samples") == 0
+    planner = WorkflowPlanner(
+        order=EarliestDeadline(), interference=Interference()
+    )
+    ranker = TaskRanker(
+        registry=context.registry,
+        fleet=context.fleet,
+        planner=planner,
+        run_times=context.run_times,
+        counters=context.counters,
+    )
+    ranker.rank()
+    assert context.counters.get("precedence_rounds") == 1
+
+
+def _learn(run_times, run_s):
+    workflow = make_workflow([Step(count=1, needs=NEEDS)], name=NAME)
+    run_times.observe(workflow, 0, run_ms=1000 * run_s, weight=1)
+
+
+def _expected_s(run_times):
+    workflow = make_workflow([Step(count=1, needs=NEEDS)], name=NAME)
+    return round(run_times.estimate(workflow, 0).run_ms / 1000, 3)
+
+
+@when(
+    "a dispatcher leads, learns that a task runs for {run_s:d} s, and leads "
+    "again"
+)
+def _lead_again(context, run_s):
+    address = "127.0.0.1:1"
+    cfg = DispatcherSettings(
+        id="d",
+        zone="z0",
+        store=address,
+        http_listen=address,
+        ready_listen=address,
+        peer_listen=address,
+    )
+    patch = unittest.mock.patch.object
+    with (
+        patch(program, "Candidate") as candidate,
+        patch(program, "Leader") as leader,
+        patch(program, "CompletionOrder") as order,
+    ):
+        program.DispatcherProgram(cfg=cfg)
+        make_leader = candidate.call_args.kwargs["make_leader"]
+        for _ in range(2):
+            make_leader(log=None, registry=None, grants_ended_s=None)
+        first, context.run_times = (
+            call.kwargs["run_times"] for call in leader.call_args_list
+        )
+        _learn(order.call_args_list[0].kwargs["run_times"], run_s)
+        assert _expected_s(first) == run_s
+        context.of_order = order.call_args.kwargs["run_times"]
+
+
+@when("the store has learned {run_s:d} s since")
+def _learned_since(context, run_s):
+    others = LearnedRunTimes()
+    _learn(others, run_s)
+    context.run_times.restore(others.rows())
+
+
+@then("its leader and its order both expect {run_s:d} s")
+def _both_expect(context, run_s):
+    found = _expected_s(context.run_times), _expected_s(context.of_order)
+    assert found == (run_s, run_s), found
+
+
 def _cost_us(vms):
     """Return the least processor time of one report, in microseconds."""
     site = types.SimpleNamespace()
