Leave room in a round beside standing tasks that return

Cause, found in review: one standing task that waits again put its whole workflow in front of everything, up to 500 tasks a round, and tasks that fail again and again kept it there. Change: only the returning tasks go first, 120 in a round. Result: the new scenario failed before; tests/policy/recovery_order passes.

--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -13,6 +13,9 @@
 # Assignments of one workflow in a round, which may exceed the above. Steps of
 # callers have up to 80 tasks, five of them 400; those are placed in one round.
 MAX_WORKFLOW_ASSIGNMENTS = 500
+# Standing tasks that go before all others in a round. Tasks that fail again and
+# again return all the time, and must not take whole rounds.
+MAX_RETURNING = 120
 # Ready steps of one workflow that may find no VM in a round; each costs a look
 # at all VMs. The next round goes on with the steps behind them, so that rounds
 # of 0.25 s try all 1,000 steps of the longest workflow within 2.5 s.
@@ -143,8 +146,8 @@
     def plan(self, records, loads, *, now_ms, max_bytes=None):
         """Return assignments of ready tasks.
 
-        Standing workflows that have lost tasks go first, whatever the
-        priority of their queue: after a loss of power a backlog of finite
+        Standing tasks that have lost their VM go first, whatever the priority
+        of their queue: after a loss of power a backlog of finite
         work of a better queue would take all rounds, links and VMs for
         seconds. Workflows that the last round passed over get one task next,
         then all others go in order.
@@ -171,16 +174,15 @@
             max_tasks=MAX_ASSIGNMENTS, max_bytes=max_bytes
         )
         ranked = sorted(records, key=lambda rec: self.rank(rec, now_ms=now_ms))
-        returning = [record for record in ranked if record.is_returning]
         starved = self._passed_over(records, now_ms)
-        served = {rec.workflow.workflow_id for rec in returning + starved}
+        served = {rec.workflow.workflow_id for rec in starved}
         others = [
             record
             for record in ranked
             if record.workflow.workflow_id not in served
         ]
+        self._place_returning(ranked, loads, now_ms, budget)
         for records_in_turn, max_tasks in (
-            (returning, MAX_WORKFLOW_ASSIGNMENTS),
             (starved, 1),
             (others, MAX_WORKFLOW_ASSIGNMENTS),
         ):
@@ -192,6 +194,17 @@
         self._was_cut_short = budget.is_spent
         return budget.assignments
 
+    def _place_returning(self, ranked, loads, now_ms, budget):
+        """Place the standing tasks that have lost their VM."""
+        for record in ranked:
+            left = MAX_RETURNING - len(budget.assignments)
+            if left <= 0 or budget.is_spent:
+                break
+            count = min(left, record.returning_count)
+            if count:
+                orders = budget.orders(record, max_tasks=count)
+                budget.take(record, self._place(record, loads, now_ms, orders))
+
     def _passed_over(self, records, now_ms):
         """Return the workflows that get one task before all others.
 
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -120,16 +120,14 @@
         return self.progress.has_assigned
 
     @property
-    def is_returning(self):
-        """Return whether a standing task that was assigned has to be again.
+    def returning_count(self):
+        """Return how many standing tasks that were assigned wait again.
 
-        Its VM was lost or has restarted, or the task failed.
+        Their VM was lost or has restarted, or they have failed.
         """
-        return (
-            self.workflow.is_standing
-            and not self.phase.has_ended
-            and self.progress.has_returned
-        )
+        if not self.workflow.is_standing or self.phase.has_ended:
+            return 0
+        return self.progress.returned_count
 
     def clear_tasks(self):
         """Drop the state that an ended workflow does not need."""
--- a/src/radishlanding/workflow/workflow_progress.py
+++ b/src/radishlanding/workflow/workflow_progress.py
@@ -73,9 +73,9 @@
         return self._assigned > 0
 
     @property
-    def has_returned(self):
-        """Return whether a task waits that was assigned before."""
-        return any(step.returned for step in self._steps.values())
+    def returned_count(self):
+        """Return how many tasks wait that were assigned before."""
+        return sum(len(step.returned) for step in self._steps.values())
 
     def assign(self, task):
         """Record that a task, which has a record, is assigned.
--- a/tests/policy/recovery_order.feature
+++ b/tests/policy/recovery_order.feature
@@ -22,3 +22,8 @@
   Scenario: new standing workflows keep the order of their queues
     When a standing workflow of priority 1 and an urgent one of priority 0 are placed
     Then the urgent one goes first
+
+  Scenario: standing tasks that return all the time do not take whole rounds
+    Given a standing workflow of 3000 tasks of which 400 wait again
+    When it and an urgent workflow are placed in one round
+    Then the urgent one gets its task in that round
--- a/tests/policy/recovery_order_steps.py
+++ b/tests/policy/recovery_order_steps.py
@@ -17,6 +17,7 @@
 from radishlanding.workflow import LogEntry
 from radishlanding.workflow import Step
 from radishlanding.workflow import TaskEnd
+from radishlanding.workflow import TaskId
 from radishlanding.workflow import WorkflowRecord
 from radishlanding.workflow import WorkflowRegistry
 from tests.policy.placement_budget_steps import Link
@@ -219,7 +220,7 @@
 )
 def _power_loss(context, span_s, mbps):
     context.waits_ms = _play(context, span_s, mbps)
-    with unittest.mock.patch.object(WorkflowRecord, "is_returning", False):
+    with unittest.mock.patch.object(WorkflowRecord, "returning_count", 0):
         context.earlier_ms = _play(context, span_s, mbps)
     print("ms", max(context.waits_ms), max(context.earlier_ms))
 
@@ -254,3 +255,37 @@
     first = context.placed[0].task_id.partition(".")[0]
     assert not context.site.registry.workflows[first].workflow.is_standing
     assert len(context.placed) == 2
+
+
+@given(
+    "a standing workflow of {count:d} tasks of which {waiting:d} wait again"
+)
+def _returning(context, count, waiting):
+    site = context.site = _Site(vms=1, span_ms=0, mbps=1000)
+    step = _step(count, 0.01, standing=True, latency_target_ms=150)
+    site.accept(step, at_ms=START_MS, priority=2)
+    record = next(iter(site.registry.workflows.values()))
+    for index in range(waiting):
+        task = record.task(0, 0, index)
+        task.attempt = 1
+        record.tasks[task.task_id] = task
+        parsed_id = TaskId(record.workflow.workflow_id, 0, 0, index)
+        record.progress.assign(parsed_id)
+        record.progress.release(parsed_id, is_done=False)
+
+
+@when("it and an urgent workflow are placed in one round")
+def _place_round(context):
+    _urgent(context.site, 1, START_MS)
+    context.placed = context.site.place(context.site.back_ms, now_ms=START_MS)
+
+
+@then("the urgent one gets its task in that round")
+def _urgent_placed(context):
+    names = {item.task_id.partition(".")[0] for item in context.placed}
+    standing = {
+        name
+        for name in names
+        if context.site.registry.workflows[name].workflow.is_standing
+    }
+    assert standing and names - standing, len(context.placed)
