Bound the time that large workflows take from the leader

Cause: what is left of a workflow was computed by a walk over all of its steps and their predecessors, four times a second in CompletionOrder, once a second in Backlog and in TaskPrecedenceOrder, and twice for each submission.

Ordinary workflows are computed at each call as before. The precedence keeps the work of a task by step for some rounds and finds awaited steps by the successors of ready ones. A submission is walked over once.

--- a/src/radishlanding/dispatch/backlog.py
+++ b/src/radishlanding/dispatch/backlog.py
@@ -3,7 +3,7 @@
 import collections
 
 from radishlanding.dispatch.queue_backlog import QueueBacklog
-from radishlanding.policy import work_left
+from radishlanding.policy import RemainingWorkCache
 from radishlanding.workflow import WorkflowPhase
 
 # Long enough for several ends of tasks of some seconds, short enough to
@@ -20,7 +20,7 @@
     so that estimates which are all too high or too low cancel out.
     """
 
-    __slots__ = ("_drained", "_known", "_run_times", "_since_ms", "queues")
+    __slots__ = ("_drained", "_known", "_since_ms", "_work", "queues")
 
     def __init__(self, *, run_times):
         """Start without workflows.
@@ -31,8 +31,8 @@
         self._drained = collections.deque()
         # Record, remaining and total work by workflow.
         self._known = {}
-        self._run_times = run_times
         self._since_ms = 0
+        self._work = RemainingWorkCache(run_times=run_times)
         self.queues = {}
 
     def update(self, records, *, rooms, now_ms):
@@ -49,10 +49,10 @@
             workflow = record.workflow
             if workflow.is_standing or workflow.repeats:
                 continue
-            left = work_left(
+            left = self._work.left(
                 record,
-                self._run_times,
                 room_millicores=rooms.get(workflow.pool, 0.0),
+                now_ms=now_ms,
             )
             before = self._known.get(workflow.workflow_id)
             if before is not None and before[2]:
@@ -79,6 +79,7 @@
             if record.phase == WorkflowPhase.COMPLETED:
                 done[record.workflow.queue] += core_ms
         self._known = known
+        self._work.retain(known.keys())
         self._drained.append((now_ms, done))
         self._set_rates(queues, now_ms)
 
--- a/src/radishlanding/policy/completion_order.py
+++ b/src/radishlanding/policy/completion_order.py
@@ -7,7 +7,8 @@
 from radishlanding.policy.ageing import Ageing
 from radishlanding.policy.open_workflow import OpenWorkflow
 from radishlanding.policy.pace_share import PaceShare
-from radishlanding.policy.remaining_work import work_left
+from radishlanding.policy.remaining_work import total_core_ms
+from radishlanding.policy.remaining_work_cache import RemainingWorkCache
 from radishlanding.policy.selection import select
 from radishlanding.policy.size_history import SizeHistory
 from radishlanding.policy.tier import Tier
@@ -51,6 +52,7 @@
         "_overloaded_ms",
         "_paces",
         "_run_times",
+        "_work",
     )
 
     def __init__(self, *, run_times):
@@ -66,18 +68,21 @@
         # By pool and priority.
         self._paces = collections.defaultdict(PaceShare)
         self._run_times = run_times
+        self._work = RemainingWorkCache(run_times=run_times)
 
     def update(self, records, *, rooms, now_ms):
         """Select workflows; see :class:`WorkflowOrder`."""
         finite = [rec for rec in records if _is_selectable(rec.workflow)]
         done = collections.Counter()
-        self._drop_ended({rec.workflow.workflow_id for rec in finite}, done)
+        open_ids = {rec.workflow.workflow_id for rec in finite}
+        self._drop_ended(open_ids, done)
+        self._work.retain(open_ids)
         groups = collections.defaultdict(list)
         for record in finite:
             workflow = record.workflow
             group = workflow.pool, workflow.priority
             item, done_core_ms = self._refresh(
-                record, rooms.get(workflow.pool, 0.0)
+                record, rooms.get(workflow.pool, 0.0), now_ms
             )
             groups[group].append(item)
             done[group] += done_core_ms
@@ -142,11 +147,13 @@
         before it would be done.
         """
         workflow = record.workflow
-        left = work_left(record, self._run_times, room_millicores=1.0)
+        # Nothing of it is done yet.
+        own_core_ms = total_core_ms(workflow, self._run_times)
         history = self._histories[workflow.queue]
         item = OpenWorkflow(record=record)
-        item.size_class = history.size_class(left.total_core_ms)
-        density = self._density(item, left, history)
+        item.size_class = history.size_class(own_core_ms)
+        item.core_ms = item.total_core_ms = own_core_ms
+        density = self._density(item, history)
         others = [
             other
             for other in self._open.values()
@@ -170,14 +177,14 @@
                 core_ms += other.core_ms
         return core_ms
 
-    def _refresh(self, record, room_millicores):
+    def _refresh(self, record, room_millicores, now_ms):
         """Bring the :class:`OpenWorkflow` of a record up to date.
 
         :returns: A pair of it and the work done, in core-milliseconds.
         """
         workflow = record.workflow
-        left = work_left(
-            record, self._run_times, room_millicores=room_millicores
+        left = self._work.left(
+            record, room_millicores=room_millicores, now_ms=now_ms
         )
         item = self._open.get(workflow.workflow_id)
         history = self._histories[workflow.queue]
@@ -187,15 +194,15 @@
             self._open[workflow.workflow_id] = item
         done_core_ms = item.apply(left)
         item.size_class = history.size_class(left.total_core_ms)
-        item.density = self._density(item, left, history)
+        item.density = self._density(item, history)
         return item, done_core_ms
 
-    def _density(self, item, left, history):
+    def _density(self, item, history):
         """Return the worth per remaining work; 1 is the queue's mean."""
         mean_core_ms = max(history.mean_core_ms, 1.0)
         worth = BASE_WORTH
-        worth += (1 - BASE_WORTH) * left.total_core_ms / mean_core_ms
-        density = worth * mean_core_ms / max(left.core_ms, 1.0)
+        worth += (1 - BASE_WORTH) * item.total_core_ms / mean_core_ms
+        density = worth * mean_core_ms / max(item.core_ms, 1.0)
         if item.is_begun:
             density *= BEGUN_FACTOR
         if item.tier == Tier.ON_TIME:
--- a/src/radishlanding/policy/remaining_work.py
+++ b/src/radishlanding/policy/remaining_work.py
@@ -69,6 +69,21 @@
     )
 
 
+def total_core_ms(workflow, run_times):
+    """Return the work of all tasks of one occurrence, in core-milliseconds.
+
+    :param workflow: A :class:`radishlanding.workflow.Workflow`.
+    :param run_times: A :class:`RunTimes`.
+    """
+    return sum(
+        step.count
+        * step.needs.millicores
+        * run_times.estimate(workflow, number).run_ms
+        / 1000
+        for number, step in enumerate(workflow.steps)
+    )
+
+
 def _duration_ms(step, left, run_ms, room_millicores):
     """Return the time in which the rest of a step ends, in milliseconds."""
     if not left:
--- a/src/radishlanding/policy/task_precedence_order.py
+++ b/src/radishlanding/policy/task_precedence_order.py
@@ -16,6 +16,10 @@
 # A workflow of which nothing runs keeps its place for so many rounds: the
 # tasks of its next step, or a moved one, need a second or two to start.
 MAX_IDLE_ROUNDS = 3
+# Steps whose run times are estimated in a round, on average, beyond those of
+# workflows of no more steps than ORDINARY_STEPS. An estimate takes 5 us.
+ESTIMATES_PER_ROUND = 1000
+ORDINARY_STEPS = 50
 
 
 class TaskPrecedenceOrder:
@@ -33,9 +37,11 @@
     """
 
     __slots__ = (
+        "_costs",
         "_idle_rounds",
         "_places",
         "_records",
+        "_round",
         "_run_times",
         "overtakes",
     )
@@ -45,9 +51,13 @@
 
         :param run_times: A :class:`RunTimes`.
         """
+        # By workflow and occurrence, for large workflows: the round and the
+        # work of one task by step, in core-milliseconds.
+        self._costs = {}
         self._idle_rounds = collections.Counter()
         self._places = []
         self._records = {}
+        self._round = 0
         self._run_times = run_times
         # Number of places that workflows have gained in front of others.
         self.overtakes = 0
@@ -66,6 +76,7 @@
         :returns: Ranks from 0 by the name of the step, see
             :func:`step_name`.
         """
+        self._round += 1
         done = self._update_runs(tasks)
         work = {
             run: self._core_ms(record, run[1], done[run])
@@ -105,20 +116,43 @@
                 or self._idle_rounds[run] > MAX_IDLE_ROUNDS
             ):
                 del self._records[run], self._idle_rounds[run]
+                self._costs.pop(run, None)
         return done
 
     def _core_ms(self, record, occurrence, done):
         """Return the work that is left and all work, in core-milliseconds."""
         workflow = record.workflow
         left_core_ms, core_ms = 0.0, 0.0
+        costs = self._task_core_ms(workflow, occurrence)
         for number, step in enumerate(workflow.steps):
-            run_ms = self._run_times.estimate(workflow, number).run_ms
-            task_core_ms = step.needs.millicores * run_ms / 1000
+            task_core_ms = costs[number]
             left = record.tasks_left(occurrence, number) - done[number]
             left_core_ms += max(0.0, left) * task_core_ms
             core_ms += step.count * task_core_ms
         return left_core_ms, core_ms
 
+    def _task_core_ms(self, workflow, occurrence):
+        """Return the work of one task by step, in core-milliseconds.
+
+        That of large workflows is kept for a number of rounds that grows
+        with the number of steps of all of them.
+        """
+        run = workflow.workflow_id, occurrence
+        if run in self._costs:
+            begin, costs = self._costs[run]
+            steps = sum(len(kept) for _, kept in self._costs.values())
+            if self._round - begin < 1 + steps / ESTIMATES_PER_ROUND:
+                return costs
+        costs = [
+            step.needs.millicores
+            * self._run_times.estimate(workflow, number).run_ms
+            / 1000
+            for number, step in enumerate(workflow.steps)
+        ]
+        if len(costs) > ORDINARY_STEPS:
+            self._costs[run] = self._round, costs
+        return costs
+
     def _mean_core_ms(self, work):
         """Return the mean work of a workflow by queue."""
         by_queue = collections.defaultdict(list)
@@ -184,19 +218,21 @@
     several ones that with the least tasks left.
     """
     workflow = record.workflow
-    awaited = {
-        number
-        for later, step in enumerate(workflow.steps)
-        if record.tasks_left(occurrence, later)
-        for number in step.after
-    }
     ready = [
         number
-        for number, step in enumerate(workflow.steps)
-        if step.fills
+        for number in record.progress.ready_steps(occurrence)
+        if workflow.steps[number].fills
         and record.tasks_left(occurrence, number)
-        and record.is_step_ready(occurrence, number)
     ]
+    successors = workflow.shape.successors
+    awaited = {
+        number
+        for number in ready
+        if any(
+            record.tasks_left(occurrence, later)
+            for later in successors[number]
+        )
+    }
     numbers = sorted(
         ready,
         key=lambda number: (
--- a/src/radishlanding/workflow/workflow_shape.py
+++ b/src/radishlanding/workflow/workflow_shape.py
@@ -11,6 +11,7 @@
     __slots__ = (
         "critical_path_ms",
         "is_standing",
+        "size",
         "steps",
         "successors",
     )
@@ -23,6 +24,8 @@
         """
         self.steps = steps
         self.is_standing = any(step.standing for step in steps)
+        # Steps and predecessors, which a walk over all of them takes.
+        self.size = len(steps) + sum(len(step.after) for step in steps)
         self.successors = [[] for _ in steps]
         ends_ms = []
         for number, step in enumerate(steps):
--- a/tests/policy/large_workflows.feature
+++ b/tests/policy/large_workflows.feature
@@ -58,3 +58,9 @@
   Scenario: what the last round placed and what was done is found in any order
     Given 300 random histories of steps, gangs and occurrences
     Then each index agrees with a walk over all tasks, before and after a restart
+
+  Scenario: large workflows are not walked over at each update of the orders
+    Given 5 workflows of 1000 steps with 60 predecessors each, which all run
+    When orders, backlog and precedence follow them for 20 s as tasks end
+    Then each of them asks for at most 60000 estimates
+    And what is left of them is known to one part in 100
--- a/tests/policy/large_workflows_steps.py
+++ b/tests/policy/large_workflows_steps.py
@@ -9,10 +9,15 @@
 from behave import then
 from behave import when
 
+from radishlanding.dispatch.backlog import Backlog
 from radishlanding.dispatch.chunks import make_chunks
+from radishlanding.policy import CallerEstimates
+from radishlanding.policy import CompletionOrder
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
+from radishlanding.policy import TaskPrecedenceOrder
 from radishlanding.policy import VmLoad
+from radishlanding.policy import work_left
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.store import pack
 from radishlanding.store import unpack
@@ -24,6 +29,7 @@
 from radishlanding.workflow import TaskEnd
 from radishlanding.workflow import TaskId
 from radishlanding.workflow import TaskRecord
+from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 from radishlanding.workflow import WorkflowRegistry
 from tests.policy.placement_budget_steps import load_of
@@ -359,3 +365,82 @@
                 record = unpack(WorkflowRecord, pack(record))
                 registry = WorkflowRegistry()
                 registry.load([record])
+
+
+class _CountedEstimates(CallerEstimates):
+    """Estimates of callers that count how often they are asked for."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    def estimate(self, workflow, number):
+        self.asked += 1
+        return super().estimate(workflow, number)
+
+
+@given(
+    "{count:d} workflows of {steps:d} steps with {predecessors:d} "
+    "predecessors each, which all run"
+)
+def _chained(context, count, steps, predecessors):
+    context.records = [
+        WorkflowRecord(
+            phase=WorkflowPhase.RUNNING,
+            workflow=make_workflow(
+                [
+                    Step(
+                        count=10,
+                        needs=Capacity(millicores=1000, memory_mb=100),
+                        estimated_ms=4000,
+                        fills=True,
+                        after=list(range(max(0, step - predecessors), step)),
+                    )
+                    for step in range(steps)
+                ],
+                name=f"{number:016x}",
+                accepted_ms=1_000_000,
+            ),
+        )
+        for number in range(count)
+    ]
+
+
+@when(
+    "orders, backlog and precedence follow them for {seconds:d} s as tasks end"
+)
+def _followed(context, seconds):
+    times = [_CountedEstimates() for _ in range(3)]
+    order = CompletionOrder(run_times=times[0])
+    context.backlog = Backlog(run_times=times[1])
+    precedence = TaskPrecedenceOrder(run_times=times[2])
+    rooms = {"order-desk": 100_000.0}
+    for now_ms in range(1_000_000, 1_000_001 + 1000 * seconds, 250):
+        order.update(context.records, rooms=rooms, now_ms=now_ms)
+        if now_ms % 1000:
+            continue
+        context.backlog.update(context.records, rooms=rooms, now_ms=now_ms)
+        tasks = [
+            (record, TaskId.parse(f"{record.workflow.workflow_id}.0.0.9"), 0)
+            for record in context.records
+        ]
+        precedence.rank(tasks, class_of=lambda _: (0,))
+        for record in context.records:
+            for key in ("0.0", "0.1"):
+                record.done[key] = min(9, record.done.get(key, 0) + 1)
+    context.asked = [item.asked for item in times]
+
+
+@then("each of them asks for at most {most:d} estimates")
+def _asked(context, most):
+    assert max(context.asked) <= most, context.asked
+
+
+@then("what is left of them is known to one part in {parts:d}")
+def _left(context, parts):
+    (queue,) = context.backlog.queues.values()
+    true_core_ms = sum(
+        work_left(record, CallerEstimates(), room_millicores=1.0).core_ms
+        for record in context.records
+    )
+    assert abs(queue.core_ms - true_core_ms) <= true_core_ms / parts, queue
