Keep no times of the future after a clock is set back

Cause: DoubtLimit, Backlog, Ageing and PaceShare compared times of before with a clock that had been set back, and held steps, rates, choices and samples until the clock had caught up.

Change: a hold with a negative age counts as over; figures, choices and samples of later times are dropped. The rates of the backlog then cover the time since the oldest figure that is left, so that nothing is refused by half a window.

Measured: four new scenarios set the clock back by 20 or 60 s.

--- a/src/radishlanding/dispatch/backlog.py
+++ b/src/radishlanding/dispatch/backlog.py
@@ -44,6 +44,7 @@
         :param now_ms: Unix time, in milliseconds.
         """
         self._since_ms = self._since_ms or now_ms
+        self._drop_future(now_ms)
         done, known, queues = collections.Counter(), {}, {}
         for record in records:
             workflow = record.workflow
@@ -83,6 +84,18 @@
         self._drained.append((now_ms, done))
         self._set_rates(queues, now_ms)
 
+    def _drop_future(self, now_ms):
+        """Drop what was done at later times, before the clock was set back.
+
+        The rates then cover the time since the oldest figure that is left.
+        """
+        if not self._drained or self._drained[-1][0] <= now_ms:
+            return
+        self._drained = collections.deque(
+            item for item in self._drained if item[0] <= now_ms
+        )
+        self._since_ms = self._drained[0][0] if self._drained else now_ms
+
     def _set_rates(self, queues, now_ms):
         while self._drained and self._drained[0][0] <= now_ms - WINDOW_MS:
             self._drained.popleft()
--- a/src/radishlanding/policy/ageing.py
+++ b/src/radishlanding/policy/ageing.py
@@ -37,6 +37,12 @@
             for workflow_id in self._chosen.values()
             if workflow_id in by_id
         }
+        # A clock that was set back must not delay the next choice.
+        self._since_ms = {
+            queue: since_ms
+            for queue, since_ms in self._since_ms.items()
+            if since_ms <= now_ms
+        }
         busy = {item.record.workflow.queue for item in found}
         for item in sorted(items, key=lambda item: item.due_ms):
             queue = item.record.workflow.queue
--- a/src/radishlanding/policy/doubt_limit.py
+++ b/src/radishlanding/policy/doubt_limit.py
@@ -32,7 +32,7 @@
         :returns: The number, None for no limit.
         """
         since_ms = self._held_ms.get(key)
-        if since_ms is not None and now_ms - since_ms > FORGET_MS:
+        if since_ms is not None and not _is_held(since_ms, now_ms):
             del self._held_ms[key]
             since_ms = None
         if step.standing or (
@@ -52,5 +52,10 @@
             self._held_ms = {
                 held: since_ms
                 for held, since_ms in self._held_ms.items()
-                if now_ms - since_ms <= FORGET_MS
+                if _is_held(since_ms, now_ms)
             }
+
+
+def _is_held(since_ms, now_ms):
+    """Return whether a hold counts; not if the clock was set back since."""
+    return 0 <= now_ms - since_ms <= FORGET_MS
--- a/src/radishlanding/policy/pace_share.py
+++ b/src/radishlanding/policy/pace_share.py
@@ -43,6 +43,9 @@
         :param now_ms: Unix time, in milliseconds.
         """
         self._done_core_ms += done_core_ms
+        # A clock that was set back leaves samples of later times.
+        while self._samples and self._samples[-1][0] > now_ms:
+            self._samples.pop()
         if self._samples and (
             0 <= now_ms - self._samples[-1][0] < SAMPLE_INTERVAL_MS
         ):
--- a/tests/dispatch/admission_control.feature
+++ b/tests/dispatch/admission_control.feature
@@ -55,3 +55,8 @@
     Given 640 VMs with 0 of 64 processors idle
     When a workflow of 1000 first tasks of different needs is submitted
     Then it is not taken to find room, after at most 10240 looks at a VM
+
+  Scenario: a clock that is set back leaves no rates of later times
+    Given a backlog that has been followed for 20 s
+    When the clock is set back by 60 s for 11 s
+    Then its rates cover a whole window, and none of what was done before
--- a/tests/dispatch/admission_control_steps.py
+++ b/tests/dispatch/admission_control_steps.py
@@ -8,10 +8,12 @@
 from behave import when
 
 from radishlanding.dispatch.admission_control import AdmissionControl
+from radishlanding.dispatch.backlog import Backlog
 from radishlanding.dispatch.entry_room import EntryRoom
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.observe import Counters
 from radishlanding.policy import Admission
+from radishlanding.policy import CallerEstimates
 from radishlanding.policy import CompletionOrder
 from radishlanding.policy import has_first_task_room
 from radishlanding.policy import Prospect
@@ -278,3 +280,35 @@
 def _room_found(context, taken, most):
     assert context.has_room == (taken == "taken")
     assert _CountedLoad.looks <= most, _CountedLoad.looks
+
+
+@given("a backlog that has been followed for {seconds:d} s")
+def _followed(context, seconds):
+    context.backlog = Backlog(run_times=CallerEstimates())
+    step = Step(count=100, needs=NEEDS, estimated_ms=4000)
+    context.record = WorkflowRecord(workflow=make_workflow([step]))
+    context.now_ms = 1_000_000
+    for second in range(seconds):
+        context.record.done["0.0"] = second
+        _follow(context, 1)
+
+
+def _follow(context, seconds):
+    for _ in range(seconds):
+        context.now_ms += 1000
+        context.backlog.update(
+            [context.record], rooms={}, now_ms=context.now_ms
+        )
+
+
+@when("the clock is set back by {back:d} s for {seconds:d} s")
+def _set_back(context, back, seconds):
+    context.now_ms -= 1000 * back
+    _follow(context, seconds)
+
+
+@then("its rates cover a whole window, and none of what was done before")
+def _new_rates(context):
+    assert context.backlog.is_known(context.now_ms)
+    (queue,) = context.backlog.queues.values()
+    assert not queue.drained_millicores, queue
--- a/tests/policy/completion_order.feature
+++ b/tests/policy/completion_order.feature
@@ -69,3 +69,15 @@
   Scenario: tasks that run for long at full pace are not taken for slow ones
     Given 10 workflows of 20 tasks of 60 s on 200 of 1000 processors
     Then no overload is seen in the 60 s in which they run
+
+  Scenario: a clock that is set back delays no expired workflow
+    Given workflows whose work exceeds the room
+    When two of them are expired for long
+    And the first one is done and the clock is set back by 20 s
+    Then the other one goes first
+
+  Scenario: a clock that is set back leaves no pace of later times
+    Given tasks that hold 100 processors and do 1 of their work in time
+    When they have run for 20 s
+    And the clock is set back by 60 s and they do 0.4 for 40 s
+    Then 0.4 of the room is counted on
--- a/tests/policy/completion_order_steps.py
+++ b/tests/policy/completion_order_steps.py
@@ -302,3 +302,34 @@
 @then("this is {taken} for an overload")
 def _overload_seen(context, taken):
     assert bool(context.order.overloads) == (taken == "taken")
+
+
+@when("the first one is done and the clock is set back by {seconds:d} s")
+def _set_back(context, seconds):
+    first = context.records[-2]
+    first.phase = WorkflowPhase.COMPLETED
+    first.ended_ms = NOW_MS
+    # The second update finds the overload at the new time.
+    for now_ms in (NOW_MS - 1000 * seconds, NOW_MS - 1000 * seconds + 250):
+        _update(context, context.room, now_ms)
+
+
+@then("the other one goes first")
+def _other_first(context):
+    ranked = _ranked(context, context.order, NOW_MS - 20_000)
+    assert ranked[0] == "b" * 16, ranked
+
+
+@when(
+    "the clock is set back by {back:d} s and they do {share:g} for "
+    "{seconds:d} s"
+)
+def _slower(context, back, share, seconds):
+    begin_ms = context.now_ms - 1000 * back
+    context.now_ms = begin_ms + 1000 * seconds
+    for now_ms in range(begin_ms, context.now_ms, 250):
+        context.pace.observe(
+            share * context.cores * 250,
+            count_assigned=lambda: _work_of(context.cores),
+            now_ms=now_ms,
+        )
--- a/tests/policy/vm_trust.feature
+++ b/tests/policy/vm_trust.feature
@@ -62,3 +62,8 @@
       | 20    | finite   | 1 doubtful VMs of 0.6 and 5 other | 1 0 0   |
       | 48    | finite   | 1 doubtful VMs of 0.6 and 5 other | 3 0 0   |
       | 20    | standing | 1 doubtful VMs of 0.6 and 5 other | 0 0 0   |
+
+  Scenario: a clock that is set back holds no step longer
+    Given a step of 10 tasks that is held back from doubtful VMs
+    When the clock is set back by 60 s
+    Then the step is held for 500 ms at most
--- a/tests/policy/vm_trust_steps.py
+++ b/tests/policy/vm_trust_steps.py
@@ -3,6 +3,7 @@
 import random
 import types
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -12,6 +13,7 @@
 from radishlanding.policy import VmLoad
 from radishlanding.policy import VmTrust
 from radishlanding.policy import WorkflowPlanner
+from radishlanding.policy.doubt_limit import DoubtLimit
 from radishlanding.policy.vm_trust import FULL_TRUST
 from radishlanding.vm import Capacity
 from radishlanding.workflow import EndKind
@@ -258,3 +260,25 @@
 @then("those VMs get {numbers} tasks then")
 def _numbers(context, numbers):
     assert context.placed == list(map(int, numbers.split())), context.placed
+
+
+@given("a step of {count:d} tasks that is held back from doubtful VMs")
+def _held(context, count):
+    context.limit = DoubtLimit()
+    context.step = Step(
+        count=count, needs=Capacity(millicores=1000, memory_mb=100)
+    )
+    context.limit.hold("a", now_ms=1_000_000)
+
+
+@when("the clock is set back by {seconds:d} s")
+def _set_back(context, seconds):
+    context.now_ms = 1_000_000 - 1000 * seconds
+
+
+@then("the step is held for {hold_ms:d} ms at most")
+def _held_for(context, hold_ms):
+    for now_ms in (context.now_ms, context.now_ms + hold_ms):
+        found = context.limit.max_tasks("a", context.step, now_ms=now_ms)
+        context.limit.hold("a", now_ms=now_ms)
+    assert found is None, found
