--- a/tests/policy/completion_order.feature
+++ b/tests/policy/completion_order.feature
@@ -81,3 +81,8 @@
     When they have run for 20 s
     And the clock is set back by 60 s and they do 0.4 for 40 s
     Then 0.4 of the room is counted on
+
+  Scenario: in an overload the agents' order is that of the workflows
+    Given workflows whose work exceeds the room
+    When the tasks of all of them run and are ranked by class and work left
+    Then they have the order of the workflows
--- a/tests/policy/completion_order_steps.py
+++ b/tests/policy/completion_order_steps.py
@@ -7,12 +7,15 @@
 from behave import when
 
 from radishlanding.policy import CallerEstimates
+from radishlanding.policy import CLASS_PARTS
 from radishlanding.policy import CompletionOrder
 from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import TaskPrecedenceOrder
 from radishlanding.policy.assigned_work import AssignedWork
 from radishlanding.policy.pace_share import PaceShare
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
+from radishlanding.workflow import TaskId
 from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 from tests.policy import overload_play
@@ -333,3 +336,25 @@
             count_assigned=lambda: _work_of(context.cores),
             now_ms=now_ms,
         )
+
+
+@when("the tasks of all of them run and are ranked by class and work left")
+def _precedence(context):
+    for record in context.records:
+        record.workflow.steps[0].fills = True
+    ranks = TaskPrecedenceOrder(run_times=CallerEstimates()).rank(
+        [
+            (record, TaskId.parse(f"{record.workflow.workflow_id}.0.0.0"), 0)
+            for record in context.records
+        ],
+        class_of=lambda record: context.order.key(record, now_ms=NOW_MS)[
+            :CLASS_PARTS
+        ],
+    )
+    context.names = sorted(ranks, key=ranks.get)
+
+
+@then("they have the order of the workflows")
+def _same_order(context):
+    found = [name.partition(".")[0] for name in context.names]
+    assert found == _ranked(context, context.order), found
