--- a/src/radishlanding/dispatch/backlog.py
+++ b/src/radishlanding/dispatch/backlog.py
@@ -3,7 +3,7 @@
 import collections
 
 from radishlanding.dispatch.queue_backlog import QueueBacklog
-from radishlanding.policy import work_left
+from radishlanding.policy import RemainingWorkCache
 from radishlanding.workflow import WorkflowPhase
 
 # Long enough for several ends of tasks of some seconds, short enough to
@@ -20,7 +20,7 @@
     so that estimates which are all too high or too low cancel out.
     """
 
-    __slots__ = ("_drained", "_known", "_run_times", "_since_ms", "queues")
+    __slots__ = ("_drained", "_known", "_since_ms", "_work", "queues")
 
     def __init__(self, *, run_times):
         """Start without workflows.
@@ -31,8 +31,8 @@
         self._drained = collections.deque()
         # Record, remaining and total work by workflow.
         self._known = {}
-        self._run_times = run_times
         self._since_ms = 0
+        self._work = RemainingWorkCache(run_times=run_times)
         self.queues = {}
 
     def update(self, records, *, rooms, now_ms):
@@ -44,15 +44,16 @@
         :param now_ms: Unix time, in milliseconds.
         """
         self._since_ms = self._since_ms or now_ms
+        self._drop_future(now_ms)
         done, known, queues = collections.Counter(), {}, {}
         for record in records:
             workflow = record.workflow
             if workflow.is_standing or workflow.repeats:
                 continue
-            left = work_left(
+            left = self._work.left(
                 record,
-                self._run_times,
                 room_millicores=rooms.get(workflow.pool, 0.0),
+                now_ms=now_ms,
             )
             before = self._known.get(workflow.workflow_id)
             if before is not None and before[2]:
@@ -79,9 +80,22 @@
             if record.phase == WorkflowPhase.COMPLETED:
                 done[record.workflow.queue] += core_ms
         self._known = known
+        self._work.retain(known.keys())
         self._drained.append((now_ms, done))
         self._set_rates(queues, now_ms)
 
+    def _drop_future(self, now_ms):
+        """Drop what was done at later times, before the clock was set back.
+
+        The rates then cover the time since the oldest figure that is left.
+        """
+        if not self._drained or self._drained[-1][0] <= now_ms:
+            return
+        self._drained = collections.deque(
+            item for item in self._drained if item[0] <= now_ms
+        )
+        self._since_ms = self._drained[0][0] if self._drained else now_ms
+
     def _set_rates(self, queues, now_ms):
         while self._drained and self._drained[0][0] <= now_ms - WINDOW_MS:
             self._drained.popleft()
--- a/tests/policy/completion_order_steps.py
+++ b/tests/policy/completion_order_steps.py
@@ -7,11 +7,15 @@
 from behave import when
 
 from radishlanding.policy import CallerEstimates
+from radishlanding.policy import CLASS_PARTS
 from radishlanding.policy import CompletionOrder
 from radishlanding.policy import EarliestDeadline
+from radishlanding.policy import TaskPrecedenceOrder
+from radishlanding.policy.assigned_work import AssignedWork
 from radishlanding.policy.pace_share import PaceShare
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
+from radishlanding.workflow import TaskId
 from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 from tests.policy import overload_play
@@ -146,7 +150,7 @@
     step = Step(
         count=count,
         needs=Capacity(millicores=1000, memory_mb=100),
-        estimated_ms=4000 + 10 * count,
+        estimated_ms=fields.pop("run_ms", 4000 + 10 * count),
         standing=fields.pop("standing", False),
     )
     workflow = make_workflow(
@@ -229,6 +233,12 @@
     context.pace, context.cores, context.share = PaceShare(), cores, share
 
 
+def _work_of(cores):
+    work = AssignedWork()
+    work.add(1000 * cores, 4000)
+    return work
+
+
 @when("they have run for {seconds:d} s")
 def _run(context, seconds):
     context.now_ms = NOW_MS + 1000 * seconds
@@ -237,7 +247,7 @@
         cores = context.cores if now_ms >= NOW_MS else 0
         context.pace.observe(
             context.share * cores * 250,
-            count_millicores=lambda cores=cores: 1000 * cores,
+            count_assigned=lambda cores=cores: _work_of(cores),
             now_ms=now_ms,
         )
 
@@ -257,11 +267,33 @@
         _record(f"{number:016x}", latency_ms=60_000) for number in range(20)
     ]
     for record in context.records:
-        record.phase = WorkflowPhase.RUNNING
-        for index in range(record.workflow.steps[0].count):
-            task = record.task(0, 0, index)
-            task.vm = "a"
-            record.tasks[task.task_id] = task
+        _assign_all(record)
+
+
+def _assign_all(record):
+    record.phase = WorkflowPhase.RUNNING
+    for index in range(record.workflow.steps[0].count):
+        task = record.task(0, 0, index)
+        task.vm = "a"
+        record.tasks[task.task_id] = task
+
+
+@given("10 workflows of 20 tasks of 60 s on 200 of 1000 processors")
+def _long_tasks(context):
+    context.order = _order()
+    context.records = [
+        _record(f"{number:016x}", count=20, run_ms=60_000, latency_ms=60_000)
+        for number in range(10)
+    ]
+    for record in context.records:
+        _assign_all(record)
+
+
+@then("no overload is seen in the {seconds:d} s in which they run")
+def _no_overload(context, seconds):
+    for now_ms in range(NOW_MS, NOW_MS + 1000 * seconds, 250):
+        _update(context, 1_000_000, now_ms)
+        assert not context.order.overloads, now_ms - NOW_MS
 
 
 @when("none of them is done within {seconds:d} s")
@@ -273,3 +305,56 @@
 @then("this is {taken} for an overload")
 def _overload_seen(context, taken):
     assert bool(context.order.overloads) == (taken == "taken")
+
+
+@when("the first one is done and the clock is set back by {seconds:d} s")
+def _set_back(context, seconds):
+    first = context.records[-2]
+    first.phase = WorkflowPhase.COMPLETED
+    first.ended_ms = NOW_MS
+    # The second update finds the overload at the new time.
+    for now_ms in (NOW_MS - 1000 * seconds, NOW_MS - 1000 * seconds + 250):
+        _update(context, context.room, now_ms)
+
+
+@then("the other one goes first")
+def _other_first(context):
+    ranked = _ranked(context, context.order, NOW_MS - 20_000)
+    assert ranked[0] == "b" * 16, ranked
+
+
+@when(
+    "the clock is set back by {back:d} s and they do {share:g} for "
+    "{seconds:d} s"
+)
+def _slower(context, back, share, seconds):
+    begin_ms = context.now_ms - 1000 * back
+    context.now_ms = begin_ms + 1000 * seconds
+    for now_ms in range(begin_ms, context.now_ms, 250):
+        context.pace.observe(
+            share * context.cores * 250,
+            count_assigned=lambda: _work_of(context.cores),
+            now_ms=now_ms,
+        )
+
+
+@when("the tasks of all of them run and are ranked by class and work left")
+def _precedence(context):
+    for record in context.records:
+        record.workflow.steps[0].fills = True
+    ranks = TaskPrecedenceOrder(run_times=CallerEstimates()).rank(
+        [
+            (record, TaskId.parse(f"{record.workflow.workflow_id}.0.0.0"), 0)
+            for record in context.records
+        ],
+        class_of=lambda record: context.order.key(record, now_ms=NOW_MS)[
+            :CLASS_PARTS
+        ],
+    )
+    context.names = sorted(ranks, key=ranks.get)
+
+
+@then("they have the order of the workflows")
+def _same_order(context):
+    found = [name.partition(".")[0] for name in context.names]
+    assert found == _ranked(context, context.order), found
