--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -13,8 +13,8 @@
 # Assignments of one workflow in a round, which may exceed the above. Steps of
 # callers have up to 80 tasks, five of them 400; those are placed in one round.
 MAX_WORKFLOW_ASSIGNMENTS = 500
-# Standing tasks that go before all others in a round. Tasks that fail again and
-# again return all the time, and must not take whole rounds.
+# Standing tasks that go before all others in a round. Tasks that fail again
+# and again return all the time, and must not take whole rounds.
 MAX_RETURNING = 120
 # Ready steps of one workflow that may find no VM in a round; each costs a look
 # at all VMs. The next round goes on with the steps behind them, so that rounds
