Measure interference by known tasks only

Cause: a reported task that the log does not have was looked up among the steps of a workflow with the same identity, which may have fewer steps. Change: such a task is passed over, as in the ranks and the run times.

--- a/src/radishlanding/dispatch/interference_monitor.py
+++ b/src/radishlanding/dispatch/interference_monitor.py
@@ -27,8 +27,10 @@
         millicores = session.state.capacity.millicores
         serving, best_effort = [], {}
         for item in session.running.values():
-            record, _ = self._registry.find(item.task_id)
-            if record is None or not item.gauge or not record.workflow.steps:
+            record, task = self._registry.find(item.task_id)
+            # A VM that was cut off may list a task of an earlier workflow
+            # with the same identity.
+            if task is None or not item.gauge or not record.workflow.steps:
                 continue
             parsed_id = TaskId.parse(item.task_id)
             step = record.workflow.steps[parsed_id.step]
