Order by deadline unless overload_control is set, and yield to last tasks only

Tasks that were overtaken kept workflows open, and late workflows with one task left went behind all that could end in time. Change: the new setting overload_control, false by default, selects CompletionOrder, by which admission predicts. Only the last tasks of a step take headroom from tasks behind them, in placement and in moves.

--- a/src/radishlanding/dispatch/move_candidates.py
+++ b/src/radishlanding/dispatch/move_candidates.py
@@ -1,5 +1,6 @@
 """Describes the best-effort tasks that may be moved."""
 
+from radishlanding.policy import has_last_tasks
 from radishlanding.policy import MovableTask
 from radishlanding.policy import step_name
 from radishlanding.policy import StepProgress
@@ -75,6 +76,9 @@
             pace=_pace(step, item),
             age_ms=self._progress.age_ms(task_id),
             rank=self._ranker.rank_of(task_id),
+            is_last=has_last_tasks(
+                record, parsed_id.occurrence, parsed_id.step
+            ),
         )
 
 
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -32,6 +32,7 @@
 from radishlanding.platform import ReadyApi
 from radishlanding.platform import SITE_PREFIX
 from radishlanding.policy import CompletionOrder
+from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
 from radishlanding.policy import LearnedRunTimes
 from radishlanding.policy import StrongestFirst
@@ -192,7 +193,7 @@
             registry=registry,
             site_watch=self._site_watch,
             planner=WorkflowPlanner(
-                order=CompletionOrder(run_times=run_times),
+                order=self._workflow_order(run_times),
                 interference=self._interference,
                 tickets=tickets,
                 clock_s=boot_clock_s,
@@ -215,6 +216,11 @@
             listening_s=self._listening_s,
         )
 
+    def _workflow_order(self, run_times):
+        if self._cfg.overload_control:
+            return CompletionOrder(run_times=run_times)
+        return EarliestDeadline()
+
     async def _announce_leadership(self):
         """Notify all peers that this process leads."""
         await self._notify_peers(self._candidate.notice())
--- a/src/radishlanding/policy/migration.py
+++ b/src/radishlanding/policy/migration.py
@@ -186,15 +186,17 @@
     def _find_destination(self, item, by_room, by_vm):
         """Return the trusted VM that can spare the most, None if none can.
 
-        A task may take the headroom of tasks behind it in precedence.
+        The last tasks of a step may take the headroom of tasks behind them
+        in precedence.
 
         :param by_room: :class:`VmLoad` objects, the one with the most room
             first.
         """
         step = item.step
         min_idle_millicores = step.needs.millicores * self._min_idle_share
+        max_lack = MAX_LACK if item.is_last else 0.0
         for load in by_room:
-            if _lack(load) > MAX_LACK:
+            if _lack(load) > max_lack:
                 break
             if (
                 load.pool == item.load.pool
@@ -215,7 +217,7 @@
         if not load.serving_tasks:
             return True
         lack = _lack(load) + self._cost(item.step, load)
-        if 0 < lack <= MAX_LACK:
+        if item.is_last and 0 < lack <= MAX_LACK:
             lack -= sum(
                 self._cost(other.step, load)
                 for other in others
--- a/src/radishlanding/policy/movable_task.py
+++ b/src/radishlanding/policy/movable_task.py
@@ -22,6 +22,7 @@
     :param age_ms: How long the attempt is known to run, in milliseconds.
     :param rank: Its rank, see :class:`TaskPrecedenceOrder`; infinite for
         none.
+    :param is_last: Whether only the last tasks of its step are left.
     """
 
     task: TaskRecord
@@ -32,3 +33,4 @@
     pace: float
     age_ms: float
     rank: float
+    is_last: bool = False
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -4,6 +4,7 @@
 import math
 
 from radishlanding.policy.doubt_limit import DoubtLimit
+from radishlanding.policy.last_tasks import has_last_tasks
 from radishlanding.policy.refusal import Refusal
 from radishlanding.policy.vm_selector import is_doubtful
 from radishlanding.policy.vm_selector import VmSelector
@@ -186,7 +187,7 @@
         return assignments
 
     def _cost_behind(self, record, position):
-        """Return how the tasks of a ranked step see the headroom of a VM.
+        """Return how the last tasks of a ranked step see a VM's headroom.
 
         They need not wait for headroom that tasks behind them in precedence
         take: the agent gives it to them.
@@ -195,7 +196,7 @@
         """
         name = ".".join(map(str, (record.workflow.workflow_id, *position)))
         rank = self.ranks.get(name)
-        if rank is None:
+        if rank is None or not has_last_tasks(record, *position):
             return None
 
         def cost_behind(vm):
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -143,7 +143,7 @@
     def _entry(self, number, vm):
         """Return a heap entry; the smallest one is the best."""
         cost = tuple(-part for part in self._score(vm))
-        return cost, number, id(vm), vm
+        return cost, number, vm.vm, vm
 
     def _count_trials_left(self, vms):
         """Return how many more VMs may try the step's image.
--- a/src/radishlanding/settings/dispatcher.py
+++ b/src/radishlanding/settings/dispatcher.py
@@ -29,6 +29,9 @@
         clients and peers make the process hold.
     :param max_fds: Descriptors that the process may have open, 200 of them
         for files; bounds the connections of clients and peers.
+    :param overload_control: Whether, beyond capacity, workflows that can still
+        end in time go first and those whose results would be worth nothing
+        are refused; otherwise workflows go by deadline.
     :param compress_log: Whether to write the log of workflows compressed;
         builds from before compression can read only what is not.
     :param store_calls_per_s: Maximum rate of calls to the store, per second.
@@ -63,6 +66,7 @@
     link_mbps: float = 1000.0
     memory_mb: int = 256
     max_fds: int = 4096
+    overload_control: bool = False
     compress_log: bool = True
     store_calls_per_s: float = 150.0
     vm_lease_s: float = 7.0
--- a/tests/dispatch/run_time_monitor_steps.py
+++ b/tests/dispatch/run_time_monitor_steps.py
@@ -361,6 +361,7 @@
         http_listen=address,
         ready_listen=address,
         peer_listen=address,
+        overload_control=True,
     )
     patch = unittest.mock.patch.object
     with (
--- a/tests/policy/migration.feature
+++ b/tests/policy/migration.feature
@@ -75,30 +75,33 @@
       | 0     | 2   | 0    |
       | 0     | 9   | 2    |
 
-  Scenario Outline: a task moves in front of tasks behind it in precedence
+  Scenario Outline: a last task moves in front of tasks behind it in precedence
     Given a task in front of it on a that has 8 s left
     And <count> tasks of rank <other> take all the headroom of b
     And a task of rank 1 on a that has 4 s left there and 4 s elsewhere, at a pace of 0, for 3 s
+    And it is one of <left> tasks of its step that are left
     When moves are chosen in 2 rounds
     Then it <result>
 
     Examples: no VM lacks the headroom of more than one task
-      | other | count | result |
-      | 5     | 1     | moves  |
-      | 5     | 2     | stays  |
-      | 0     | 1     | stays  |
+      | other | count | left | result |
+      | 5     | 1     | 2    | moves  |
+      | 5     | 2     | 2    | stays  |
+      | 0     | 1     | 2    | stays  |
+      | 5     | 1     | 9    | stays  |
 
-  Scenario Outline: a task is placed in front of tasks behind it in precedence
+  Scenario Outline: a last task is placed in front of tasks behind it in precedence
     Given a VM whose headroom <count> tasks of rank <other> take
-    When a step of 9 tasks of rank <rank> is placed
+    When the last <left> of 9 tasks of a step of rank <rank> are placed
     Then <placed> tasks are placed on it
 
     Examples: there is headroom for one task, and half of another one
-      | other | count | rank | placed |
-      | 5     | 1     | 1    | 1      |
-      | 5     | 2     | 1    | 0      |
-      | 0     | 1     | 1    | 0      |
-      | 5     | 1     | none | 0      |
+      | other | count | left | rank | placed |
+      | 5     | 1     | 2    | 1    | 1      |
+      | 5     | 2     | 2    | 1    | 0      |
+      | 0     | 1     | 2    | 1    | 0      |
+      | 5     | 1     | 2    | none | 0      |
+      | 5     | 1     | 9    | 1    | 0      |
 
   Scenario Outline: a task moves to trusted VMs only
     Given a task in front of it on a that has 8 s left
--- a/tests/policy/migration_steps.py
+++ b/tests/policy/migration_steps.py
@@ -16,6 +16,7 @@
 from radishlanding.policy import VmLoad
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.policy.interference import MIN_OBSERVATIONS
+from radishlanding.policy.last_tasks import MIN_LAST
 from radishlanding.policy.move import Move
 from radishlanding.vm import Capacity
 from radishlanding.workflow import Step
@@ -248,10 +249,25 @@
     context.ranks = {other: rank}
 
 
-@when("a step of 9 tasks of rank {rank:w} is placed")
-def _place(context, rank):
+@given("it is one of {left:d} tasks of its step that are left")
+def _tasks_left(context, left):
+    context.tasks[-1] = dataclasses.replace(
+        context.tasks[-1], is_last=left <= MIN_LAST
+    )
+
+
+@when("the last {left:d} of 9 tasks of a step of rank {rank:w} are placed")
+def _place(context, left, rank):
     step = dataclasses.replace(STEP, estimated_ms=4000)
-    record = WorkflowRecord(workflow=make_workflow([step]))
+    ended = [
+        TaskRecord(task_id=f"{NAME}.0.0.{index}", attempt=1, is_done=True)
+        for index in range(9 - left)
+    ]
+    record = WorkflowRecord(
+        workflow=make_workflow([step]),
+        tasks={task.task_id: task for task in ended},
+        done={"0.0": len(ended)},
+    )
     planner = WorkflowPlanner(
         order=EarliestDeadline(), interference=context.interference
     )
