--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -80,7 +80,8 @@
                 )
             if _has_oversized_gang(workflow):
                 return refused_answer(
-                    f"a gang has more than {MAX_GANG_TASKS} tasks"
+                    f"a gang has more than {MAX_GANG_TASKS} tasks",
+                    retry_after_s=0,
                 )
             if record is None and self._admission is not None:
                 retry_after_s = self._admission.retry_after_s(workflow)
