Give each workflow one turn in a round of placement

Cause: since a standing workflow with returning tasks was placed once for them and once among the others. A record shows an assignment only after the round, so that the same tasks were assigned to two VMs. Change: a workflow that had its turn for returning tasks has no other one.

--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -174,14 +174,20 @@
             max_tasks=MAX_ASSIGNMENTS, max_bytes=max_bytes
         )
         ranked = sorted(records, key=lambda rec: self.rank(rec, now_ms=now_ms))
-        starved = self._passed_over(records, now_ms)
-        served = {rec.workflow.workflow_id for rec in starved}
+        # A record shows what is placed only after the round, so that each
+        # workflow has one turn.
+        served = self._place_returning(ranked, loads, now_ms, budget)
+        starved = [
+            record
+            for record in self._passed_over(records, now_ms)
+            if record.workflow.workflow_id not in served
+        ]
+        served.update(rec.workflow.workflow_id for rec in starved)
         others = [
             record
             for record in ranked
             if record.workflow.workflow_id not in served
         ]
-        self._place_returning(ranked, loads, now_ms, budget)
         for records_in_turn, max_tasks in (
             (starved, 1),
             (others, MAX_WORKFLOW_ASSIGNMENTS),
@@ -195,15 +201,21 @@
         return budget.assignments
 
     def _place_returning(self, ranked, loads, now_ms, budget):
-        """Place the standing tasks that have lost their VM."""
+        """Place the standing tasks that have lost their VM.
+
+        :returns: Identities of the workflows that had their turn.
+        """
+        served = set()
         for record in ranked:
             left = MAX_RETURNING - len(budget.assignments)
             if left <= 0 or budget.is_spent:
                 break
             count = min(left, record.returning_count)
             if count:
+                served.add(record.workflow.workflow_id)
                 orders = budget.orders(record, max_tasks=count)
                 budget.take(record, self._place(record, loads, now_ms, orders))
+        return served
 
     def _passed_over(self, records, now_ms):
         """Return the workflows that get one task before all others.
--- a/tests/policy/recovery_order.feature
+++ b/tests/policy/recovery_order.feature
@@ -27,3 +27,4 @@
     Given a standing workflow of 3000 tasks, 400 of them lost
     When it and an urgent workflow are placed in one round
     Then the urgent one gets its task in that round
+    And each task is placed once
--- a/tests/policy/recovery_order_steps.py
+++ b/tests/policy/recovery_order_steps.py
@@ -287,3 +287,9 @@
         if context.site.registry.workflows[name].workflow.is_standing
     }
     assert standing and names - standing, len(context.placed)
+
+
+@then("each task is placed once")
+def _once(context):
+    task_ids = [item.task_id for item in context.placed]
+    assert len(task_ids) == len(set(task_ids)), len(task_ids)
