Remember cancellations of workflows that are not known

Cause: the answer was a look-up. Nothing kept the submission, which lay in the socket of a suspended front, from being accepted afterwards. Change: the cancellation of an unknown workflow is committed to the log as a tombstone before it is answered, and a submission that meets one is refused for good. Collected changes have a third part now, so two tests compare with three empty lists instead of two.

--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -181,7 +181,7 @@
         :param registry: That state.
         :param old: The :class:`Head` before the claim.
         """
-        count = len(make_chunks(registry.workflows.values(), encode=bytes))
+        count = len(make_chunks(registry.snapshot_records(), encode=bytes))
         first = max(old.snapshot_epoch, old.epoch - MAX_DEAD_LEADERS + 1)
         return [
             key
@@ -366,7 +366,7 @@
                 number=self._last_number,
                 epoch=self._fence.head.epoch,
                 chunks=make_chunks(
-                    registry.workflows.values(), encode=self._encode
+                    registry.snapshot_records(), encode=self._encode
                 ),
             )
         return self._unfinished
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -216,6 +216,7 @@
             wake=self._recorder.wake,
             max_entry_bytes=min(window.size_bytes, MAX_PART_BYTES),
             stored_size=log.stored_size,
+            counters=counters,
             admission=self._admission,
         )
         self._recorder.connect(self._submissions)
@@ -354,10 +355,7 @@
         :raises CallRefused: The store is unreachable and the workflow is
             not known here; another leader may be asked.
         """
-        if self.is_store_unreachable and workflow.workflow_id not in (
-            self._registry.workflows
-        ):
-            raise CallRefused(STORE_UNANSWERED)
+        self._require_store(workflow.workflow_id)
         answer = await self._submissions.submit(workflow)
         _log.info(
             "submitted",
@@ -372,21 +370,27 @@
         )
         return answer
 
+    def _require_store(self, workflow_id):
+        """Refuse a call that can't be answered while the store is away."""
+        if self.is_store_unreachable and workflow_id not in (
+            self._registry.workflows
+        ):
+            raise CallRefused(STORE_UNANSWERED)
+
     async def cancel(self, workflow_id, *, request_id):
-        """Record the cancellation of a workflow.
+        """Record the cancellation of a workflow, also of an unknown one.
 
         :param workflow_id: Identity of the workflow.
         :param request_id: Identity of the caller's request, for the log.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
-        :raises CallRefused: See :meth:`SubmissionQueue.cancel`.
+        :raises CallRefused: See :meth:`SubmissionQueue.cancel`; also, the
+            store is unreachable and the workflow is not known here.
         """
-        if (
-            workflow_id in self._registry.workflows
-            or self._submissions.is_waiting(workflow_id)
-        ):
-            answer = await self._submissions.cancel(workflow_id)
-        else:
+        self._require_store(workflow_id)
+        if self._submissions.has_recent_tombstone(workflow_id):
             answer = await self.find(workflow_id)
+        else:
+            answer = await self._submissions.cancel(workflow_id)
         _log.info(
             "cancelled",
             workflow=workflow_id,
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -131,13 +131,14 @@
     def _collect(self):
         """Return the next entry, applied to the registry."""
         room = EntryRoom()
-        accepted, cancelled = self._submissions.collect(room)
+        accepted, cancelled, tombstones = self._submissions.collect(room)
         self._committing = self._collect_ends(room)
         entry = LogEntry(
             commit_id=uuid.uuid4().hex,
             made_ms=now_ms(),
             accepted=accepted,
             cancelled=cancelled,
+            tombstones=tombstones,
             ends=[end for end, _ in self._committing.values()],
             checkpoints=self._collect_checkpoints(room),
         )
--- a/src/radishlanding/dispatch/submission.py
+++ b/src/radishlanding/dispatch/submission.py
@@ -15,6 +15,7 @@
     :param is_collected: Whether it is part of an entry that has been or is
         being appended.
     :param is_recorded: Whether its workflow is recorded.
+    :param is_absent: Whether a tombstone of its workflow is recorded.
     :param is_released: Whether it was dropped, so that another leader may be
         asked.
     :param settled: Set once callers are to be answered.
@@ -23,5 +24,6 @@
     workflow: Workflow | None = None
     is_collected: bool = False
     is_recorded: bool = False
+    is_absent: bool = False
     is_released: bool = False
     settled: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/src/radishlanding/workflow/__init__.py
+++ b/src/radishlanding/workflow/__init__.py
@@ -13,6 +13,7 @@
 from radishlanding.workflow.task_id import task_id
 from radishlanding.workflow.task_id import TaskId
 from radishlanding.workflow.task_record import TaskRecord
+from radishlanding.workflow.tombstone import Tombstone
 from radishlanding.workflow.workflow import Workflow
 
 __all__ = [
@@ -24,6 +25,7 @@
     "TaskEnd",
     "TaskId",
     "TaskRecord",
+    "Tombstone",
     "Workflow",
     "WorkflowOutcome",
     "WorkflowPhase",
--- a/src/radishlanding/workflow/log_entry.py
+++ b/src/radishlanding/workflow/log_entry.py
@@ -5,6 +5,7 @@
 from radishlanding.workflow.assignment import Assignment
 from radishlanding.workflow.task_checkpoint import TaskCheckpoint
 from radishlanding.workflow.task_end import TaskEnd
+from radishlanding.workflow.tombstone import Tombstone
 from radishlanding.workflow.workflow import Workflow
 
 
@@ -19,6 +20,7 @@
     :param ends: Ends of attempts.
     :param assignments: Attempts that may start from now on.
     :param checkpoints: Progress of running attempts.
+    :param tombstones: Cancellations of workflows that are not known.
     """
 
     commit_id: str
@@ -28,6 +30,7 @@
     ends: list[TaskEnd] = dataclasses.field(default_factory=list)
     assignments: list[Assignment] = dataclasses.field(default_factory=list)
     checkpoints: list[TaskCheckpoint] = dataclasses.field(default_factory=list)
+    tombstones: list[Tombstone] = dataclasses.field(default_factory=list)
 
     def size(self):
         """Return the number of changes."""
@@ -37,4 +40,5 @@
             + len(self.ends)
             + len(self.assignments)
             + len(self.checkpoints)
+            + len(self.tombstones)
         )
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -33,6 +33,7 @@
     :param done: Number of done tasks by ``OCCURRENCE.STEP``.
     :param dropped: Done tasks without a record, of steps that are not done:
         bounds of :class:`IndexRanges` by ``OCCURRENCE.STEP``.
+    :param is_tombstone: Whether it stands for a :class:`Tombstone`.
     """
 
     workflow: Workflow
@@ -42,6 +43,7 @@
     tasks: dict[str, TaskRecord] = dataclasses.field(default_factory=dict)
     done: dict[str, int] = dataclasses.field(default_factory=dict)
     dropped: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    is_tombstone: bool = False
 
     @property
     def has_committed_end(self):
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -6,16 +6,19 @@
 from radishlanding.workflow.phase import WorkflowPhase
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.task_id import TaskId
+from radishlanding.workflow.tombstone import Tombstone
 
 
 class WorkflowRegistry:
     """Hold workflows, and apply the entries of the log in order."""
 
-    __slots__ = ("_by_vm", "versions", "workflows")
+    __slots__ = ("_by_vm", "tombstones", "versions", "workflows")
 
     def __init__(self):
         """Start empty."""
         self._by_vm = collections.defaultdict(dict)
+        # By workflow id, from the oldest to the newest.
+        self.tombstones = {}
         # By VM; rises with each assignment to it and each end on it.
         self.versions = collections.Counter()
         self.workflows = {}
@@ -27,6 +30,8 @@
         :returns: Records of the workflows that it changes.
         """
         changed = {}
+        for tombstone in entry.tombstones:
+            self._add_tombstone(tombstone)
         for workflow in entry.accepted:
             record = WorkflowRecord(workflow=workflow)
             self.workflows.setdefault(workflow.workflow_id, record)
@@ -55,12 +60,31 @@
         :param records: :class:`WorkflowRecord` objects.
         """
         for record in records:
+            if record.is_tombstone:
+                self._add_tombstone(Tombstone.from_record(record))
+                continue
             self.workflows[record.workflow.workflow_id] = record
             for task in record.tasks.values():
                 if task.is_assigned:
                     self._by_vm[task.vm][task.task_id] = task
                     self.versions[task.vm] += 1
 
+    def snapshot_records(self):
+        """Return the records that a snapshot holds; see :meth:`load`.
+
+        Tombstones come first: builds without them keep the last one of two
+        records of an identity.
+        """
+        return [
+            *(item.to_record() for item in self.tombstones.values()),
+            *self.workflows.values(),
+        ]
+
+    def _add_tombstone(self, tombstone):
+        # Inserted anew, so that the order stays that of their ages.
+        self.tombstones.pop(tombstone.workflow_id, None)
+        self.tombstones[tombstone.workflow_id] = tombstone
+
     def find(self, task_id):
         """Return the records of a task's workflow and of the task.
 
@@ -106,6 +130,8 @@
     def prune(self, *, before_ms, keeps_ranges=True):
         """Reduce ended workflows to their phases, and drop old ones.
 
+        Old tombstones are dropped, too.
+
         Ended ones with assigned tasks are left unchanged. Those that go on
         lose the records of done tasks that are not needed; all changes must
         be committed.
@@ -124,6 +150,17 @@
                 del self.workflows[workflow_id]
             else:
                 record.clear_tasks()
+        self.prune_tombstones(before_ms=before_ms)
+
+    def prune_tombstones(self, *, before_ms):
+        """Drop old tombstones.
+
+        :param before_ms: Unix time in milliseconds; those made earlier are
+            dropped.
+        """
+        for workflow_id, tombstone in list(self.tombstones.items()):
+            if tombstone.made_ms < before_ms:
+                del self.tombstones[workflow_id]
 
     def backlog(self, queue):
         """Return how many workflows of a queue have not started.
--- a/tests/dispatch/admission_control_steps.py
+++ b/tests/dispatch/admission_control_steps.py
@@ -195,6 +195,7 @@
         wake=lambda: None,
         max_entry_bytes=1000,
         stored_size=len,
+        counters=Counters(),
         admission=types.SimpleNamespace(retry_after_s=lambda _: 7),
     )
 
@@ -220,7 +221,7 @@
 
 @then("the new one is not to be recorded")
 def _not_recorded(context):
-    assert context.queue.collect(EntryRoom()) == ([], [])
+    assert context.queue.collect(EntryRoom()) == ([], [], [])
 
 
 class _CountedLoad:
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -183,15 +183,41 @@
     link_mbps=1000.0,
     valid_ms=20_000,
 ):
-    tickets = TicketCache()
-    nursery = context.bridge.nursery
-    context.platform_store, address = await open_platform_store(nursery)
+    context.platform_store, address = await open_platform_store(
+        context.bridge.nursery
+    )
     context.store_address = address
-    log = EntryLog(store=make_store(address))
-    registry = await log.claim(
+    await _lead(
+        context,
+        advisor=advisor,
+        timing=timing,
+        link_mbps=link_mbps,
+        valid_ms=valid_ms,
+    )
+
+
+async def open_next_leader(context):
+    """Claim the log of the leader and lead in its place."""
+    context.leader_scope.cancel()
+    await _lead(context)
+
+
+async def _lead(
+    context,
+    *,
+    advisor=None,
+    timing=TIMING,
+    link_mbps=1000.0,
+    valid_ms=20_000,
+):
+    tickets = TicketCache()
+    store = make_store(context.store_address)
+    kv = await store.get(keys.LEADER)
+    log = context.leader_log = EntryLog(store=store)
+    registry = context.registry = await log.claim(
         process_id="p",
         leader_write=Write(key=keys.LEADER, value=b"p"),
-        leader_version=0,
+        leader_version=kv.version if kv else 0,
     )
     context.planner = _CountingPlanner(
         order=EarliestDeadline(),
@@ -212,7 +238,13 @@
         advisor=advisor,
         link_mbps=link_mbps,
     )
-    nursery.start_soon(context.leader.run)
+    context.leader_scope = trio.CancelScope()
+    context.bridge.nursery.start_soon(_run_leader, context)
+
+
+async def _run_leader(context):
+    with context.leader_scope:
+        await context.leader.run()
 
 
 def _state(context, vm, *, boot=1):
--- a/tests/dispatch/submission_queue_steps.py
+++ b/tests/dispatch/submission_queue_steps.py
@@ -8,6 +8,7 @@
 
 from radishlanding.dispatch.entry_room import EntryRoom
 from radishlanding.dispatch.submission_queue import SubmissionQueue
+from radishlanding.observe import Counters
 from radishlanding.workflow import Step
 from radishlanding.workflow import WorkflowOutcome
 from radishlanding.workflow import WorkflowRegistry
@@ -22,6 +23,7 @@
         wake=lambda: None,
         max_entry_bytes=size,
         stored_size=len,
+        counters=Counters(),
     )
 
 
@@ -71,4 +73,4 @@
 @then("it is refused, and no entry takes it")
 def _is_refused(context):
     assert context.answer.outcome == WorkflowOutcome.REFUSED, context.answer
-    assert context.queue.collect(EntryRoom()) == ([], [])
+    assert context.queue.collect(EntryRoom()) == ([], [], [])
