Tell workflows of different queues apart

Either caller could cancel the first job. Cause: callers choose identities, which are unique within a queue only, but submissions, look-ups and cancellations knew a workflow by its identity alone. The record shows the second POST answered with 200 without a run, and GET at its queue with "completed" of the first job's tasks. Change: requests name their queue, and a workflow is found, cancelled and counted at its own queue only; another one answers 410. A queue is recognised by its name or its URL, as operators rename and move queues. Tombstones belong to a queue, too. Records without a URL are recognised by name, messages without a queue by the identity alone, as before.

--- a/src/radishlanding/config/queue.py
+++ b/src/radishlanding/config/queue.py
@@ -34,3 +34,8 @@
     latency_ms: int = 0
     timeout_ms: int = 0
     advisor_timing: AdvisorTiming | None = None
+
+    @property
+    def base_url(self):
+        """Return the host and path prefix of its requests."""
+        return self.host + self.prefix
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -355,7 +355,7 @@
         :raises CallRefused: The store is unreachable and the workflow is
             not known here; another leader may be asked.
         """
-        self._require_store(workflow.workflow_id)
+        self._require_store(workflow.workflow_id, workflow.queue_ref)
         answer = await self._submissions.submit(workflow)
         _log.info(
             "submitted",
@@ -370,31 +370,33 @@
         )
         return answer
 
-    def _require_store(self, workflow_id):
+    def _require_store(self, workflow_id, queue):
         """Refuse a call that can't be answered while the store is away."""
-        if self.is_store_unreachable and workflow_id not in (
-            self._registry.workflows
+        if self.is_store_unreachable and (
+            self._registry.find_workflow(workflow_id, queue) is None
         ):
             raise CallRefused(STORE_UNANSWERED)
 
-    async def cancel(self, workflow_id, *, request_id):
+    async def cancel(self, workflow_id, queue, *, request_id):
         """Record the cancellation of a workflow, also of an unknown one.
 
         :param workflow_id: Identity of the workflow.
+        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
         :param request_id: Identity of the caller's request, for the log.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
         :raises CallRefused: See :meth:`SubmissionQueue.cancel`; also, the
             store is unreachable and the workflow is not known here.
         """
-        self._require_store(workflow_id)
-        if self._submissions.has_recent_tombstone(workflow_id):
-            answer = await self.find(workflow_id)
+        self._require_store(workflow_id, queue)
+        if self._submissions.has_recent_tombstone(workflow_id, queue):
+            answer = await self.find(workflow_id, queue)
         else:
-            answer = await self._submissions.cancel(workflow_id)
+            answer = await self._submissions.cancel(workflow_id, queue)
         _log.info(
             "cancelled",
             workflow=workflow_id,
             request=request_id,
+            queue=queue.name or "any",
             outcome=answer.outcome,
             phase=answer.phase or "none",
             reason=answer.reason or "none",
@@ -402,16 +404,17 @@
         )
         return answer
 
-    async def find(self, workflow_id):
+    async def find(self, workflow_id, queue):
         """Return the committed phase of a workflow.
 
         An unknown workflow is reported as absent only if this process has
         recently proved that it leads; otherwise the answer is uncertain.
 
         :param workflow_id: Identity of the workflow.
+        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
         """
-        record = self._registry.workflows.get(workflow_id)
+        record = self._registry.find_workflow(workflow_id, queue)
         if record is not None and record.shown:
             return submission_queue.found_answer(record)
         if record is None and self._leadership.proof_age_s > MAX_PROOF_AGE_S:
@@ -437,5 +440,8 @@
         return {"epoch": self.epoch, **self._queue_view.summary()}
 
     def backlog(self, queue):
-        """Return how many workflows of a queue have not started."""
+        """Return how many workflows of a queue have not started.
+
+        :param queue: :class:`radishlanding.workflow.QueueRef` of the queue.
+        """
         return self._registry.backlog(queue)
--- a/src/radishlanding/dispatch/submission.py
+++ b/src/radishlanding/dispatch/submission.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from radishlanding.workflow import QueueRef
 from radishlanding.workflow import Workflow
 
 
@@ -11,6 +12,8 @@
 class Submission:
     """A new workflow or a cancellation, and its outcome so far.
 
+    :param workflow_id: Identity of the workflow.
+    :param queue: Queue that the caller's request names.
     :param workflow: The workflow, None for a cancellation.
     :param is_collected: Whether it is part of an entry that has been or is
         being appended.
@@ -21,6 +24,8 @@
     :param settled: Set once callers are to be answered.
     """
 
+    workflow_id: str
+    queue: QueueRef
     workflow: Workflow | None = None
     is_collected: bool = False
     is_recorded: bool = False
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -70,6 +70,7 @@
         self._admission = admission
         self._max_entry_bytes = max_entry_bytes
         self._registry = registry
+        # By workflow id and name of the queue.
         self._cancellations = {}
         self._counters = counters
         self._stored_size = stored_size
@@ -81,18 +82,27 @@
 
         :returns: A :class:`radishlanding.message.WorkflowAnswer`; a refused
             workflow has not been recorded and will not be. One that no entry
-            can hold is refused, and so is one that was cancelled before, or
-            that could only end when it is worth nothing.
+            can hold is refused, and so is one whose identity another queue
+            uses, that was cancelled before, or that could only end when it
+            is worth nothing.
         :raises CallRefused: The store does not answer and no entry contains
             the workflow, so that another leader may be asked.
         """
         workflow_id = workflow.workflow_id
         item = self._submissions.get(workflow_id)
+        record = self._registry.workflows.get(workflow_id)
+        owner = item or record
+        if owner is not None and not owner.workflow.queue_ref.matches(
+            workflow.queue_ref
+        ):
+            self._report_conflict(workflow, owner.workflow)
+            return refused_answer(
+                "another queue uses this identity", retry_after_s=0
+            )
         if item is None:
-            record = self._registry.workflows.get(workflow_id)
             if record is not None and record.shown:
                 return found_answer(record)
-            if record is None and self._is_cancelled_early(workflow_id):
+            if record is None and self._is_cancelled_early(workflow):
                 self._report_late_submission(workflow)
                 return refused_answer(
                     "cancelled before it arrived", retry_after_s=0
@@ -113,30 +123,49 @@
                         "it would end too late", retry_after_s=retry_after_s
                     )
             item = self._submissions[workflow_id] = Submission(
-                workflow=workflow
+                workflow_id=workflow_id,
+                queue=workflow.queue_ref,
+                workflow=workflow,
             )
             self._wake()
         return await self._wait_settled(self._submissions, workflow_id, item)
 
+    def _report_conflict(self, workflow, owner):
+        self._counters.add("submission_conflicts")
+        _log.info(
+            "submission_conflict",
+            workflow=workflow.workflow_id,
+            queue=workflow.queue,
+            owner=owner.queue,
+            owner_age_ms=now_ms() - owner.accepted_ms,
+        )
+
     def _is_too_large(self, workflow):
         return (
             packed_size(workflow) > MAX_ENTRY_BYTES
             and self._stored_size(workflow) > MAX_ENTRY_BYTES
         )
 
-    def is_waiting(self, workflow_id):
-        """Return whether a workflow is about to be recorded."""
-        return workflow_id in self._submissions
+    def _is_waiting(self, workflow_id, queue):
+        """Return whether a workflow of a queue is about to be recorded."""
+        item = self._submissions.get(workflow_id)
+        return item is not None and item.queue.matches(queue)
 
-    def _is_cancelled_early(self, workflow_id):
+    def _is_cancelled_early(self, workflow):
         """Return whether an unknown workflow is or is being cancelled."""
-        return (
-            workflow_id in self._cancellations
-            or workflow_id in self._registry.tombstones
+        return self._find_tombstone(workflow) is not None or any(
+            item.workflow_id == workflow.workflow_id
+            and item.queue.matches(workflow.queue_ref)
+            for item in self._cancellations.values()
+        )
+
+    def _find_tombstone(self, workflow):
+        return self._registry.tombstones.find(
+            workflow.workflow_id, workflow.queue_ref
         )
 
     def _report_late_submission(self, workflow):
-        tombstone = self._registry.tombstones.get(workflow.workflow_id)
+        tombstone = self._find_tombstone(workflow)
         age_ms = 0 if tombstone is None else now_ms() - tombstone.made_ms
         self._counters.add("submissions_after_cancellation")
         _log.info(
@@ -146,65 +175,76 @@
             cancelled_ms_ago=age_ms,
         )
 
-    def has_recent_tombstone(self, workflow_id):
-        """Return whether an unknown workflow was cancelled recently."""
-        tombstone = self._registry.tombstones.get(workflow_id)
+    def has_recent_tombstone(self, workflow_id, queue):
+        """Return whether an unknown workflow was cancelled recently.
+
+        :param workflow_id: Identity of the workflow.
+        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
+        """
+        tombstone = self._registry.tombstones.find(workflow_id, queue)
         return (
             tombstone is not None
             and now_ms() - tombstone.made_ms < TOMBSTONE_RENEWAL_MS
         )
 
-    async def cancel(self, workflow_id):
+    async def cancel(self, workflow_id, queue):
         """Queue the cancellation of a workflow and wait for the outcome.
 
         A workflow that is not known gets a :class:`Tombstone`, so that it
         can't be accepted after its caller was told that it is absent.
 
+        :param workflow_id: Identity of the workflow.
+        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`; refused if
             there are too many tombstones.
         :raises CallRefused: The store does not answer and no entry contains
             the cancellation, so that another leader may be asked.
         """
-        item = self._cancellations.get(workflow_id)
+        key = (workflow_id, queue.name)
+        item = self._cancellations.get(key)
         if item is None:
-            record = self._registry.workflows.get(workflow_id)
+            record = self._registry.find_workflow(workflow_id, queue)
             # An end that is not committed may be lost with this leader.
             if record is not None and record.has_committed_end:
                 return found_answer(record)
-            if record is None and not self.is_waiting(workflow_id):
-                retry_after_s = self._tombstone_retry_after_s(workflow_id)
+            if record is None and not self._is_waiting(workflow_id, queue):
+                retry_after_s = self._tombstone_retry_after_s(
+                    workflow_id, queue
+                )
                 if retry_after_s:
                     return refused_answer(
                         "too many cancellations of unknown workflows",
                         retry_after_s=retry_after_s,
                     )
-            item = self._cancellations[workflow_id] = Submission()
+            item = self._cancellations[key] = Submission(
+                workflow_id=workflow_id, queue=queue
+            )
             self._wake()
-        return await self._wait_settled(self._cancellations, workflow_id, item)
+        return await self._wait_settled(self._cancellations, key, item)
 
-    def _tombstone_retry_after_s(self, workflow_id):
+    def _tombstone_retry_after_s(self, workflow_id, queue):
         """Return when there is room for a tombstone, 0 if there is now."""
         tombstones = self._registry.tombstones
         waiting = len(self._cancellations)
-        if workflow_id in tombstones or (
+        if tombstones.find(workflow_id, queue) is not None or (
             len(tombstones) + waiting < MAX_TOMBSTONES
         ):
             return 0
         expired_ms = now_ms() - ENDED_RETENTION_MS
-        self._registry.prune_tombstones(before_ms=expired_ms)
+        tombstones.prune(before_ms=expired_ms)
         if len(tombstones) + waiting < MAX_TOMBSTONES:
             return 0
         self._counters.add("tombstones_refused")
-        oldest = next(iter(tombstones.values()), None)
+        oldest = next(iter(tombstones), None)
         if oldest is None:
             return RETRY_AFTER_S
         return max(1, math.ceil((oldest.made_ms - expired_ms) / 1000))
 
-    async def _wait_settled(self, items, workflow_id, item):
+    async def _wait_settled(self, items, key, item):
         with trio.move_on_after(ANSWER_TIMEOUT_S):
             await item.settled.wait()
         if item.is_recorded:
-            return found_answer(self._registry.workflows[workflow_id])
+            return found_answer(self._registry.workflows[item.workflow_id])
         if item.is_absent:
             return WorkflowAnswer(outcome=WorkflowOutcome.ABSENT)
         if item.is_collected:
@@ -212,8 +252,8 @@
                 outcome=WorkflowOutcome.UNCERTAIN,
                 reason="the store has not confirmed the entry",
             )
-        if items.get(workflow_id) is item:
-            del items[workflow_id]
+        if items.get(key) is item:
+            del items[key]
         if item.is_released:
             raise CallRefused(STORE_UNANSWERED)
         return refused_answer(STORE_UNANSWERED)
@@ -235,59 +275,68 @@
         )
         for workflow in accepted:
             self._submissions[workflow.workflow_id].is_collected = True
+        known, unknown = self._due_cancellations()
         cancelled = room.take(
-            self._cancellations_of(is_known=True), max_bytes=MAX_PART_BYTES
+            (item.workflow_id for item in known), max_bytes=MAX_PART_BYTES
         )
         made_ms = now_ms()
         tombstones = room.take(
             (
-                Tombstone(workflow_id=workflow_id, made_ms=made_ms)
-                for workflow_id in self._cancellations_of(is_known=False)
+                Tombstone(
+                    workflow_id=item.workflow_id,
+                    queue=item.queue,
+                    made_ms=made_ms,
+                )
+                for item in unknown
             ),
             max_bytes=MAX_PART_BYTES,
         )
-        for workflow_id in (
-            *cancelled,
-            *(item.workflow_id for item in tombstones),
-        ):
-            self._cancellations[workflow_id].is_collected = True
+        for item in known[: len(cancelled)] + unknown[: len(tombstones)]:
+            item.is_collected = True
         return accepted, cancelled, tombstones
 
-    def _cancellations_of(self, *, is_known):
-        """Yield ids of cancellations that no entry contains yet.
+    def _due_cancellations(self):
+        """Return the cancellations that an entry may contain now.
 
-        Those of workflows whose submission no entry contains either would
-        come too early.
+        Those of workflows whose submission no entry contains yet would come
+        too early.
 
-        :param is_known: Whether to yield those of workflows that are recorded
-            or in the same entry, or those of others.
+        :returns: Those of workflows that are recorded or in the same entry,
+            and those of others.
         """
-        for workflow_id, item in self._cancellations.items():
-            submission = self._submissions.get(workflow_id)
-            if item.is_collected or (
-                submission is not None and not submission.is_collected
-            ):
+        known, unknown = [], []
+        for item in self._cancellations.values():
+            if item.is_collected:
                 continue
-            if is_known == (
-                submission is not None
-                or workflow_id in self._registry.workflows
-            ):
-                yield workflow_id
+            if self._is_waiting(item.workflow_id, item.queue):
+                if self._submissions[item.workflow_id].is_collected:
+                    known.append(item)
+            elif self._registry.find_workflow(item.workflow_id, item.queue):
+                known.append(item)
+            else:
+                unknown.append(item)
+        return known, unknown
 
     def settle(self, entry):
-        """Settle the submissions that a committed entry contains."""
-        workflow_ids = [workflow.workflow_id for workflow in entry.accepted]
-        buried = [item.workflow_id for item in entry.tombstones]
-        for items, keys in (
-            (self._submissions, workflow_ids),
-            (self._cancellations, entry.cancelled + buried),
-        ):
-            for key in keys:
-                item = items.pop(key, None)
-                if item is not None:
-                    item.is_recorded = key in self._registry.workflows
-                    item.is_absent = not item.is_recorded and key in buried
-                    item.settled.set()
+        """Settle the submissions that a committed entry contains.
+
+        It is the only one that was being appended, so that it contains all
+        cancellations that were collected.
+        """
+        for workflow in entry.accepted:
+            item = self._submissions.pop(workflow.workflow_id, None)
+            if item is not None:
+                item.is_recorded = True
+                item.settled.set()
+        for key, item in list(self._cancellations.items()):
+            if item.is_collected:
+                del self._cancellations[key]
+                record = self._registry.find_workflow(
+                    item.workflow_id, item.queue
+                )
+                item.is_recorded = record is not None
+                item.is_absent = record is None
+                item.settled.set()
 
     def release_uncollected(self):
         """Answer all waiting callers while the store does not answer.
--- a/src/radishlanding/dispatcher/leader_client.py
+++ b/src/radishlanding/dispatcher/leader_client.py
@@ -18,6 +18,7 @@
 from radishlanding.policy import SilenceBreaker
 from radishlanding.policy import StoreOutage
 from radishlanding.vm import boot_clock_s
+from radishlanding.workflow import QueueRef
 from radishlanding.workflow import WorkflowOutcome
 
 # A leader that exited or resigned is replaced within this time. Other
@@ -114,37 +115,42 @@
             )
         return answer
 
-    async def cancel(self, workflow_id, *, request_id, timeout_s):
+    async def cancel(self, workflow_id, queue, *, request_id, timeout_s):
         """Cancel a workflow.
 
         :param workflow_id: Identity of the workflow.
+        :param queue: Its :class:`radishlanding.config.Queue`.
         :param request_id: Identity of the caller's request, for the log.
         :param timeout_s: How long the caller waits, in seconds.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
         """
         message = CancelWorkflow(
-            workflow_id=workflow_id, request_id=request_id
+            workflow_id=workflow_id,
+            request_id=request_id,
+            queue=_queue_ref(queue),
         )
         return await self._call(message, timeout_s=timeout_s)
 
-    async def find(self, workflow_id, *, timeout_s):
+    async def find(self, workflow_id, queue, *, timeout_s):
         """Look up the recorded phase of a workflow.
 
         :param workflow_id: Identity of the workflow.
+        :param queue: Its :class:`radishlanding.config.Queue`.
         :param timeout_s: How long the caller waits, in seconds.
         :returns: A :class:`radishlanding.message.WorkflowAnswer`.
         """
-        message = GetWorkflow(workflow_id=workflow_id)
+        message = GetWorkflow(workflow_id=workflow_id, queue=_queue_ref(queue))
         return await self._call(message, timeout_s=timeout_s)
 
     async def backlog(self, queue, *, timeout_s):
         """Return how many workflows of a queue have not started.
 
-        :param queue: Name of the queue.
+        :param queue: The :class:`radishlanding.config.Queue`.
         :param timeout_s: How long the caller waits, in seconds.
         :returns: The number, or None if the leader does not answer.
         """
-        answer = await self._call(GetBacklog(queue=queue), timeout_s=timeout_s)
+        message = GetBacklog(queue=queue.name, base_url=queue.base_url)
+        answer = await self._call(message, timeout_s=timeout_s)
         return getattr(answer, "waiting", None)
 
     async def _call(self, message, *, timeout_s):
@@ -305,6 +311,11 @@
             )
 
 
+def _queue_ref(queue):
+    """Return the reference to a :class:`radishlanding.config.Queue`."""
+    return QueueRef(name=queue.name, base_url=queue.base_url)
+
+
 def _needs_store(message):
     """Return whether a leader has to record something for a message."""
     return isinstance(message, SubmitWorkflow | CancelWorkflow)
@@ -333,10 +344,13 @@
             )
         case CancelWorkflow():
             return await leader.cancel(
-                message.workflow_id, request_id=message.request_id
+                message.workflow_id,
+                message.queue,
+                request_id=message.request_id,
             )
         case GetWorkflow():
-            return await leader.find(message.workflow_id)
+            return await leader.find(message.workflow_id, message.queue)
         case GetBacklog():
-            return BacklogAnswer(waiting=leader.backlog(message.queue))
+            queue = QueueRef(name=message.queue, base_url=message.base_url)
+            return BacklogAnswer(waiting=leader.backlog(queue))
     raise CallRefused(f"unexpected {type(message).__name__}")
--- a/src/radishlanding/message/cancel_workflow.py
+++ b/src/radishlanding/message/cancel_workflow.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from radishlanding.workflow import QueueRef
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class CancelWorkflow:
@@ -12,7 +14,10 @@
 
     :param workflow_id: Identity of the workflow.
     :param request_id: Identity of the caller's request, for the log.
+    :param queue: Queue that the caller's request names; builds that tell
+        workflows apart by their identity alone send none.
     """
 
     workflow_id: str
     request_id: str
+    queue: QueueRef = QueueRef()
--- a/src/radishlanding/message/get_backlog.py
+++ b/src/radishlanding/message/get_backlog.py
@@ -10,6 +10,8 @@
     A dispatcher sends it to the leader. The reply is a :class:`BacklogAnswer`.
 
     :param queue: Name of the queue.
+    :param base_url: Host and path prefix of its requests, empty if unknown.
     """
 
     queue: str
+    base_url: str = ""
--- a/src/radishlanding/message/get_workflow.py
+++ b/src/radishlanding/message/get_workflow.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from radishlanding.workflow import QueueRef
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class GetWorkflow:
@@ -11,6 +13,9 @@
     :class:`WorkflowAnswer`.
 
     :param workflow_id: Identity of the workflow.
+    :param queue: Queue that the caller's request names; builds that tell
+        workflows apart by their identity alone send none.
     """
 
     workflow_id: str
+    queue: QueueRef = QueueRef()
--- a/src/radishlanding/platform/client_api.py
+++ b/src/radishlanding/platform/client_api.py
@@ -73,11 +73,16 @@
         if req.method == "POST":
             return await self._submit(req, queue, name, timeout_s)
         if req.method == "GET":
-            answer = await self._leader_client.find(name, timeout_s=timeout_s)
+            answer = await self._leader_client.find(
+                name, queue, timeout_s=timeout_s
+            )
             return _response(answer, absent=410, with_state=True)
         if req.method == "DELETE":
             answer = await self._leader_client.cancel(
-                name, request_id=_request_id(req), timeout_s=timeout_s
+                name,
+                queue,
+                request_id=_request_id(req),
+                timeout_s=timeout_s,
             )
             return _response(answer, absent=410)
         raise HttpError(status=405, reason="POST, GET or DELETE")
@@ -86,7 +91,7 @@
         if req.method != "GET":
             raise HttpError(status=405, reason="GET")
         waiting = await self._leader_client.backlog(
-            queue.name, timeout_s=_timeout_s(req)
+            queue, timeout_s=_timeout_s(req)
         )
         if waiting is None:
             return _retry_response(503, 1)
@@ -118,8 +123,11 @@
     return min(max(deadline_ms, 0), MAX_DEADLINE_MS) / 1000
 
 
-def _retry_response(status, retry_after_s):
-    response = HttpResponse(status=status)
+def _retry_response(status, retry_after_s, *, reason=""):
+    if reason:
+        response = HttpResponse.of_json({"error": reason}, status=status)
+    else:
+        response = HttpResponse(status=status)
     if retry_after_s:
         response.headers["retry-after"] = str(retry_after_s)
     return response
@@ -140,5 +148,7 @@
         case WorkflowOutcome.ABSENT:
             return HttpResponse(status=absent)
         case WorkflowOutcome.REFUSED:
-            return _retry_response(503, answer.retry_after_s)
+            return _retry_response(
+                503, answer.retry_after_s, reason=answer.reason
+            )
     return _retry_response(504, answer.retry_after_s)
--- a/src/radishlanding/platform/job.py
+++ b/src/radishlanding/platform/job.py
@@ -102,4 +102,5 @@
         stretch=queue.stretch,
         latency_ms=queue.latency_ms,
         is_advised=queue.advisor_timing is not None,
+        base_url=queue.base_url,
     )
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -383,13 +383,20 @@
   requestId @1 :Text;
 }
 
+struct QueueRef {
+  name @0 :Text;
+  baseUrl @1 :Text;
+}
+
 struct GetWorkflow {
   workflowId @0 :Text;
+  queue @1 :QueueRef;
 }
 
 struct CancelWorkflow {
   workflowId @0 :Text;
   requestId @1 :Text;
+  queue @2 :QueueRef;
 }
 
 struct WorkflowAnswer {
@@ -401,6 +408,7 @@
 
 struct GetBacklog {
   queue @0 :Text;
+  baseUrl @1 :Text;
 }
 
 struct BacklogAnswer {
@@ -504,4 +512,5 @@
   stretch @11 :Float64;
   latencyMs @12 :Int64;
   isAdvised @13 :Bool;
+  baseUrl @14 :Text;
 }
--- a/src/radishlanding/workflow/__init__.py
+++ b/src/radishlanding/workflow/__init__.py
@@ -5,6 +5,7 @@
 from radishlanding.workflow.log_entry import LogEntry
 from radishlanding.workflow.outcome import WorkflowOutcome
 from radishlanding.workflow.phase import WorkflowPhase
+from radishlanding.workflow.queue_ref import QueueRef
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.registry import WorkflowRegistry
 from radishlanding.workflow.step import Step
@@ -20,6 +21,7 @@
     "Assignment",
     "EndKind",
     "LogEntry",
+    "QueueRef",
     "Step",
     "TaskCheckpoint",
     "TaskEnd",
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -7,6 +7,7 @@
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.task_id import TaskId
 from radishlanding.workflow.tombstone import Tombstone
+from radishlanding.workflow.tombstone_table import TombstoneTable
 
 
 class WorkflowRegistry:
@@ -17,8 +18,7 @@
     def __init__(self):
         """Start empty."""
         self._by_vm = collections.defaultdict(dict)
-        # By workflow id, from the oldest to the newest.
-        self.tombstones = {}
+        self.tombstones = TombstoneTable()
         # By VM; rises with each assignment to it and each end on it.
         self.versions = collections.Counter()
         self.workflows = {}
@@ -31,7 +31,7 @@
         """
         changed = {}
         for tombstone in entry.tombstones:
-            self._add_tombstone(tombstone)
+            self.tombstones.add(tombstone)
         for workflow in entry.accepted:
             record = WorkflowRecord(workflow=workflow)
             self.workflows.setdefault(workflow.workflow_id, record)
@@ -61,7 +61,7 @@
         """
         for record in records:
             if record.is_tombstone:
-                self._add_tombstone(Tombstone.from_record(record))
+                self.tombstones.add(Tombstone.from_record(record))
                 continue
             self.workflows[record.workflow.workflow_id] = record
             for task in record.tasks.values():
@@ -76,14 +76,20 @@
         records of an identity.
         """
         return [
-            *(item.to_record() for item in self.tombstones.values()),
+            *(tombstone.to_record() for tombstone in self.tombstones),
             *self.workflows.values(),
         ]
 
-    def _add_tombstone(self, tombstone):
-        # Inserted anew, so that the order stays that of their ages.
-        self.tombstones.pop(tombstone.workflow_id, None)
-        self.tombstones[tombstone.workflow_id] = tombstone
+    def find_workflow(self, workflow_id, queue):
+        """Return the record of a workflow of a queue, or None.
+
+        :param workflow_id: Identity of the workflow.
+        :param queue: :class:`QueueRef` of the queue.
+        """
+        record = self.workflows.get(workflow_id)
+        if record is None or not record.workflow.queue_ref.matches(queue):
+            return None
+        return record
 
     def find(self, task_id):
         """Return the records of a task's workflow and of the task.
@@ -150,17 +156,7 @@
                 del self.workflows[workflow_id]
             else:
                 record.clear_tasks()
-        self.prune_tombstones(before_ms=before_ms)
-
-    def prune_tombstones(self, *, before_ms):
-        """Drop old tombstones.
-
-        :param before_ms: Unix time in milliseconds; those made earlier are
-            dropped.
-        """
-        for workflow_id, tombstone in list(self.tombstones.items()):
-            if tombstone.made_ms < before_ms:
-                del self.tombstones[workflow_id]
+        self.tombstones.prune(before_ms=before_ms)
 
     def backlog(self, queue):
         """Return how many workflows of a queue have not started.
@@ -168,12 +164,12 @@
         Workflows whose first assignment is not committed yet count; repeated
         ones do not.
 
-        :param queue: Name of the queue.
+        :param queue: :class:`QueueRef` of the queue.
         """
         return sum(
-            record.workflow.queue == queue
-            and record.shown == WorkflowPhase.QUEUED
+            record.shown == WorkflowPhase.QUEUED
             and not record.workflow.repeats
+            and record.workflow.queue_ref.matches(queue)
             for record in self.workflows.values()
         )
 
--- a/src/radishlanding/workflow/tombstone.py
+++ b/src/radishlanding/workflow/tombstone.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from radishlanding.workflow.phase import WorkflowPhase
+from radishlanding.workflow.queue_ref import QueueRef
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.workflow import Workflow
 
@@ -15,10 +16,12 @@
     was suspended or on a slow connection.
 
     :param workflow_id: Identity of the workflow.
+    :param queue: Queue that the cancellation was sent to.
     :param made_ms: Unix time of the cancellation, in milliseconds.
     """
 
     workflow_id: str
+    queue: QueueRef
     made_ms: int
 
     def to_record(self):
@@ -28,7 +31,8 @@
         """
         workflow = Workflow(
             workflow_id=self.workflow_id,
-            queue="",
+            queue=self.queue.name,
+            base_url=self.queue.base_url,
             pool="",
             spec="",
             steps=[],
@@ -47,5 +51,7 @@
         :param record: A :class:`WorkflowRecord` of :meth:`to_record`.
         """
         return cls(
-            workflow_id=record.workflow.workflow_id, made_ms=record.ended_ms
+            workflow_id=record.workflow.workflow_id,
+            queue=record.workflow.queue_ref,
+            made_ms=record.ended_ms,
         )
--- a/src/radishlanding/workflow/workflow.py
+++ b/src/radishlanding/workflow/workflow.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from radishlanding.workflow.derived_state import DerivedState
+from radishlanding.workflow.queue_ref import QueueRef
 from radishlanding.workflow.step import Step
 from radishlanding.workflow.workflow_shape import WorkflowShape
 
@@ -28,6 +29,8 @@
     :param latency_ms: Additional time that the objective allows, in
         milliseconds.
     :param is_advised: Whether an advisor restricts the VMs that may run it.
+    :param base_url: Host and path prefix that it was submitted to, empty if
+        unknown.
     """
 
     workflow_id: str
@@ -44,6 +47,12 @@
     stretch: float = 1.0
     latency_ms: int = 0
     is_advised: bool = False
+    base_url: str = ""
+
+    @property
+    def queue_ref(self):
+        """Return the :class:`QueueRef` of its queue."""
+        return QueueRef(name=self.queue, base_url=self.base_url)
 
     @property
     def occurrences(self):
--- a/tests/dispatch/early_cancellation_steps.py
+++ b/tests/dispatch/early_cancellation_steps.py
@@ -26,6 +26,7 @@
 from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NAME
 from tests.workflow.workflow_steps import NEEDS
+from tests.workflow.workflow_steps import QUEUE
 
 KNOWN = "e" * 16
 STORE_DELAY_S = 0.3
@@ -35,7 +36,9 @@
 
 async def _cancel(context, name):
     try:
-        context.cancelled = await context.leader.cancel(name, request_id="r")
+        context.cancelled = await context.leader.cancel(
+            name, QUEUE, request_id="r"
+        )
     except CallRefused:
         context.cancelled = None
 
@@ -181,9 +184,11 @@
     oldest_ms = now_ms() - 1000 * age_s
     for number in range(MAX_TOMBSTONES):
         tombstone = Tombstone(
-            workflow_id=f"{number:016x}", made_ms=oldest_ms + number
+            workflow_id=f"{number:016x}",
+            queue=QUEUE,
+            made_ms=oldest_ms + number,
         )
-        context.registry.tombstones[tombstone.workflow_id] = tombstone
+        context.registry.tombstones.add(tombstone)
     assert ENDED_RETENTION_MS == 240_000
 
 
@@ -195,7 +200,9 @@
             commit_id="c",
             made_ms=1000,
             accepted=[make_workflow([Step(count=1, needs=NEEDS)])],
-            tombstones=[Tombstone(workflow_id=NAME, made_ms=1000)],
+            tombstones=[
+                Tombstone(workflow_id=NAME, queue=QUEUE, made_ms=1000)
+            ],
         )
     )
 
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -55,6 +55,7 @@
 from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NAME
 from tests.workflow.workflow_steps import NEEDS
+from tests.workflow.workflow_steps import QUEUE
 
 TIMING = LeaseTiming(
     vm_lease_s=1.0, owner_grace_s=1.0, drift_s=0.2, hold_max_s=3.0
@@ -279,7 +280,7 @@
     _report(context, vm)
 
 
-async def _send_report(
+async def send_report(
     context,
     vm,
     *,
@@ -306,7 +307,7 @@
 
 
 def _report(context, vm, **fields):
-    return context.bridge.call(_send_report, context, vm, **fields)
+    return context.bridge.call(send_report, context, vm, **fields)
 
 
 def _submit(context, *, count=2, name=NAME, needs=NEEDS, **fields):
@@ -447,7 +448,9 @@
 
 @when("an unknown workflow is looked up")
 def _looked_up(context):
-    context.answers = [context.bridge.call(context.leader.find, "f" * 16)]
+    context.answers = [
+        context.bridge.call(context.leader.find, "f" * 16, QUEUE)
+    ]
 
 
 @then("the caller gets the outcome {outcomes}")
@@ -515,9 +518,9 @@
 def _is_reported_as(context, wait_s, phase):
     async def find():
         with trio.move_on_after(wait_s):
-            while (await context.leader.find(NAME)).phase != phase:
+            while (await context.leader.find(NAME, QUEUE)).phase != phase:
                 await trio.sleep(0.01)
-        return (await context.leader.find(NAME)).phase
+        return (await context.leader.find(NAME, QUEUE)).phase
 
     assert context.bridge.call(find) == phase
 
@@ -580,7 +583,7 @@
 @when("the workflow is cancelled")
 def _cancelled(context):
     answer = context.bridge.call(
-        functools.partial(context.leader.cancel, NAME, request_id="r")
+        functools.partial(context.leader.cancel, NAME, QUEUE, request_id="r")
     )
     assert answer.phase == "cancelled", answer
 
@@ -658,7 +661,7 @@
 
     async def cancel():
         try:
-            answer = await context.leader.cancel(NAME, request_id="r")
+            answer = await context.leader.cancel(NAME, QUEUE, request_id="r")
             context.outcomes.append(answer.phase or answer.outcome)
         except CallRefused:
             context.outcomes.append("other leader")
@@ -727,7 +730,7 @@
 
 def _count_waiting(context):
     async def count():
-        return context.leader.backlog("q")
+        return context.leader.backlog(QUEUE)
 
     return context.bridge.call(count)
 
@@ -739,7 +742,7 @@
 
 @then("within {wait_s:d} s no workflow waits")
 def _none_waits(context, wait_s):
-    assert _wait(context, lambda: context.leader.backlog("q") == 0, wait_s)
+    assert _wait(context, lambda: context.leader.backlog(QUEUE) == 0, wait_s)
 
 
 @when("the store answers again")
@@ -1324,7 +1327,7 @@
 
 async def _report_steadily(context):
     while True:
-        await _send_report(context, "vm1", **context.reported)
+        await send_report(context, "vm1", **context.reported)
         await trio.sleep(0.2)
 
 
@@ -1420,7 +1423,7 @@
 def _gang_cancelled(context):
     assert _wait(context, lambda: _count_started(context), 1)
     context.bridge.call(
-        functools.partial(context.leader.cancel, NAME, request_id="r")
+        functools.partial(context.leader.cancel, NAME, QUEUE, request_id="r")
     )
     context.count_started = _count_started(context)
     assert 0 < context.count_started < 40, context.count_started
--- a/tests/dispatcher/store_outage_steps.py
+++ b/tests/dispatcher/store_outage_steps.py
@@ -122,7 +122,7 @@
     async def _read(self, number, at_s):
         await trio.sleep_until(at_s)
         client = self._clients[number % len(self._clients)]
-        answer = await client.find(KNOWN, timeout_s=3.0)
+        answer = await client.find(KNOWN, QUEUE, timeout_s=3.0)
         self.reads.append((answer.outcome, trio.current_time() - at_s))
 
     async def _run(self, new_leader_s):
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -524,7 +524,7 @@
         self.calls.append(workflow)
         return self._answer
 
-    async def find(self, workflow_id, *, timeout_s):
+    async def find(self, workflow_id, queue, *, timeout_s):
         """Answer a query."""
         self.calls.append(workflow_id)
         return self._answer
--- a/tests/standin/platform_site.py
+++ b/tests/standin/platform_site.py
@@ -183,9 +183,10 @@
         )
         self.peer_proxies[index].upstream = process.ports["peer"]
 
-    def set_config(self, **queue):
+    def set_config(self, *, others=(), **queue):
         """Write a newer configuration.
 
+        :param others: Fields of further routes that differ from the queue's.
         :param queue: Fields of the queue's route that differ.
         """
         self.config_version += 3
@@ -204,7 +205,7 @@
             "op/config",
             {
                 "version": self.config_version,
-                "routes": [route],
+                "routes": [route, *({**route, **item} for item in others)],
                 "services": [{"name": POOL, "enforcesCapacity": False}],
                 "limits": self.limits,
             },
@@ -219,10 +220,13 @@
                 await trio.sleep(POLL_INTERVAL_S)
         self.record.clear()
 
-    async def send_request(self, method, path, *, index=None, body=None):
+    async def send_request(
+        self, method, path, *, index=None, body=None, prefix=PREFIX
+    ):
         """Send a request to a dispatcher.
 
         :param index: Index of the dispatcher, None for the first that runs.
+        :param prefix: Path prefix of the queue.
         :returns: The response, or None if none was received.
         """
         running = [
@@ -236,7 +240,7 @@
         try:
             return await client.send(
                 method,
-                PREFIX + path,
+                prefix + path,
                 body=b"" if body is None else json.dumps(body).encode(),
                 headers=[
                     ("host", HOST),
--- a/tests/workflow/workflow_steps.py
+++ b/tests/workflow/workflow_steps.py
@@ -10,6 +10,7 @@
 from radishlanding.workflow import Assignment
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import LogEntry
+from radishlanding.workflow import QueueRef
 from radishlanding.workflow import Step
 from radishlanding.workflow import TaskEnd
 from radishlanding.workflow import TaskId
@@ -18,13 +19,14 @@
 
 NAME = "0123456789abcdef"
 NEEDS = Capacity(millicores=500, memory_mb=100)
+QUEUE = QueueRef(name="q", base_url="h/")
 
 
-def make_workflow(steps, *, name=NAME, **fields):
-    """Return a workflow of queue q."""
+def make_workflow(steps, *, name=NAME, queue="q", **fields):
+    """Return a workflow, of queue q unless another one is named."""
     return Workflow(
         workflow_id=name,
-        queue="q",
+        queue=queue,
         pool="order-desk",
         spec="work",
         steps=steps,
