Forget nothing early when the wall clock steps forward

What callers saw: after a step of the leader's clock by 300 s, a submission of a cancelled workflow was accepted anew as queued (UNASKED), and one whose cancellation had been answered as absent, too; ended workflows become unknown.

Change: they expire by a clock that follows the wall clock backward, but takes no step forward of up to 10 minutes, and starts at the latest time on record where the leader's own clock is ahead of it. Larger steps still count, as what is kept meanwhile takes memory.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -14,6 +14,7 @@
 from radishlanding.dispatch.queue_view import QueueView
 from radishlanding.dispatch.recorder import Recorder
 from radishlanding.dispatch.recovery_monitor import RecoveryMonitor
+from radishlanding.dispatch.retention_clock import RetentionClock
 from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
 from radishlanding.dispatch.run_time_store import RunTimeStore
 from radishlanding.dispatch.send_gate import SendGate
@@ -191,6 +192,7 @@
             fleet=self.fleet,
             site_watch=site_watch,
         )
+        clock = RetentionClock(last_ms=registry.last_ms)
         self._recorder = Recorder(
             log=log,
             registry=registry,
@@ -199,6 +201,7 @@
             fleet=self.fleet,
             order_sender=self._order_sender,
             counters=counters,
+            clock=clock,
         )
         self._admission = AdmissionControl(
             registry=registry,
@@ -217,6 +220,7 @@
             max_entry_bytes=min(window.size_bytes, MAX_PART_BYTES),
             stored_size=log.stored_size,
             counters=counters,
+            clock=clock,
             admission=self._admission,
         )
         self._recorder.connect(self._submissions)
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_checkpoints",
         "_checkpoints_due_s",
+        "_clock",
         "_committing",
         "_counters",
         "_ends",
@@ -57,6 +58,7 @@
         fleet,
         order_sender,
         counters,
+        clock,
     ):
         """Initialise the recorder; :meth:`run` appends entries.
 
@@ -68,7 +70,9 @@
         :param fleet: The :class:`Fleet`.
         :param order_sender: The :class:`OrderSender`.
         :param counters: Metrics counters of the process.
+        :param clock: The :class:`RetentionClock` of the leader.
         """
+        self._clock = clock
         self._registry = registry
         # Those that are due and wait for room in an entry.
         self._checkpoints = []
@@ -123,7 +127,9 @@
         ):
             return
         try:
-            await self._log.snapshot(self._registry, now_ms=now_ms())
+            await self._log.snapshot(
+                self._registry, now_ms=self._clock.now_ms()
+            )
         except StoreUnavailable as exc:
             self._snapshot_retry_s = boot_clock_s() + SNAPSHOT_RETRY_DELAY_S
             _log.warning("snapshot_failed", reason=exc)
@@ -142,6 +148,8 @@
             ends=[end for end, _ in self._committing.values()],
             checkpoints=self._collect_checkpoints(room),
         )
+        # Notices a step of the wall clock before it is on record.
+        self._clock.now_ms()
         self._process_ends()
         self._registry.apply(entry)
         self._planner.mark_changed(_changed_workflows(entry))
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "_admission",
         "_cancellations",
+        "_clock",
         "_counters",
         "_max_entry_bytes",
         "_registry",
@@ -54,6 +55,7 @@
         max_entry_bytes,
         stored_size,
         counters,
+        clock,
         admission=None,
     ):
         """Initialise an empty queue.
@@ -65,6 +67,7 @@
         :param stored_size: Callable that takes a workflow and returns the
             size of its record in the log, in bytes.
         :param counters: Metrics counters of the process.
+        :param clock: The :class:`RetentionClock` of the leader.
         :param admission: An :class:`AdmissionControl`, None to accept all.
         """
         self._admission = admission
@@ -72,6 +75,7 @@
         self._registry = registry
         # By workflow id and name of the queue.
         self._cancellations = {}
+        self._clock = clock
         self._counters = counters
         self._stored_size = stored_size
         self._submissions = {}
@@ -166,7 +170,9 @@
 
     def _report_late_submission(self, workflow):
         tombstone = self._find_tombstone(workflow)
-        age_ms = 0 if tombstone is None else now_ms() - tombstone.made_ms
+        age_ms = 0
+        if tombstone is not None:
+            age_ms = max(0, now_ms() - tombstone.made_ms)
         self._counters.add("submissions_after_cancellation")
         _log.info(
             "submission_after_cancellation",
@@ -184,7 +190,7 @@
         tombstone = self._registry.tombstones.find(workflow_id, queue)
         return (
             tombstone is not None
-            and now_ms() - tombstone.made_ms < TOMBSTONE_RENEWAL_MS
+            and self._clock.now_ms() - tombstone.made_ms < TOMBSTONE_RENEWAL_MS
         )
 
     async def cancel(self, workflow_id, queue):
@@ -230,7 +236,7 @@
             len(tombstones) + waiting < MAX_TOMBSTONES
         ):
             return 0
-        expired_ms = now_ms() - ENDED_RETENTION_MS
+        expired_ms = self._clock.now_ms() - ENDED_RETENTION_MS
         tombstones.prune(before_ms=expired_ms)
         if len(tombstones) + waiting < MAX_TOMBSTONES:
             return 0
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -13,11 +13,19 @@
 class WorkflowRegistry:
     """Hold workflows, and apply the entries of the log in order."""
 
-    __slots__ = ("_by_vm", "tombstones", "versions", "workflows")
+    __slots__ = (
+        "_by_vm",
+        "last_ms",
+        "tombstones",
+        "versions",
+        "workflows",
+    )
 
     def __init__(self):
         """Start empty."""
         self._by_vm = collections.defaultdict(dict)
+        # Latest Unix time on record, in milliseconds.
+        self.last_ms = 0
         self.tombstones = TombstoneTable()
         # By VM; rises with each assignment to it and each end on it.
         self.versions = collections.Counter()
@@ -30,6 +38,7 @@
         :returns: Records of the workflows that it changes.
         """
         changed = {}
+        self.last_ms = max(self.last_ms, entry.made_ms)
         for tombstone in entry.tombstones:
             self.tombstones.add(tombstone)
         for workflow in entry.accepted:
@@ -60,6 +69,7 @@
         :param records: :class:`WorkflowRecord` objects.
         """
         for record in records:
+            self.last_ms = max(self.last_ms, record.ended_ms)
             if record.is_tombstone:
                 self.tombstones.add(Tombstone.from_record(record))
                 continue
--- a/tests/dispatch/admission_control_steps.py
+++ b/tests/dispatch/admission_control_steps.py
@@ -10,6 +10,7 @@
 from radishlanding.dispatch.admission_control import AdmissionControl
 from radishlanding.dispatch.backlog import Backlog
 from radishlanding.dispatch.entry_room import EntryRoom
+from radishlanding.dispatch.retention_clock import RetentionClock
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.observe import Counters
 from radishlanding.policy import Admission
@@ -196,6 +197,7 @@
         max_entry_bytes=1000,
         stored_size=len,
         counters=Counters(),
+        clock=RetentionClock(),
         admission=types.SimpleNamespace(retry_after_s=lambda _: 7),
     )
 
--- a/tests/dispatch/submission_queue_steps.py
+++ b/tests/dispatch/submission_queue_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from radishlanding.dispatch.entry_room import EntryRoom
+from radishlanding.dispatch.retention_clock import RetentionClock
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.observe import Counters
 from radishlanding.workflow import Step
@@ -24,6 +25,7 @@
         max_entry_bytes=size,
         stored_size=len,
         counters=Counters(),
+        clock=RetentionClock(),
     )
 
 
