Serve every URL of a queue that has several

What callers saw: of two routes with the name of one queue only the last one was served, and clients of the other got 404. Cause: the site's queues are kept by name. Change: further URLs of a queue are kept by URL. A workflow is found through each of them, as queues are recognised by name or URL. Result: "a queue with two URLs is served at both" failed before and passes.

--- a/src/radishlanding/config/site.py
+++ b/src/radishlanding/config/site.py
@@ -10,7 +10,8 @@
     """Queues, pools and zones of a site.
 
     :param version: Version of the configuration, 0 before the first read.
-    :param queues: Queues by name.
+    :param queues: Queues by name; one that has several URLs is there once for
+        each, by URL but for the first.
     :param enforcing_pools: Pools whose workers refuse tasks that exceed their
         capacity.
     :param spare_pools: Pools whose VMs are powered off.
--- a/src/radishlanding/platform/operator_documents.py
+++ b/src/radishlanding/platform/operator_documents.py
@@ -55,6 +55,15 @@
     )
 
 
+def _by_name(queues):
+    """Return queues by name, further URLs of a queue by URL."""
+    found = {}
+    for queue in queues:
+        key = queue.base_url if queue.name in found else queue.name
+        found[key] = queue
+    return found
+
+
 def _pools_with(raw, flag):
     """Return the names of the pools that have a flag."""
     return frozenset(
@@ -92,7 +101,7 @@
         limits = read_object(raw.get("limits") or {}, "limits")
         return Site(
             version=read_int(raw, "version", maximum=MAX_NUMBER),
-            queues={queue.name: queue for queue in queues},
+            queues=_by_name(queues),
             enforcing_pools=_pools_with(raw, "enforcesCapacity"),
             spare_pools=_pools_with(raw, "spare"),
             zones_out=zones_out,
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -65,6 +65,11 @@
     And the site has the limits to clients, and the default of one that is 0
     And a request is matched by its host and the longest prefix
 
+  # Clients of the other URL were told that there is no such queue.
+  Scenario: a queue with two URLs is served at both
+    Given operators' keys with a second URL of a queue
+    Then requests at both URLs are for that queue
+
   Scenario Outline: a malformed configuration yields a site without queues
     Given operators' keys whose configuration is <damage>
     Then the site has version 0
--- a/tests/platform/platform_steps.py
+++ b/tests/platform/platform_steps.py
@@ -358,6 +358,22 @@
     assert find("else.example", "/jobs/1") is None
 
 
+@given("operators' keys with a second URL of a queue")
+def _second_url(context):
+    cfg = _config()
+    (route,) = [item for item in cfg["routes"] if item["name"] == "q"]
+    cfg["routes"].append({**route, "host": "second.example"})
+    context.site = read_site(_operators_keys(json.dumps(cfg).encode()))
+
+
+@then("requests at both URLs are for that queue")
+def _both_urls(context):
+    for host in ("desk.example", "second.example"):
+        queue = context.site.find_queue(host, "/jobs/1")
+        assert queue is not None, host
+        assert (queue.name, queue.host) == ("q", host), queue
+
+
 @given("operators' keys whose configuration is {damage}")
 def _damaged(context, damage):
     value = {
