Drop requests of clients that left while the process stood still

Cause: a front starts to read such a request when it wakes up, and counts its deadline from then on. Change: after a suspension of over a second, a request whose client has closed the connection is refused with 503 and not carried out, and logged as request_abandoned.

--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -18,6 +18,7 @@
 from radishlanding.http import Limits
 from radishlanding.http import ProcessBudget
 from radishlanding.http import serve_metrics
+from radishlanding.http import SuspensionWatch
 from radishlanding.membership import Member
 from radishlanding.message import LeaderAway
 from radishlanding.observe import Counters
@@ -70,6 +71,7 @@
         "_site_keys",
         "_site_watch",
         "_store",
+        "_suspension_watch",
     )
 
     def __init__(self, *, cfg):
@@ -86,6 +88,7 @@
         self._is_stopping = False
         self._listening_s = None
         self._store = self._make_store()
+        self._suspension_watch = SuspensionWatch()
         policy = StrongestFirst()
         self._member = self._make_member(policy)
         self._site_watch = SiteWatch(
@@ -154,6 +157,7 @@
             limits=self._client_limits(),
             budget=self._budget,
             counters=self._counters,
+            suspension_watch=self._suspension_watch,
         )
 
     def _client_limits(self):
@@ -313,6 +317,7 @@
             self._registration,
             self._candidate,
             LoadMonitor(counters=self._counters),
+            self._suspension_watch,
         ):
             nursery.start_soon(component.run)
         await serve_metrics(
--- a/src/radishlanding/http/__init__.py
+++ b/src/radishlanding/http/__init__.py
@@ -16,6 +16,7 @@
     "ProcessBudget",
     "RequestWithdrawn",
     "Reservation",
+    "SuspensionWatch",
     "serve_metrics",
 ]
 
@@ -35,6 +36,7 @@
         "ProcessBudget": "process_budget",
         "RequestWithdrawn": "request_withdrawn",
         "Reservation": "reservation",
+        "SuspensionWatch": "suspension_watch",
         "serve_metrics": "metrics_page",
     },
 )
--- a/src/radishlanding/http/server.py
+++ b/src/radishlanding/http/server.py
@@ -39,9 +39,18 @@
         "_limits",
         "_logged_s",
         "_refusing",
+        "_suspension_watch",
     )
 
-    def __init__(self, *, handler, limits=None, budget=None, counters=None):
+    def __init__(
+        self,
+        *,
+        handler,
+        limits=None,
+        budget=None,
+        counters=None,
+        suspension_watch=None,
+    ):
         """Create a server; :meth:`run` opens its port.
 
         :param handler: An :class:`radishlanding.http.HttpHandler`.
@@ -51,6 +60,8 @@
             of connections and the size of a request.
         :param counters: The process's :class:`radishlanding.observe.Counters`,
             or None.
+        :param suspension_watch: A :class:`SuspensionWatch`, or None to serve
+            requests of clients that left during a suspension, too.
         """
         self._budget = budget
         self._counters = Counters() if counters is None else counters
@@ -61,6 +72,7 @@
         self._drained = trio.Event()
         self._logged_s = -math.inf
         self._refusing = 0
+        self._suspension_watch = suspension_watch
 
     def set_limits(self, limits):
         """Replace the limits, for open connections too.
@@ -121,6 +133,7 @@
             limits=self._limits,
             budget=self._budget,
             counters=self._counters,
+            suspension_watch=self._suspension_watch,
         )
         self._connections.add(conn)
         try:
--- a/src/radishlanding/http/server_connection.py
+++ b/src/radishlanding/http/server_connection.py
@@ -1,5 +1,7 @@
 """Connection of a client to an HTTP server."""
 
+import socket
+
 import h11
 import trio
 
@@ -36,6 +38,9 @@
 # How long a request waits for memory before it is refused.
 MEMORY_WAIT_S = 2.0
 RETRY_AFTER_S = 1
+# The end of the client's side is there at once if it has closed it.
+PEEK_TIMEOUT_S = 0.001
+MAX_LOGGED_CHARS = 200
 
 _log = EventLog("radishlanding.http")
 
@@ -60,12 +65,22 @@
         "_request",
         "_scope",
         "_stream",
+        "_suspension_watch",
         "_unparsed_bytes",
         "since_s",
         "state",
     )
 
-    def __init__(self, *, stream, handler, limits, budget, counters):
+    def __init__(
+        self,
+        *,
+        stream,
+        handler,
+        limits,
+        budget,
+        counters,
+        suspension_watch=None,
+    ):
         """Prepare a connection; :meth:`run` serves it.
 
         :param stream: An open :class:`trio.abc.HalfCloseableStream`.
@@ -73,12 +88,14 @@
         :param limits: A :class:`radishlanding.http.limits.Limits`.
         :param budget: A :class:`radishlanding.http.ProcessBudget`, or None.
         :param counters: The process's :class:`radishlanding.observe.Counters`.
+        :param suspension_watch: A :class:`SuspensionWatch`, or None.
         """
         self._body = Reservation(pool=budget and budget.bodies)
         self._request = Reservation(pool=budget and budget.requests)
         self._budget = budget
         self._counters = counters
         self._stream = stream
+        self._suspension_watch = suspension_watch
         self._handler = handler
         self._limits = limits
         self._idle_scope = trio.CancelScope()
@@ -162,12 +179,49 @@
             return await self._refuse(exc)
         if req is None:
             return False
+        if await self._has_client_left():
+            return await self._drop_abandoned(req)
         self._enter(ConnectionState.SERVING)
         response = await self._respond(req)
         del req
         self._release()
         return await self._send(response, close=self._is_draining)
 
+    async def _has_client_left(self):
+        """Return whether the client left while the process was suspended.
+
+        At other times a client may close its sending side and wait for the
+        response, so that only the response shows whether it is there.
+        """
+        watch = self._suspension_watch
+        if watch is None or not watch.is_recent():
+            return False
+        with trio.move_on_after(PEEK_TIMEOUT_S):
+            try:
+                data = await self._stream.socket.recv(1, socket.MSG_PEEK)
+            except OSError as exc:
+                return isinstance(exc, ConnectionError)
+            return not data
+        return False
+
+    async def _drop_abandoned(self, req):
+        """Refuse a request, as its client may only have half closed."""
+        request_id = req.headers.get("request-id", "none")
+        self._counters.add("http_abandoned")
+        _log.info(
+            "request_abandoned",
+            method=req.method,
+            path=req.target[:MAX_LOGGED_CHARS],
+            request=request_id[:MAX_LOGGED_CHARS],
+        )
+        return await self._refuse(
+            HttpError(
+                status=503,
+                reason="the client has left",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+
     async def _respond(self, req):
         try:
             await self._reserve_request(len(req.body))
--- a/tests/dispatcher/early_cancellation_steps.py
+++ b/tests/dispatcher/early_cancellation_steps.py
@@ -31,42 +31,52 @@
     context.other = (leader + 2) % count
 
 
-async def _submit_and_leave(context):
-    client = HttpClient(
-        address=context.platform_site.dispatchers[context.frozen].ports["http"]
-    )
-    with trio.move_on_after(LEAVE_S):
-        await client.send(
-            "POST",
-            PREFIX + JOB,
-            body=BODY,
-            headers=[("host", HOST), ("x-deadline-ms", "3000")],
-            timeout_s=3.0,
-        )
-        raise AssertionError("the frozen front has answered")
-    await client.close()
-
-
 @when("a submission waits at a front that is frozen")
 def _waits(context):
     site = context.platform_site
     site.dispatchers[context.frozen].freeze()
     context.frozen_s = context.bridge.call(_now)
-    context.bridge.call(_submit_and_leave, context)
+    context.caller_scope = trio.CancelScope()
+    context.bridge.spawn(_submit, context)
+    context.bridge.call(trio.sleep, LEAVE_S)
 
 
 async def _now():
     return trio.current_time()
 
 
-@when("its caller leaves, and cancels the job at another front")
-def _cancels(context):
+async def _submit(context):
+    client = HttpClient(
+        address=context.platform_site.dispatchers[context.frozen].ports["http"]
+    )
+    try:
+        with context.caller_scope:
+            await client.send(
+                "POST",
+                PREFIX + JOB,
+                body=BODY,
+                headers=[("host", HOST), ("x-deadline-ms", "3000")],
+                timeout_s=2 * FREEZE_S,
+            )
+    finally:
+        with trio.CancelScope(shield=True):
+            await client.close()
+
+
+@when("its caller {stays:w}, and cancels the job at another front")
+def _cancels(context, stays):
+    if stays == "leaves":
+        context.bridge.call(_leave, context)
     response = context.bridge.call(
         _send, context, "DELETE", JOB, context.other
     )
     assert response.status == 410, response.status
 
 
+async def _leave(context):
+    context.caller_scope.cancel()
+
+
 async def _send(context, method, path, index, body=None):
     return await context.platform_site.send_request(
         method, path, index=index, body=body
@@ -115,6 +125,14 @@
     assert not found, found
 
 
+@then("the frozen front has logged {event:w}")
+def _has_logged(context, event):
+    site = context.platform_site
+    name = site.dispatchers[context.frozen].name
+    text = (site.folder / f"{name}.log").read_text()
+    assert f"event={event}" in text, text
+
+
 @then("a retry of the submission is refused")
 def _retry_refused(context):
     status = context.bridge.call(_retry, context)
