--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -6,6 +6,7 @@
 
 from radishlanding.dispatch import submission_queue
 from radishlanding.dispatch.admission_control import AdmissionControl
+from radishlanding.dispatch.early_cancellations import EarlyCancellations
 from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.fleet import Fleet
 from radishlanding.dispatch.interference_store import InterferenceStore
@@ -59,6 +60,7 @@
 
     __slots__ = (
         "_admission",
+        "_early_cancellations",
         "_interference_store",
         "_leadership",
         "_log",
@@ -214,13 +216,16 @@
         self._queue_view = QueueView(
             admission=self._admission, planner=planner, counters=counters
         )
+        self._early_cancellations = EarlyCancellations(
+            registry=registry, clock=clock, counters=counters
+        )
         self._submissions = SubmissionQueue(
             registry=registry,
             wake=self._recorder.wake,
             max_entry_bytes=min(window.size_bytes, MAX_PART_BYTES),
             stored_size=log.stored_size,
             counters=counters,
-            clock=clock,
+            early_cancellations=self._early_cancellations,
             admission=self._admission,
         )
         self._recorder.connect(self._submissions)
@@ -392,7 +397,7 @@
             store is unreachable and the workflow is not known here.
         """
         self._require_store(workflow_id, queue)
-        if self._submissions.has_recent_tombstone(workflow_id, queue):
+        if self._early_cancellations.is_recent(workflow_id, queue):
             answer = await self.find(workflow_id, queue)
         else:
             answer = await self._submissions.cancel(workflow_id, queue)
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -1,10 +1,7 @@
 """Queues submissions and cancellations for the log."""
 
-import math
-
 import trio
 
-from radishlanding.dispatch.entry_log import ENDED_RETENTION_MS
 from radishlanding.dispatch.entry_room import MAX_ENTRY_BYTES
 from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.entry_room import packed_size
@@ -22,12 +19,6 @@
 ANSWER_TIMEOUT_S = 2.0
 # Store outages last seconds; callers retry once a second until they are over.
 RETRY_AFTER_S = 1
-# Anyone can cancel workflows that do not exist. A tombstone takes 0.3 kB of
-# memory, and as much in a snapshot before compression.
-MAX_TOMBSTONES = 4096
-# A repeated cancellation of an unknown workflow needs no further entry while
-# its tombstone is younger.
-TOMBSTONE_RENEWAL_MS = ENDED_RETENTION_MS // 2
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -38,8 +29,8 @@
     __slots__ = (
         "_admission",
         "_cancellations",
-        "_clock",
         "_counters",
+        "_early_cancellations",
         "_max_entry_bytes",
         "_registry",
         "_stored_size",
@@ -55,7 +46,7 @@
         max_entry_bytes,
         stored_size,
         counters,
-        clock,
+        early_cancellations,
         admission=None,
     ):
         """Initialise an empty queue.
@@ -67,7 +58,7 @@
         :param stored_size: Callable that takes a workflow and returns the
             size of its record in the log, in bytes.
         :param counters: Metrics counters of the process.
-        :param clock: The :class:`RetentionClock` of the leader.
+        :param early_cancellations: The :class:`EarlyCancellations`.
         :param admission: An :class:`AdmissionControl`, None to accept all.
         """
         self._admission = admission
@@ -75,8 +66,8 @@
         self._registry = registry
         # By workflow id and name of the queue.
         self._cancellations = {}
-        self._clock = clock
         self._counters = counters
+        self._early_cancellations = early_cancellations
         self._stored_size = stored_size
         self._submissions = {}
         self._wake = wake
@@ -107,7 +98,7 @@
             if record is not None and record.shown:
                 return found_answer(record)
             if record is None and self._is_cancelled_early(workflow):
-                self._report_late_submission(workflow)
+                self._early_cancellations.report_late_submission(workflow)
                 return refused_answer(
                     "cancelled before it arrived", retry_after_s=0
                 )
@@ -157,42 +148,12 @@
 
     def _is_cancelled_early(self, workflow):
         """Return whether an unknown workflow is or is being cancelled."""
-        return self._find_tombstone(workflow) is not None or any(
+        return self._early_cancellations.covers(workflow) or any(
             item.workflow_id == workflow.workflow_id
             and item.queue.matches(workflow.queue_ref)
             for item in self._cancellations.values()
         )
 
-    def _find_tombstone(self, workflow):
-        return self._registry.tombstones.find(
-            workflow.workflow_id, workflow.queue_ref
-        )
-
-    def _report_late_submission(self, workflow):
-        tombstone = self._find_tombstone(workflow)
-        age_ms = 0
-        if tombstone is not None:
-            age_ms = max(0, now_ms() - tombstone.made_ms)
-        self._counters.add("submissions_after_cancellation")
-        _log.info(
-            "submission_after_cancellation",
-            workflow=workflow.workflow_id,
-            queue=workflow.queue,
-            cancelled_ms_ago=age_ms,
-        )
-
-    def has_recent_tombstone(self, workflow_id, queue):
-        """Return whether an unknown workflow was cancelled recently.
-
-        :param workflow_id: Identity of the workflow.
-        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
-        """
-        tombstone = self._registry.tombstones.find(workflow_id, queue)
-        return (
-            tombstone is not None
-            and self._clock.now_ms() - tombstone.made_ms < TOMBSTONE_RENEWAL_MS
-        )
-
     async def cancel(self, workflow_id, queue):
         """Queue the cancellation of a workflow and wait for the outcome.
 
@@ -214,8 +175,8 @@
             if record is not None and record.has_committed_end:
                 return found_answer(record)
             if record is None and not self._is_waiting(workflow_id, queue):
-                retry_after_s = self._tombstone_retry_after_s(
-                    workflow_id, queue
+                retry_after_s = self._early_cancellations.retry_after_s(
+                    workflow_id, queue, waiting=len(self._cancellations)
                 )
                 if retry_after_s:
                     return refused_answer(
@@ -228,24 +189,6 @@
             self._wake()
         return await self._wait_settled(self._cancellations, key, item)
 
-    def _tombstone_retry_after_s(self, workflow_id, queue):
-        """Return when there is room for a tombstone, 0 if there is now."""
-        tombstones = self._registry.tombstones
-        waiting = len(self._cancellations)
-        if tombstones.find(workflow_id, queue) is not None or (
-            len(tombstones) + waiting < MAX_TOMBSTONES
-        ):
-            return 0
-        expired_ms = self._clock.now_ms() - ENDED_RETENTION_MS
-        tombstones.prune(before_ms=expired_ms)
-        if len(tombstones) + waiting < MAX_TOMBSTONES:
-            return 0
-        self._counters.add("tombstones_refused")
-        oldest = next(iter(tombstones), None)
-        if oldest is None:
-            return RETRY_AFTER_S
-        return max(1, math.ceil((oldest.made_ms - expired_ms) / 1000))
-
     async def _wait_settled(self, items, key, item):
         with trio.move_on_after(ANSWER_TIMEOUT_S):
             await item.settled.wait()
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -4,6 +4,7 @@
 
 from radishlanding.workflow.end import EndKind
 from radishlanding.workflow.phase import WorkflowPhase
+from radishlanding.workflow.queue_ref import QueueRef
 from radishlanding.workflow.record import WorkflowRecord
 from radishlanding.workflow.task_id import TaskId
 from radishlanding.workflow.tombstone import Tombstone
@@ -176,11 +177,16 @@
 
         :param queue: :class:`QueueRef` of the queue.
         """
-        return sum(
-            record.shown == WorkflowPhase.QUEUED
-            and not record.workflow.repeats
-            and record.workflow.queue_ref.matches(queue)
+        counts = collections.Counter(
+            (record.workflow.queue, record.workflow.base_url)
             for record in self.workflows.values()
+            if record.shown == WorkflowPhase.QUEUED
+            and not record.workflow.repeats
+        )
+        return sum(
+            count
+            for (name, base_url), count in counts.items()
+            if QueueRef(name=name, base_url=base_url).matches(queue)
         )
 
     def _finish(self, record, phase, ended_ms):
--- a/tests/dispatch/admission_control_steps.py
+++ b/tests/dispatch/admission_control_steps.py
@@ -9,6 +9,7 @@
 
 from radishlanding.dispatch.admission_control import AdmissionControl
 from radishlanding.dispatch.backlog import Backlog
+from radishlanding.dispatch.early_cancellations import EarlyCancellations
 from radishlanding.dispatch.entry_room import EntryRoom
 from radishlanding.dispatch.retention_clock import RetentionClock
 from radishlanding.dispatch.submission_queue import SubmissionQueue
@@ -197,7 +198,9 @@
         max_entry_bytes=1000,
         stored_size=len,
         counters=Counters(),
-        clock=RetentionClock(),
+        early_cancellations=EarlyCancellations(
+            registry=registry, clock=RetentionClock(), counters=Counters()
+        ),
         admission=types.SimpleNamespace(retry_after_s=lambda _: 7),
     )
 
--- a/tests/dispatch/early_cancellation_steps.py
+++ b/tests/dispatch/early_cancellation_steps.py
@@ -8,8 +8,8 @@
 from behave import when
 
 from radishlanding.dispatch import keys
+from radishlanding.dispatch.early_cancellations import MAX_TOMBSTONES
 from radishlanding.dispatch.entry_log import ENDED_RETENTION_MS
-from radishlanding.dispatch.submission_queue import MAX_TOMBSTONES
 from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.peer import CallRefused
 from radishlanding.store import pack
--- a/tests/dispatch/submission_queue_steps.py
+++ b/tests/dispatch/submission_queue_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from radishlanding.dispatch.early_cancellations import EarlyCancellations
 from radishlanding.dispatch.entry_room import EntryRoom
 from radishlanding.dispatch.retention_clock import RetentionClock
 from radishlanding.dispatch.submission_queue import SubmissionQueue
@@ -19,13 +20,16 @@
 
 @given("a submission queue for entries of {size:d} bytes")
 def _a_queue(context, size):
+    registry = WorkflowRegistry()
     context.queue = SubmissionQueue(
-        registry=WorkflowRegistry(),
+        registry=registry,
         wake=lambda: None,
         max_entry_bytes=size,
         stored_size=len,
         counters=Counters(),
-        clock=RetentionClock(),
+        early_cancellations=EarlyCancellations(
+            registry=registry, clock=RetentionClock(), counters=Counters()
+        ),
     )
 
 
