--- a/src/radishlanding/dispatch/early_cancellations.py
+++ b/src/radishlanding/dispatch/early_cancellations.py
@@ -6,9 +6,9 @@
 from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.observe import EventLog
 
-# Anyone can cancel workflows that do not exist. A tombstone takes 0.3 kB of
-# memory, and as much in a snapshot before compression.
-MAX_TOMBSTONES = 4096
+# Anyone can cancel workflows that do not exist. A tombstone takes 0.5 kB of
+# memory, and 0.4 kB in a snapshot before compression.
+MAX_TOMBSTONES = 2048
 # A repeated cancellation of an unknown workflow needs no further entry while
 # its tombstone is younger.
 RENEWAL_MS = ENDED_RETENTION_MS // 2
