Try no request for longer than its cancellation is remembered

What callers could see (found by reading): a dispatcher tried the submission of a caller that waits for an hour for up to 24 minutes, or waited for an answer all the time, so that it could reach a leader after the tombstone of its cancellation had expired. Tombstones are kept for 240 s.

--- a/src/radishlanding/dispatcher/leader_client.py
+++ b/src/radishlanding/dispatcher/leader_client.py
@@ -37,6 +37,9 @@
 # Share of the caller's timeout in which a call that may have taken effect is
 # retried; the rest is left to the caller for a retry of its own.
 UNCERTAIN_RETRY_SHARE = 0.4
+# However long a caller waits, a submission is tried for a fraction of the time
+# for which the leader remembers its cancellation.
+MAX_CALL_S = 60.0
 
 _log = EventLog("radishlanding.dispatcher")
 
@@ -155,6 +158,7 @@
 
     async def _call(self, message, *, timeout_s):
         """Call the leader; retry until it answers or no leader appears."""
+        timeout_s = min(timeout_s, MAX_CALL_S)
         started_s = boot_clock_s()
         deadline_s = started_s + max(0.05, timeout_s - RESPONSE_MARGIN_S)
         uncertain_deadline_s = min(
--- a/tests/dispatcher/leader_client.feature
+++ b/tests/dispatcher/leader_client.feature
@@ -48,3 +48,10 @@
     Given a dispatcher whose leader answers
     When a workflow of a queue with an advisor is submitted to it
     Then it is refused within 1 s, and the leader is not called
+
+  # A submission that was tried for an hour could arrive after its cancellation
+  # was forgotten, which is kept for 240 s.
+  Scenario: a submission is not tried for as long as cancellations are kept
+    Given a dispatcher whose leader answers
+    When a workflow is submitted by a caller that waits for 3600 s
+    Then it is not tried for longer than 60 s
--- a/tests/dispatcher/leader_client_steps.py
+++ b/tests/dispatcher/leader_client_steps.py
@@ -26,16 +26,18 @@
     The last failure repeats; None stands for an answer.
     """
 
-    __slots__ = ("_errors", "calls")
+    __slots__ = ("_errors", "calls", "timeouts_s")
 
     def __init__(self, errors=()):
         self._errors = list(errors)
         self.calls = []
+        self.timeouts_s = []
 
     async def call(self, message, *, timeout_s):
         """Answer, or raise the next error."""
         await trio.sleep(0.01)
         self.calls.append(message)
+        self.timeouts_s.append(timeout_s)
         if self._errors:
             exc = self._errors[0]
             if len(self._errors) > 1:
@@ -123,6 +125,17 @@
     context.took_s = time.monotonic() - started_s
 
 
+@when("a workflow is submitted by a caller that waits for {wait_s:d} s")
+def _submitted_patiently(context, wait_s):
+    _submit(context, timeout_s=wait_s)
+
+
+@then("it is not tried for longer than {bound_s:d} s")
+def _not_tried_longer(context, bound_s):
+    found = context.conn.timeouts_s
+    assert found and max(found) <= bound_s, found
+
+
 @given("a dispatcher whose leader does not answer for {silent_s:g} s")
 def _silent(context, silent_s):
     context.silent_s = silent_s
