--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from radishlanding.dispatch import submission_queue
 from radishlanding.dispatch.admission_control import AdmissionControl
+from radishlanding.dispatch.answers import found_answer
 from radishlanding.dispatch.early_cancellations import EarlyCancellations
 from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.fleet import Fleet
@@ -425,7 +425,7 @@
         """
         record = self._registry.find_workflow(workflow_id, queue)
         if record is not None and record.shown:
-            return submission_queue.found_answer(record)
+            return found_answer(record)
         if record is None and self._leadership.proof_age_s > MAX_PROOF_AGE_S:
             try:
                 await self._log.confirm()
--- a/src/radishlanding/dispatch/submission_queue.py
+++ b/src/radishlanding/dispatch/submission_queue.py
@@ -1,24 +1,15 @@
 """Queues submissions and cancellations for the log."""
 
-import trio
-
+from radishlanding.dispatch.answers import found_answer
+from radishlanding.dispatch.answers import refused_answer
+from radishlanding.dispatch.cancellation_queue import CancellationQueue
 from radishlanding.dispatch.entry_room import MAX_ENTRY_BYTES
-from radishlanding.dispatch.entry_room import MAX_PART_BYTES
 from radishlanding.dispatch.entry_room import packed_size
+from radishlanding.dispatch.pending_items import PendingItems
 from radishlanding.dispatch.submission import Submission
 from radishlanding.dispatch.wall_clock import now_ms
-from radishlanding.message import WorkflowAnswer
-from radishlanding.message.refused import STORE_UNANSWERED
 from radishlanding.observe import EventLog
-from radishlanding.peer import CallRefused
 from radishlanding.policy import MAX_GANG_TASKS
-from radishlanding.workflow import Tombstone
-from radishlanding.workflow import WorkflowOutcome
-
-# Callers wait 3 s for an answer; this leaves them time for a retry.
-ANSWER_TIMEOUT_S = 2.0
-# Store outages last seconds; callers retry once a second until they are over.
-RETRY_AFTER_S = 1
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -64,12 +55,17 @@
         self._admission = admission
         self._max_entry_bytes = max_entry_bytes
         self._registry = registry
-        # By workflow id and name of the queue.
-        self._cancellations = {}
+        self._cancellations = CancellationQueue(
+            registry=registry,
+            wake=wake,
+            early_cancellations=early_cancellations,
+            find_submission=self._find,
+        )
         self._counters = counters
         self._early_cancellations = early_cancellations
         self._stored_size = stored_size
-        self._submissions = {}
+        # By workflow id.
+        self._submissions = PendingItems(registry=registry)
         self._wake = wake
 
     async def submit(self, workflow):
@@ -84,46 +80,71 @@
             the workflow, so that another leader may be asked.
         """
         workflow_id = workflow.workflow_id
-        item = self._submissions.get(workflow_id)
-        record = self._registry.workflows.get(workflow_id)
+        answer = self._known_answer(workflow)
+        if answer is not None:
+            return answer
+        if self._submissions.get(workflow_id) is None:
+            answer = self._refusal(workflow)
+            if answer is not None:
+                return answer
+            self._submissions.add(
+                workflow_id,
+                Submission(
+                    workflow_id=workflow_id,
+                    queue=workflow.queue_ref,
+                    workflow=workflow,
+                ),
+            )
+            self._wake()
+        return await self._submissions.wait(workflow_id)
+
+    async def cancel(self, workflow_id, queue):
+        """Cancel a workflow; see :meth:`CancellationQueue.cancel`."""
+        return await self._cancellations.cancel(workflow_id, queue)
+
+    def _known_answer(self, workflow):
+        """Return the answer by what has the identity already, or None."""
+        item = self._submissions.get(workflow.workflow_id)
+        record = self._registry.workflows.get(workflow.workflow_id)
         owner = item or record
-        if owner is not None and not owner.workflow.queue_ref.matches(
-            workflow.queue_ref
-        ):
+        if owner is None:
+            return None
+        if not owner.workflow.queue_ref.matches(workflow.queue_ref):
             self._report_conflict(workflow, owner.workflow)
             return refused_answer(
                 "another queue uses this identity", retry_after_s=0
             )
-        if item is None:
-            if record is not None and record.shown:
-                return found_answer(record)
-            if record is None and self._is_cancelled_early(workflow):
-                self._early_cancellations.report_late_submission(workflow)
-                return refused_answer(
-                    "cancelled before it arrived", retry_after_s=0
-                )
-            if self._is_too_large(workflow):
-                return refused_answer(
-                    f"the workflow exceeds {MAX_ENTRY_BYTES} bytes"
-                )
-            if _has_oversized_gang(workflow):
+        if item is None and record.shown:
+            return found_answer(record)
+        return None
+
+    def _refusal(self, workflow):
+        """Return why a workflow can't be accepted, None if it can."""
+        is_new = workflow.workflow_id not in self._registry.workflows
+        if is_new and (
+            self._early_cancellations.covers(workflow)
+            or self._cancellations.covers(workflow)
+        ):
+            self._early_cancellations.report_late_submission(workflow)
+            return refused_answer(
+                "cancelled before it arrived", retry_after_s=0
+            )
+        if self._is_too_large(workflow):
+            return refused_answer(
+                f"the workflow exceeds {MAX_ENTRY_BYTES} bytes"
+            )
+        if _has_oversized_gang(workflow):
+            return refused_answer(
+                f"a gang has more than {MAX_GANG_TASKS} tasks",
+                retry_after_s=0,
+            )
+        if is_new and self._admission is not None:
+            retry_after_s = self._admission.retry_after_s(workflow)
+            if retry_after_s:
                 return refused_answer(
-                    f"a gang has more than {MAX_GANG_TASKS} tasks",
-                    retry_after_s=0,
+                    "it would end too late", retry_after_s=retry_after_s
                 )
-            if record is None and self._admission is not None:
-                retry_after_s = self._admission.retry_after_s(workflow)
-                if retry_after_s:
-                    return refused_answer(
-                        "it would end too late", retry_after_s=retry_after_s
-                    )
-            item = self._submissions[workflow_id] = Submission(
-                workflow_id=workflow_id,
-                queue=workflow.queue_ref,
-                workflow=workflow,
-            )
-            self._wake()
-        return await self._wait_settled(self._submissions, workflow_id, item)
+        return None
 
     def _report_conflict(self, workflow, owner):
         self._counters.add("submission_conflicts")
@@ -141,71 +162,12 @@
             and self._stored_size(workflow) > MAX_ENTRY_BYTES
         )
 
-    def _is_waiting(self, workflow_id, queue):
-        """Return whether a workflow of a queue is about to be recorded."""
+    def _find(self, workflow_id, queue):
+        """Return the submission of a queue that waits, or None."""
         item = self._submissions.get(workflow_id)
-        return item is not None and item.queue.matches(queue)
-
-    def _is_cancelled_early(self, workflow):
-        """Return whether an unknown workflow is or is being cancelled."""
-        return self._early_cancellations.covers(workflow) or any(
-            item.workflow_id == workflow.workflow_id
-            and item.queue.matches(workflow.queue_ref)
-            for item in self._cancellations.values()
-        )
-
-    async def cancel(self, workflow_id, queue):
-        """Queue the cancellation of a workflow and wait for the outcome.
-
-        A workflow that is not known gets a :class:`Tombstone`, so that it
-        can't be accepted after its caller was told that it is absent.
-
-        :param workflow_id: Identity of the workflow.
-        :param queue: :class:`radishlanding.workflow.QueueRef` of its queue.
-        :returns: A :class:`radishlanding.message.WorkflowAnswer`; refused if
-            there are too many tombstones.
-        :raises CallRefused: The store does not answer and no entry contains
-            the cancellation, so that another leader may be asked.
-        """
-        key = (workflow_id, queue.name)
-        item = self._cancellations.get(key)
-        if item is None:
-            record = self._registry.find_workflow(workflow_id, queue)
-            # An end that is not committed may be lost with this leader.
-            if record is not None and record.has_committed_end:
-                return found_answer(record)
-            if record is None and not self._is_waiting(workflow_id, queue):
-                retry_after_s = self._early_cancellations.retry_after_s(
-                    workflow_id, queue, waiting=len(self._cancellations)
-                )
-                if retry_after_s:
-                    return refused_answer(
-                        "too many cancellations of unknown workflows",
-                        retry_after_s=retry_after_s,
-                    )
-            item = self._cancellations[key] = Submission(
-                workflow_id=workflow_id, queue=queue
-            )
-            self._wake()
-        return await self._wait_settled(self._cancellations, key, item)
-
-    async def _wait_settled(self, items, key, item):
-        with trio.move_on_after(ANSWER_TIMEOUT_S):
-            await item.settled.wait()
-        if item.is_recorded:
-            return found_answer(self._registry.workflows[item.workflow_id])
-        if item.is_absent:
-            return WorkflowAnswer(outcome=WorkflowOutcome.ABSENT)
-        if item.is_collected:
-            return WorkflowAnswer(
-                outcome=WorkflowOutcome.UNCERTAIN,
-                reason="the store has not confirmed the entry",
-            )
-        if items.get(key) is item:
-            del items[key]
-        if item.is_released:
-            raise CallRefused(STORE_UNANSWERED)
-        return refused_answer(STORE_UNANSWERED)
+        if item is None or not item.queue.matches(queue):
+            return None
+        return item
 
     def collect(self, room):
         """Collect what the next entry has to contain.
@@ -217,95 +179,35 @@
         accepted = room.take(
             (
                 item.workflow
-                for item in self._submissions.values()
+                for item in self._submissions
                 if not item.is_collected
             ),
             max_bytes=self._max_entry_bytes,
         )
         for workflow in accepted:
-            self._submissions[workflow.workflow_id].is_collected = True
-        known, unknown = self._due_cancellations()
-        cancelled = room.take(
-            (item.workflow_id for item in known), max_bytes=MAX_PART_BYTES
-        )
-        made_ms = now_ms()
-        tombstones = room.take(
-            (
-                Tombstone(
-                    workflow_id=item.workflow_id,
-                    queue=item.queue,
-                    made_ms=made_ms,
-                )
-                for item in unknown
-            ),
-            max_bytes=MAX_PART_BYTES,
-        )
-        for item in known[: len(cancelled)] + unknown[: len(tombstones)]:
-            item.is_collected = True
+            self._submissions.get(workflow.workflow_id).is_collected = True
+        cancelled, tombstones = self._cancellations.collect(room)
         return accepted, cancelled, tombstones
 
-    def _due_cancellations(self):
-        """Return the cancellations that an entry may contain now.
-
-        Those of workflows whose submission no entry contains yet would come
-        too early.
-
-        :returns: Those of workflows that are recorded or in the same entry,
-            and those of others.
-        """
-        known, unknown = [], []
-        for item in self._cancellations.values():
-            if item.is_collected:
-                continue
-            if self._is_waiting(item.workflow_id, item.queue):
-                if self._submissions[item.workflow_id].is_collected:
-                    known.append(item)
-            elif self._registry.find_workflow(item.workflow_id, item.queue):
-                known.append(item)
-            else:
-                unknown.append(item)
-        return known, unknown
-
     def settle(self, entry):
-        """Settle the submissions that a committed entry contains.
+        """Settle what a committed entry contains.
 
         It is the only one that was being appended, so that it contains all
         cancellations that were collected.
         """
         for workflow in entry.accepted:
-            item = self._submissions.pop(workflow.workflow_id, None)
-            if item is not None:
-                item.is_recorded = True
-                item.settled.set()
-        for key, item in list(self._cancellations.items()):
-            if item.is_collected:
-                del self._cancellations[key]
-                record = self._registry.find_workflow(
-                    item.workflow_id, item.queue
-                )
-                item.is_recorded = record is not None
-                item.is_absent = record is None
-                item.settled.set()
+            self._submissions.settle(workflow.workflow_id, is_recorded=True)
+        self._cancellations.settle()
 
     def release_uncollected(self):
-        """Answer all waiting callers while the store does not answer.
-
-        Submissions that no entry contains yet are dropped and may be sent to
-        another leader. The others are uncertain until their entry is
-        committed.
-        """
-        for items in (self._submissions, self._cancellations):
-            for workflow_id, item in list(items.items()):
-                if not item.is_collected:
-                    del items[workflow_id]
-                    item.is_released = True
-                item.settled.set()
+        """See :meth:`PendingItems.release_uncollected`."""
+        self._submissions.release_uncollected()
+        self._cancellations.release_uncollected()
 
     def close(self):
-        """Answer all waiting callers; collected submissions stay uncertain."""
-        for items in (self._submissions, self._cancellations):
-            for item in items.values():
-                item.settled.set()
+        """See :meth:`PendingItems.close`."""
+        self._submissions.close()
+        self._cancellations.close()
 
 
 def _has_oversized_gang(workflow):
@@ -313,25 +215,3 @@
     return any(
         step.gang and step.count > MAX_GANG_TASKS for step in workflow.steps
     )
-
-
-def found_answer(record):
-    """Return the answer for a recorded workflow."""
-    return WorkflowAnswer(
-        outcome=WorkflowOutcome.FOUND,
-        phase=record.shown,
-        retry_after_s=0,
-    )
-
-
-def refused_answer(reason, *, retry_after_s=RETRY_AFTER_S):
-    """Return the answer for a submission that had no effect.
-
-    :param reason: Why, for the log.
-    :param retry_after_s: When its caller may submit it again, in seconds.
-    """
-    return WorkflowAnswer(
-        outcome=WorkflowOutcome.REFUSED,
-        retry_after_s=retry_after_s,
-        reason=reason,
-    )
