Let the soak cancel jobs while they are on their way

Callers of the soak submit a job, leave after 0.1 s and cancel it at another dispatcher; a task that starts more than 3 s after the answer is a finding.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,6 +17,7 @@
 from tests.dispatcher.site_steps import MILLICORES
 from tests.standin import latency_load
 from tests.standin import platform_checks as checks
+from tests.standin.early_cancellations import EarlyCancellations
 from tests.standin.platform_site import PlatformSite
 
 DEFAULT_DURATION_S = 20.0
@@ -55,6 +56,7 @@
     """Run one site under the faults of one seed."""
 
     __slots__ = (
+        "_early_cancellations",
         "_process_lock",
         "_rng",
         "_site",
@@ -68,6 +70,7 @@
         :param site: A :class:`PlatformSite`.
         :param seed: Seed of the faults.
         """
+        self._early_cancellations = EarlyCancellations(site)
         self._process_lock = trio.Lock()
         self._rng = random.Random(seed)
         self._site = site
@@ -87,6 +90,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(source.run)
             nursery.start_soon(self._check)
+            nursery.start_soon(self._early_cancellations.run)
             with trio.move_on_after(duration_s):
                 await self._inject_faults(nursery)
             source.stop()
@@ -94,12 +98,17 @@
                 await self._wait_done(source)
             await self._check_latency()
             nursery.cancel_scope.cancel()
-        self.findings += findings_of(self._site)
+        self.findings += self._find()
+
+    def _find(self):
+        return findings_of(self._site) + self._early_cancellations.findings(
+            self._site.record
+        )
 
     async def _check(self):
         while not self.findings:
             await trio.sleep(CHECK_INTERVAL_S)
-            self.findings += findings_of(self._site)
+            self.findings += self._find()
 
     async def _inject_faults(self, nursery):
         names = sorted(set(FAULTS) - EXCLUDED_FAULTS)
