Look for suspensions when the load is sampled

Cause: SuspensionWatch woke each dispatcher four times a second. Change: the load monitor, which wakes up twice a second, checks the clock.

--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -316,8 +316,10 @@
             self._site_keys,
             self._registration,
             self._candidate,
-            LoadMonitor(counters=self._counters),
-            self._suspension_watch,
+            LoadMonitor(
+                counters=self._counters,
+                on_sample=self._suspension_watch.check,
+            ),
         ):
             nursery.start_soon(component.run)
         await serve_metrics(
--- a/src/radishlanding/http/suspension_watch.py
+++ b/src/radishlanding/http/suspension_watch.py
@@ -2,11 +2,10 @@
 
 import math
 
-import trio
-
 from radishlanding.vm import boot_clock_s
 
-CHECK_INTERVAL_S = 0.25
+# Longest time between two checks of a process that runs.
+MAX_CHECK_INTERVAL_S = 0.5
 # Shorter delays are common beside load, and clients wait longer than that.
 MIN_SUSPENSION_S = 1.0
 # Covers the time in which requests are read that came meanwhile.
@@ -23,24 +22,22 @@
     __slots__ = ("_checked_s", "_resumed_s")
 
     def __init__(self):
-        """Prepare the watch; :meth:`run` must run from then on."""
+        """Prepare the watch.
+
+        :meth:`check` must be called every ``MAX_CHECK_INTERVAL_S`` at least.
+        """
         self._checked_s = boot_clock_s()
         self._resumed_s = -math.inf
 
-    async def run(self):
-        """Check the clock until cancelled."""
-        while True:
-            self._check()
-            await trio.sleep(CHECK_INTERVAL_S)
-
     def is_recent(self):
         """Return whether a suspension has ended in the last seconds."""
-        self._check()
+        # After a suspension a request may be read before the next check.
+        self.check()
         return self._checked_s - self._resumed_s < RECENT_S
 
-    def _check(self):
-        # Other tasks may run before run() does after a suspension.
+    def check(self):
+        """Notice a suspension since the last check."""
         now_s = boot_clock_s()
-        if now_s - self._checked_s > CHECK_INTERVAL_S + MIN_SUSPENSION_S:
+        if now_s - self._checked_s > MAX_CHECK_INTERVAL_S + MIN_SUSPENSION_S:
             self._resumed_s = now_s
         self._checked_s = now_s
--- a/src/radishlanding/observe/load_monitor.py
+++ b/src/radishlanding/observe/load_monitor.py
@@ -32,14 +32,17 @@
     the store or a peer is silent.
     """
 
-    __slots__ = ("_counters",)
+    __slots__ = ("_counters", "_on_sample")
 
-    def __init__(self, *, counters):
+    def __init__(self, *, counters, on_sample=None):
         """Prepare the monitor; :meth:`run` measures.
 
         :param counters: The process's :class:`Counters`.
+        :param on_sample: Callable that is called at each sample, every
+            ``SAMPLE_INTERVAL_S``, or None.
         """
         self._counters = counters
+        self._on_sample = on_sample
 
     async def run(self):
         """Measure until cancelled.
@@ -52,6 +55,8 @@
             kept.append(self._counters.snapshot())
             cpu_s, started_s = time.process_time(), trio.current_time()
             await trio.sleep(SAMPLE_INTERVAL_S)
+            if self._on_sample is not None:
+                self._on_sample()
             took_s = trio.current_time() - started_s
             lag_s = took_s - SAMPLE_INTERVAL_S
             self._counters.record_duration("loop_lag", since_s=0, now_s=lag_s)
