Let a wait go on after attempts that have not run

Cause: placement lets a best-effort task wait for a VM that suits it for 1 s at most. An assignment stopped the clock of that wait, also if the VM refused the order at once. A VM is left out for 0.7 s after a refusal, less than the bound, and one without a worker is then the best one again, as nothing runs on it. So the bound was never reached, and the wait was not logged either.

--- a/src/radishlanding/policy/idle_clock.py
+++ b/src/radishlanding/policy/idle_clock.py
@@ -5,15 +5,18 @@
     """Hold since when each waiting workflow has been idle.
 
     A workflow is idle while none of its tasks is assigned. A standing one is
-    idle while any of its tasks is not, as each of them is to run.
+    idle while any of its tasks is not, as each of them is to run. A wait goes
+    on after attempts that have not run, as it would have no bound otherwise.
     """
 
-    __slots__ = ("_has_started", "_since_ms")
+    __slots__ = ("_has_started", "_since_ms", "_stopped_ms")
 
     def __init__(self):
         """Start without workflows."""
         self._has_started = False
         self._since_ms = {}
+        # Of placed workflows, until an attempt of theirs has run.
+        self._stopped_ms = {}
 
     def update(self, records, *, now_ms):
         """Start the clocks of idle workflows, and drop all others.
@@ -36,7 +39,9 @@
         self._has_started = True
 
     def _known_ms(self, record, now_ms):
-        since_ms = self._since_ms.get(record.workflow.workflow_id)
+        workflow_id = record.workflow.workflow_id
+        stopped_ms = self._stopped_ms.pop(workflow_id, None)
+        since_ms = self._since_ms.get(workflow_id, stopped_ms)
         return self._start_ms(record, now_ms) if since_ms is None else since_ms
 
     def _start_ms(self, record, now_ms):
@@ -46,8 +51,22 @@
 
     def stop(self, workflow_id):
         """Stop the clock of a workflow that has been placed."""
+        since_ms = self._since_ms.pop(workflow_id, None)
+        if since_ms is not None:
+            self._stopped_ms[workflow_id] = since_ms
+
+    def clear(self, workflow_id):
+        """Stop the clock of a workflow of which no task waits."""
         self._since_ms.pop(workflow_id, None)
 
+    def forget(self, workflow_ids):
+        """Let the next wait of workflows begin anew, as they have run.
+
+        :param workflow_ids: Their identities, and those of ended workflows.
+        """
+        for workflow_id in workflow_ids:
+            self._stopped_ms.pop(workflow_id, None)
+
     def idle_ms(self, workflow_id, *, now_ms):
         """Return how long a workflow has been idle, in milliseconds.
 
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -143,6 +143,14 @@
         """
         self._fully_placed.difference_update(workflow_ids)
 
+    def mark_ran(self, workflow_ids):
+        """Let the next wait of workflows begin anew; see :class:`IdleClock`.
+
+        :param workflow_ids: Identities of those of which an attempt has run,
+            or that have ended.
+        """
+        self._idle_clock.forget(workflow_ids)
+
     def plan(self, records, loads, *, now_ms, max_bytes=None):
         """Return assignments of ready tasks.
 
@@ -260,7 +268,9 @@
             unplaced += not placed
         if has_placed_all and not workflow.repeats:
             self._fully_placed.add(workflow.workflow_id)
-        if has_placed_all or (assignments and not workflow.is_standing):
+        if has_placed_all and not assignments:
+            self._idle_clock.clear(workflow.workflow_id)
+        elif has_placed_all or (assignments and not workflow.is_standing):
             self._idle_clock.stop(workflow.workflow_id)
         return assignments
 
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -173,7 +173,7 @@
     context.vm_labels = {}
     context.interference = Interference()
     context.bridge.call(_open_leader, context)
-    _follow(context, "vm1")
+    follow(context, "vm1")
 
 
 async def _open_leader(
@@ -274,7 +274,7 @@
     context.bridge.call(introduce)
 
 
-def _follow(context, vm, *, reads_specs=False):
+def follow(context, vm, *, reads_specs=False):
     context.agents[vm] = FakeAgent()
     _introduce(context, vm, reads_specs=reads_specs)
     _report(context, vm)
@@ -342,7 +342,7 @@
 
 @given("the agent of the VM reads the specifications of orders")
 def _reads_specs(context):
-    _follow(context, "vm1", reads_specs=True)
+    follow(context, "vm1", reads_specs=True)
 
 
 def _specs(context):
@@ -482,7 +482,7 @@
 
 @when("the VM follows again")
 def _follows_again(context):
-    _follow(context, "vm1")
+    follow(context, "vm1")
 
 
 @then(
@@ -724,7 +724,7 @@
 def _follows_in_outage(context):
     context.platform_store.mode = "silent"
     context.vm_labels["vm2"] = ["later"]
-    _follow(context, "vm2")
+    follow(context, "vm2")
     context.bridge.call(trio.sleep, 0.5)
 
 
@@ -807,7 +807,7 @@
     context.bridge.call(
         functools.partial(_open_leader, context, timing=timing)
     )
-    _follow(context, "vm1")
+    follow(context, "vm1")
 
 
 @when("the store is away for longer than the lease, and the VM reports")
@@ -851,7 +851,7 @@
 @when("another VM follows")
 @given("another VM follows, without latency-critical tasks")
 def _another(context):
-    _follow(context, "vm2")
+    follow(context, "vm2")
 
 
 @when("an interfering best-effort task runs beside a latency-critical one")
@@ -870,7 +870,7 @@
     _submit(context, count=1, name="e" * 16, **serving)
     _wait(context, lambda: len(context.agents["vm1"].started) == 2, 2)
     _report(context, "vm1", running=_running(context))
-    _follow(context, "vm2")
+    follow(context, "vm2")
 
     async def keep_reporting():
         for _ in range(8):
@@ -960,7 +960,7 @@
         )
     )
     for name in vms:
-        _follow(context, name)
+        follow(context, name)
 
 
 @given(
@@ -1361,7 +1361,7 @@
         functools.partial(_open_leader, context, link_mbps=float(mbps))
     )
     for vm in ("vm1", "vm2", "vm3", "vm4"):
-        _follow(context, vm)
+        follow(context, vm)
 
     async def ignore_orders():
         context.agents["vm1"].can_read = trio.Event()
@@ -1439,7 +1439,7 @@
 def _more_silent_vms(context, count):
     for number in range(count):
         vm = f"silent{number}"
-        _follow(context, vm)
+        follow(context, vm)
         context.agents[vm].can_read = trio.Event()
 
 
--- a/tests/policy/idle_workflow.feature
+++ b/tests/policy/idle_workflow.feature
@@ -31,6 +31,12 @@
     When a workflow of 12 best-effort tasks is placed for 2 s, each running 9 s
     Then it is the only VM that gets tasks
 
+  Scenario: attempts that a VM refuses do not begin the wait anew
+    Given 4 VMs on which best-effort tasks are unwanted: headroom
+    And one more without tasks that refuses each one for 0.7 s
+    When a workflow of 12 best-effort tasks is placed for 20 s, each running 1.5 s
+    Then some task of it ran each time within 2 s
+
   Scenario: the time before an occurrence is due is no wait
     Given 4 VMs on which best-effort tasks are unwanted: headroom
     When a scheduled workflow of best-effort tasks is planned from 3 s before it is due
--- a/tests/policy/idle_workflow_steps.py
+++ b/tests/policy/idle_workflow_steps.py
@@ -81,6 +81,14 @@
     context.expected_vm = load.vm
 
 
+@given("one more without tasks that refuses each one for {pause_s:g} s")
+def _refusing(context, pause_s):
+    load = _empty_load(len(context.loads))
+    context.loads.append(load)
+    context.refusing_vm = load.vm
+    context.refusal_pause_ms = pause_s * 1000
+
+
 def _empty_load(number):
     return VmLoad(
         vm=f"vm{number}",
@@ -129,16 +137,22 @@
     _apply(registry, START_MS, accepted=[workflow])
     ends_ms, context.idle_ms, idle_since_ms = {}, [], START_MS
     context.started_ms, context.vms = {}, set()
+    context.refuses_until_ms = START_MS
     for now_ms in range(START_MS, START_MS + length_s * 1000, ROUND_MS):
-        idle_since_ms = _end_tasks(registry, ends_ms, now_ms) or idle_since_ms
+        ended_ms = _end_tasks(registry, ends_ms, now_ms)
+        if ended_ms is not None:
+            idle_since_ms = ended_ms
+            planner.mark_ran([NAME])
         record = registry.workflows[NAME]
         if record.phase.has_ended:
             break
         loads = _current_loads(context, registry)
+        if now_ms < context.refuses_until_ms:
+            loads = [ld for ld in loads if ld.vm != context.refusing_vm]
         active = [] if planner.is_fully_placed(record) else [record]
         assignments = planner.plan(active, loads, now_ms=now_ms)
         _apply(registry, now_ms, assignments=assignments)
-        for item in assignments:
+        for item in _without_refused(context, registry, assignments, now_ms):
             ends_ms[item.task_id] = now_ms + run_s * 1000
             context.started_ms.setdefault(item.task_id, now_ms - START_MS)
             context.vms.add(item.vm)
@@ -176,6 +190,22 @@
     return now_ms if due and not ends_ms else None
 
 
+def _without_refused(context, registry, assignments, now_ms):
+    """End what the refusing VM gets; return the other assignments."""
+    refusing_vm = context.refusing_vm if "refusing_vm" in context else None
+    refused = [item for item in assignments if item.vm == refusing_vm]
+    ends = [
+        TaskEnd(
+            task_id=item.task_id, attempt=item.attempt, kind=EndKind.NOT_RUN
+        )
+        for item in refused
+    ]
+    _apply(registry, now_ms, ends=ends)
+    if refused:
+        context.refuses_until_ms = now_ms + context.refusal_pause_ms
+    return [item for item in assignments if item not in refused]
+
+
 def _current_loads(context, registry):
     """Return the loads with the tasks that the registry has placed."""
     loads = [load.copy() for load in context.loads]
