Place nothing on VMs whose worker is silent

Cause: an agent refused all orders for a worker that left its polls unanswered, but its reports did not say so.

Reports now say that a worker is silent, from 0.3 s without an answer, and at once when it answers again or has restarted. The leader leaves such VMs out; workflow_waits and the loads count them as silent. worker_silent and worker_answers are logged.

The supervisor's scenarios use the new field.

--- a/src/radishlanding/dispatch/fleet_loads.py
+++ b/src/radishlanding/dispatch/fleet_loads.py
@@ -125,6 +125,8 @@
     reason = start_bar(session, site)
     if reason is not None:
         return reason
+    if session.state.is_silent:
+        return "silent"
     if session.backoff_until_s >= boot_clock_s():
         return "backoff"
     return None
--- a/src/radishlanding/message/vm_state.py
+++ b/src/radishlanding/message/vm_state.py
@@ -19,6 +19,7 @@
     :param is_draining: Whether the worker is about to leave.
     :param remaining_ms: Least time until a draining worker leaves, in
         milliseconds.
+    :param is_silent: Whether the worker leaves the agent's calls unanswered.
     """
 
     boot: str = ""
@@ -28,3 +29,4 @@
     capacity: Capacity = dataclasses.field(default_factory=Capacity)
     is_draining: bool = False
     remaining_ms: int = 0
+    is_silent: bool = False
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -12,6 +12,7 @@
 from radishlanding.vmagent.order_handler import OrderHandler
 from radishlanding.vmagent.report_filter import NO_REPORT
 from radishlanding.vmagent.report_filter import ReportFilter
+from radishlanding.vmagent.silence_monitor import SilenceMonitor
 from radishlanding.vmagent.task_pacer import TaskPacer
 from radishlanding.vmagent.worker_clock import WorkerClock
 from radishlanding.worker import WorkerReplaced
@@ -47,13 +48,13 @@
         "_make_worker",
         "_order_handler",
         "_report_filter",
+        "_silence",
         "clock",
         "fence",
         "has_left",
         "has_synced",
         "is_leaving",
         "is_partly_listed",
-        "is_responsive",
         "lease",
         "pacer",
         "report",
@@ -91,7 +92,6 @@
             hold_max_s=hold_max_s, may_be_held=report.number > FIRST_REPORT
         )
         self.fence = 0
-        self.is_responsive = True
         self.has_left = False
         self.is_leaving = False
         self.has_synced = False
@@ -100,6 +100,7 @@
         self.lease = VmLease(duration_s=vm_lease_s)
         self.report = report
         self._report_filter = ReportFilter()
+        self._silence = SilenceMonitor()
         self.scope = trio.CancelScope()
         self.table = AttemptTable()
         self.worker = make_worker(report)
@@ -125,8 +126,14 @@
             capacity=self.report.capacity,
             is_draining=self.is_draining,
             remaining_ms=self.report.remaining_ms,
+            is_silent=self._silence.is_silent,
         )
 
+    @property
+    def is_responsive(self):
+        """Return whether the worker has answered the last poll."""
+        return self._silence.is_responsive
+
     @property
     def is_draining(self):
         """Return whether the worker takes no new attempts."""
@@ -206,7 +213,7 @@
         self.table.end_tasks(ended, reason="the worker has restarted")
         self.table.reset_end_numbers()
         self.clock.reset()
-        self.is_responsive = True
+        self._record_answer()
         self.is_leaving = False
         self.has_left = False
         self.has_synced = False
@@ -279,14 +286,13 @@
         worker_id = self.report.worker_id
         try:
             await self._poll()
-            self.is_responsive = True
+            self._record_answer()
         except WorkerReplaced as exc:
             # The other worker may have reported during the poll.
             if worker_id == self.report.worker_id:
                 self._mark_left(f"{exc}")
             return
         except WorkerUnavailable as exc:
-            self.is_responsive = False
             self._handle_unavailable(exc)
             await trio.sleep(RETRY_DELAY_S)
             return
@@ -294,8 +300,16 @@
             with trio.move_on_after(SETTLE_WAIT_S):
                 await self.table.wait_changed()
 
+    def _record_answer(self):
+        if self._silence.record_answer():
+            _log.info("worker_answers", vm=self.vm)
+            self.table.notify()
+
     def _handle_unavailable(self, exc):
         _log.info("poll_failed", vm=self.vm, reason=exc)
+        if self._silence.record_failure(boot_clock_s()):
+            _log.warning("worker_silent", vm=self.vm, boot=self.report.boot)
+            self.table.notify()
         # Another writer may have deregistered a worker that is only slow.
         if self.is_leaving and (self.report.is_draining or exc.was_refused):
             self._mark_left("the worker has deregistered and does not answer")
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -476,6 +476,7 @@
   capacity @4 :Capacity;
   isDraining @5 :Bool;
   remainingMs @6 :Int64;
+  isSilent @7 :Bool;
 }
 
 struct Step {
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -289,6 +289,7 @@
     boot=1,
     made_ms=None,
     fence=None,
+    is_silent=False,
 ):
     await trio.sleep(0.01)
     session = context.leader.fleet.find(vm, context.agents[vm])
@@ -298,7 +299,9 @@
             vm=vm,
             is_full=True,
             clock_ms=clock_ms() if made_ms is None else made_ms,
-            state=_state(context, vm, boot=boot),
+            state=dataclasses.replace(
+                _state(context, vm, boot=boot), is_silent=is_silent
+            ),
             running=list(running),
             ended=list(ended),
             fence=context.fences[vm] if fence is None else fence,
--- a/tests/dispatch/refused_orders_steps.py
+++ b/tests/dispatch/refused_orders_steps.py
@@ -20,6 +20,7 @@
 
 FILLER = "d" * 16
 WORKFLOW = "e" * 16
+OTHER_WORKFLOW = "f" * 16
 # Well within the leases of the leader's fixture.
 REPORT_INTERVAL_S = 0.1
 
@@ -37,17 +38,45 @@
     context.bridge.call(_start, context, _refuse_orders, "vm2")
 
 
+@given("vm2 follows, and reports that its worker is silent")
+def _silent(context):
+    follow(context, "vm2")
+    context.vm2_is_silent = True
+    context.bridge.call(_report_silence, context)
+    context.bridge.call(_start, context, _keep_reporting_silence, "vm2")
+
+
+@when("vm2 reports that its worker answers")
+def _answers(context):
+    context.vm2_is_silent = False
+    context.bridge.call(_report_silence, context)
+
+
 @when("a best-effort workflow of 1 task is submitted")
 def _submitted(context):
+    context.workflow_id = WORKFLOW
     _submit(context, WORKFLOW, millicores=4000)
 
 
-@then("within {wait_s:g} s vm1 is ordered to start it")
-def _started(context, wait_s):
-    found = context.bridge.call(_has_order, context, "vm1", WORKFLOW, wait_s)
+@when("another best-effort workflow is submitted")
+def _another_submitted(context):
+    context.workflow_id = OTHER_WORKFLOW
+    _submit(context, OTHER_WORKFLOW, millicores=4000)
+
+
+@then("within {wait_s:g} s {vm:w} is ordered to start it")
+def _started(context, wait_s, vm):
+    found = context.bridge.call(
+        _has_order, context, vm, context.workflow_id, wait_s
+    )
     assert found, len(context.agents["vm2"].started)
 
 
+@then("vm2 has been ordered to start nothing")
+def _nothing_started(context):
+    assert not context.agents["vm2"].started, context.agents["vm2"].started
+
+
 def _submit(context, name, *, millicores):
     step = Step(
         count=1,
@@ -89,6 +118,17 @@
         await trio.sleep(REPORT_INTERVAL_S)
 
 
+async def _report_silence(context):
+    await send_report(context, "vm2", is_silent=context.vm2_is_silent)
+
+
+async def _keep_reporting_silence(context, vm):
+    while context.leader.fleet.find(vm, context.agents[vm]):
+        if context.vm2_is_silent:
+            await _report_silence(context)
+        await trio.sleep(REPORT_INTERVAL_S)
+
+
 async def _refuse_orders(context, vm):
     """Report what was ordered as not run."""
     agent = context.agents[vm]
--- a/tests/vmagent/worker_supervisor.feature
+++ b/tests/vmagent/worker_supervisor.feature
@@ -59,6 +59,25 @@
     Then its end is not reported before its last deadline
     And within 7 s its end is interrupted
 
+  Scenario: the leader is told that a worker is silent, and that it answers
+    Given a supervisor whose worker runs nothing
+    When the worker stops answering
+    Then within 1 s its VM is reported as silent
+    When the worker is reachable again
+    Then within 1 s its VM is reported as answering
+
+  Scenario: the leader is told that a silent worker has been replaced
+    Given a supervisor whose worker runs nothing
+    When the worker stops answering
+    Then within 1 s its VM is reported as silent
+    When a new boot of the worker reports
+    Then within 0.1 s its VM is reported as answering
+
+  Scenario: a worker that leaves a poll or two unanswered is not silent
+    Given a supervisor whose worker runs nothing
+    When the worker leaves polls unanswered for 0.15 s at a time, for 2 s
+    Then its VM was never reported as silent
+
   Scenario: a report of a new boot ends the attempts of the previous one
     Given a supervisor whose worker runs an attempt
     When a new boot of the worker reports
--- a/tests/vmagent/worker_supervisor_steps.py
+++ b/tests/vmagent/worker_supervisor_steps.py
@@ -306,6 +306,47 @@
     context.cut_off_s = boot_clock_s()
 
 
+@when("the worker is reachable again")
+def _reachable(context):
+    context.worker.is_unreachable = False
+
+
+@then("within {wait_s:g} s its VM is reported as {state:w}")
+def _reported_state(context, wait_s, state):
+    async def wait():
+        with trio.fail_after(wait_s):
+            while context.supervisor.state().is_silent != (state == "silent"):
+                await context.supervisor.table.wait_changed()
+
+    context.bridge.call(wait)
+
+
+@when(
+    "the worker leaves polls unanswered for {pause_s:g} s at a time, for "
+    "{length_s:g} s"
+)
+def _flaps(context, pause_s, length_s):
+    async def flap():
+        context.was_silent = False
+        with trio.move_on_after(length_s):
+            while True:
+                polls = context.worker.polls
+                context.worker.loses_polls = True
+                await trio.sleep(pause_s)
+                context.worker.loses_polls = False
+                while context.worker.polls == polls:
+                    await trio.sleep(0.01)
+                state = context.supervisor.state()
+                context.was_silent |= state.is_silent
+
+    context.bridge.call(flap)
+
+
+@then("its VM was never reported as silent")
+def _never_silent(context):
+    assert not context.was_silent
+
+
 def _update(context, **changes):
     report = dataclasses.replace(REPORT, **changes)
 
