Say in reports whether an attempt is confirmed by its worker

Agents report every attempt that may run. The leader cannot tell one whose start was never answered from one that runs, and thus does not see that its workflow stands still.

RunningTask.is_unconfirmed says that the worker has neither listed the attempt nor confirmed its start.

Agents of earlier versions never set the field, and their attempts read as confirmed. Leaders of earlier versions read the reports without it; the scenario in wire.feature shows both with a schema that lacks the field.

--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -466,6 +466,7 @@
   lacksOrder @6 :Bool;
   fullPaceMs @7 :Int64;
   pacePercent @8 :Int64;
+  isUnconfirmed @9 :Bool;
 }
 
 struct VmState {
--- a/tests/wire/wire.feature
+++ b/tests/wire/wire.feature
@@ -9,6 +9,12 @@
   Scenario: processes of the build before read and write the same messages
     Then each message type converts from and to a mapping alike
 
+  # An upgrade replaces agents and leaders one by one.
+  Scenario: builds without a field of reports read and write the others
+    Given a build whose schema lacks isUnconfirmed of RunningTask
+    Then attempts in its reports read as confirmed, with equal other fields
+    And it reads attempts that are unconfirmed, with equal other fields
+
   Scenario: encoding does not take as long as converting a mapping
     Then encoding a report of 60 tasks takes less than half of that
 
--- a/tests/wire/wire_steps.py
+++ b/tests/wire/wire_steps.py
@@ -2,11 +2,15 @@
 
 import dataclasses
 import enum
+import pathlib
 import random
+import tempfile
 import time
 import typing
 
+import capnp
 import hypothesis
+from behave import given
 from behave import then
 from hypothesis import strategies
 
@@ -109,6 +113,49 @@
         assert _read_mapping(data) == _read_mapping(encode(envelope)), message
 
 
+@given("a build whose schema lacks {field:w} of {struct:w}")
+def _earlier_schema(context, field, struct):
+    path = pathlib.Path(codec.__file__).with_name("peer.capnp")
+    head, start, body = path.read_text().partition(f"struct {struct} {{")
+    lines = body.splitlines(keepends=True)
+    kept = [line for line in lines if not line.startswith(f"  {field} @")]
+    assert len(kept) == len(lines) - 1, field
+    with tempfile.TemporaryDirectory() as folder:
+        earlier = pathlib.Path(folder, "peer.capnp")
+        earlier.write_text(head + start + "".join(kept))
+        # A parser of its own, as both schemas have the same identities.
+        context.schema = capnp.SchemaParser().load(str(earlier))
+
+
+def _report_mapping(report):
+    """Return a report as a mapping without ``isUnconfirmed``."""
+    mapping = _mapping(report)
+    for item in mapping["running"]:
+        del item["isUnconfirmed"]
+    return mapping
+
+
+@then("attempts in its reports read as confirmed, with equal other fields")
+def _reads_confirmed(context):
+    report = _sample(messages.VmReport)
+    data = context.schema.Envelope.new_message(
+        id=7, isReply=True, body={"vmReport": _report_mapping(report)}
+    ).to_bytes()
+    message = decode(data).message
+    assert not any(item.is_unconfirmed for item in message.running)
+    assert _report_mapping(message) == _report_mapping(report), message
+
+
+@then("it reads attempts that are unconfirmed, with equal other fields")
+def _reads_rest(context):
+    report = _sample(messages.VmReport)
+    assert all(item.is_unconfirmed for item in report.running)
+    data = encode(Envelope(call_id=7, is_reply=True, message=report))
+    with context.schema.Envelope.from_bytes(data) as reader:
+        mapping = reader.to_dict()["body"]["vmReport"]
+    assert mapping == _report_mapping(report), mapping
+
+
 def _report(count):
     report = _sample(messages.VmReport)
     report.running = report.running[:1] * count
