Report workflows whose assigned attempts do not run

Accepted workflows stood still although there was room: their attempts were assigned, and the start was not answered, the worker was silent or the order was on its way. workflow_waits looks at unassigned tasks only, so that no event named these workflows and their VMs.

StartMonitor knows which attempts run: from the first report that lists one as confirmed until its end is on record, but not while its worker is silent or a later report lists it as unconfirmed. RunClock adds up for how long none of a workflow does while at least one is assigned, over attempts that never ran; for a standing workflow it does so for each task. The wait for a VM does not count, as each workflow of a backlog would be reported with its first order.

From 2.5 s on the leader logs workflow_stalled with tasks, VMs, ages and states, three lines each 5 s, and workflow_resumed after such a line; the counter workflows_stalled rises once for each stall. Besides unordered, unconfirmed and silent there is a state unreachable, for VMs whose agent has no session: "no report lists it" would point at the order.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -19,6 +19,8 @@
 from radishlanding.dispatch.run_time_monitor import RunTimeMonitor
 from radishlanding.dispatch.run_time_store import RunTimeStore
 from radishlanding.dispatch.send_gate import SendGate
+from radishlanding.dispatch.stall_reporter import StallReporter
+from radishlanding.dispatch.start_monitor import StartMonitor
 from radishlanding.dispatch.submission_queue import SubmissionQueue
 from radishlanding.dispatch.task_mover import TaskMover
 from radishlanding.dispatch.task_ranker import TaskRanker
@@ -74,6 +76,8 @@
         "_registry",
         "_run_time_store",
         "_site_watch",
+        "_stall_reporter",
+        "_start_monitor",
         "_submissions",
         "_ticket_prefetcher",
         "_timing",
@@ -194,6 +198,10 @@
             fleet=self.fleet,
             site_watch=site_watch,
         )
+        self._start_monitor = StartMonitor(registry=registry, fleet=self.fleet)
+        self._stall_reporter = StallReporter(
+            registry=registry, monitor=self._start_monitor, counters=counters
+        )
         clock = RetentionClock(last_ms=registry.last_ms)
         self._recorder = Recorder(
             log=log,
@@ -289,10 +297,12 @@
                 self._recorder.add_ends(self.fleet.lost_vm_ends(), vm="")
                 self._recorder.wake()
                 self._recovery.check()
+                self._start_monitor.update()
             self._ranker.rank()
             self._admission.update()
             self._mover.rebalance()
             self._wait_reporter.report()
+            self._stall_reporter.report()
 
     @property
     def is_store_unreachable(self):
@@ -328,6 +338,7 @@
         """
         had_full_report = session.has_full_report
         ends = self.fleet.update(session, report)
+        self._start_monitor.observe(session, ends)
         settled = self._recorder.add_ends(ends, vm=session.vm)
         self._order_sender.acknowledge_ends(session, settled)
         self._order_sender.stop(session, self.fleet.unwanted_attempts(session))
