Let the test of the attempts in a line see their order

Attempts on v1 were the oldest and first in the registry, so that it passed without the sort. The oldest ones are now on the other VM; without the sort it fails.

--- a/tests/dispatch/stall_reporter.feature
+++ b/tests/dispatch/stall_reporter.feature
@@ -36,10 +36,12 @@
 
   Scenario: a line names up to 3 attempts with VM and age, the oldest first
     Given a workflow with an attempt on v1
-    When for 1 s v1 lists the attempt as unconfirmed
-    And 4 more tasks of it are assigned to v2
-    And for 2 s v1 lists the attempt as unconfirmed
-    Then a stall of attempts=5 names v1, v2 and v2 with their ages
+    When 2 more tasks of it are assigned to v2
+    And 1 times, v1 lists the attempt as unconfirmed for 1 s and ends it as not_run
+    And for 1 s v1 lists the attempt as unconfirmed
+    And 2 more tasks of it are assigned to v2
+    And for 0.5 s v1 lists the attempt as unconfirmed
+    Then a stall of attempts=5 names v2, v2 and v1 with their ages
 
   Scenario: one running attempt is enough, but for a standing workflow
     Given a workflow with an attempt on v1
--- a/tests/dispatch/stall_reporter_steps.py
+++ b/tests/dispatch/stall_reporter_steps.py
@@ -189,8 +189,9 @@
 
 @when("{count:d} more tasks of it are assigned to v2")
 def _more(context, count):
-    vms = {f"{_name(0)}.0.0.{index + 1}": "v2" for index in range(count)}
-    _assign(context, vms)
+    first = 1 + len(context.registry.tasks_on("v2"))
+    indexes = range(first, first + count)
+    _assign(context, {f"{_name(0)}.0.0.{index}": "v2" for index in indexes})
 
 
 @when("v1 lists all its attempts and v2 lists none for {length_s:g} s")
@@ -224,14 +225,14 @@
     assert all(item["workflow"] == _name(0) for item in found), found
 
 
-@then("a stall of attempts={count} names v1, v2 and v2 with their ages")
+@then("a stall of attempts={count} names v2, v2 and v1 with their ages")
 def _names_three(context, count):
     (found,) = _events(context, "workflow_stalled")
-    tasks = [f"{_name(0)}.0.0.{index}#1" for index in range(3)]
+    tasks = [f"{_name(0)}.0.0.{key}" for key in ("1#1", "2#1", "0#2")]
     assert found["attempts"] == count, found
     assert found["tasks"] == ",".join(tasks), found
-    assert found["vms"] == "v1,v2,v2", found
-    assert found["ages_ms"] == "2500,1500,1500", found
+    assert found["vms"] == "v2,v2,v1", found
+    assert found["ages_ms"] == "2500,2500,1500", found
     assert found["stalled_ms"] == "2500", found
 
 
