--- a/src/radishlanding/message/running_task.py
+++ b/src/radishlanding/message/running_task.py
@@ -23,9 +23,9 @@
         meaning where ``full_pace_ms`` is 0.
     :param lacks_order: Whether the agent has found the attempt on its worker
         and does not know its order.
-    :param is_unconfirmed: Whether the worker has neither listed the attempt
-        nor confirmed its start. Never set by agents of earlier versions, whose
-        attempts thus read as confirmed.
+    :param is_unconfirmed: Whether the worker, in its present boot, has neither
+        listed the attempt nor confirmed its start. Never set by agents of
+        earlier versions, whose attempts thus read as confirmed.
     """
 
     task_id: str
