Let a workflow go on without attempts that do not run

Callers saw accepted workflows stand still beside free capacity. An assigned attempt kept its workflow from counting as idle, whether it ran or not, so that best-effort tasks of it which VMs refuse for their headroom waited on while a worker left the start unanswered, had crashed, or was silent; and once the attempt was given up, the same VM was the best one again.

The leader tells its planner which workflows have assigned attempts of which none is known to run (StartMonitor), and on which VMs. After 1.5 s another task may start wherever it fits, one such placement in 1.5 s, and for 10 s those VMs are chosen only if there is no other.

policy/idle_workflow.feature, "attempts that do not run do not keep the others waiting": none of the 4 other tasks started before 8 s without the change, all start at 1.75 s with it (bound 2 s). dispatch/stall_reporter.feature, "a leader tells its planner ...", fails without the lines in leader.py.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -26,6 +26,7 @@
 from radishlanding.dispatch.task_ranker import TaskRanker
 from radishlanding.dispatch.ticket_prefetcher import TicketPrefetcher
 from radishlanding.dispatch.wait_reporter import WaitReporter
+from radishlanding.dispatch.wall_clock import now_ms
 from radishlanding.journal import Fenced
 from radishlanding.message import VmReportAck
 from radishlanding.message import WorkflowAnswer
@@ -69,6 +70,7 @@
         "_mover",
         "_on_store_unreachable",
         "_order_sender",
+        "_planner",
         "_queue_view",
         "_ranker",
         "_recorder",
@@ -198,6 +200,7 @@
             fleet=self.fleet,
             site_watch=site_watch,
         )
+        self._planner = planner
         self._start_monitor = StartMonitor(registry=registry, fleet=self.fleet)
         self._stall_reporter = StallReporter(
             registry=registry, monitor=self._start_monitor, counters=counters
@@ -297,13 +300,17 @@
                 self._recorder.add_ends(self.fleet.lost_vm_ends(), vm="")
                 self._recorder.wake()
                 self._recovery.check()
-                self._start_monitor.update()
+                self._use_stalls()
             self._ranker.rank()
             self._admission.update()
             self._mover.rebalance()
             self._wait_reporter.report()
             self._stall_reporter.report()
 
+    def _use_stalls(self):
+        self._start_monitor.update()
+        self._planner.use_stalls(self._start_monitor.stalls(), now_ms=now_ms())
+
     @property
     def is_store_unreachable(self):
         """Return whether the store has not answered for some time."""
--- a/src/radishlanding/dispatch/start_monitor.py
+++ b/src/radishlanding/dispatch/start_monitor.py
@@ -5,6 +5,7 @@
 from radishlanding.dispatch.start_state import StartState
 from radishlanding.dispatch.waiting_attempt import WaitingAttempt
 from radishlanding.policy import RunClock
+from radishlanding.policy import Stall
 from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import EndKind
 
@@ -125,6 +126,22 @@
         stalled_s = self._clock.stalled_s()
         return _longest_ms({key: stalled_s[key] for key in self._waiting})
 
+    def stalls(self):
+        """Return what :meth:`waiting_ms` counts, and the VMs.
+
+        :returns: :class:`radishlanding.policy.Stall` objects by the identity
+            of the workflow.
+        """
+        vms = collections.defaultdict(set)
+        for key, attempts in self._waiting.items():
+            vms[_workflow_id(key)].update(vm for *_, vm in attempts)
+        return {
+            workflow_id: Stall(
+                stalled_ms=waited_ms, vms=frozenset(vms[workflow_id])
+            )
+            for workflow_id, waited_ms in self.waiting_ms().items()
+        }
+
     def attempt_count(self, workflow_id):
         """Return how many attempts of a workflow are assigned."""
         return self._attempts[workflow_id]
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -6,6 +6,7 @@
 from radishlanding.policy.idle_clock import IdleClock
 from radishlanding.policy.placement_budget import PlacementBudget
 from radishlanding.policy.placement_wait import PlacementWait
+from radishlanding.policy.stalled_workflows import StalledWorkflows
 from radishlanding.policy.step_placer import StepPlacer
 
 # Assignments per log entry; a larger entry takes longer to be committed.
@@ -40,6 +41,7 @@
         "_order",
         "_next_steps",
         "_rng",
+        "_stalled",
         "_step_placer",
         "_updated_ms",
         "_was_cut_short",
@@ -67,6 +69,7 @@
         self._next_steps = {}
         self._order = order
         self._rng = rng or random.Random()
+        self._stalled = StalledWorkflows()
         self._step_placer = StepPlacer(
             interference=interference, tickets=tickets, clock_s=clock_s
         )
@@ -88,6 +91,14 @@
         """
         self._step_placer.ranks = ranks
 
+    def use_stalls(self, stalls, *, now_ms):
+        """Take note of workflows whose assigned attempts do not run.
+
+        :param stalls: See :meth:`StalledWorkflows.update`.
+        :param now_ms: Unix time, in milliseconds.
+        """
+        self._stalled.update(stalls, now_ms=now_ms)
+
     def avoid(self, task_id, vm):
         """Place a moved task elsewhere; see :meth:`StepPlacer.avoid`."""
         self._step_placer.avoid(task_id, vm)
@@ -250,7 +261,10 @@
 
     def _place(self, record, loads, now_ms, orders):
         workflow = record.workflow
-        vms = [vm for vm in loads if vm.pool == workflow.pool]
+        vms = self._stalled.other_vms(
+            workflow.workflow_id,
+            [vm for vm in loads if vm.pool == workflow.pool],
+        )
         is_starved = self._is_starved(record, now_ms)
         assignments, has_placed_all, unplaced = [], True, 0
         for position in self._waiting_steps(record, now_ms):
@@ -270,6 +284,8 @@
             assignments += placed
             has_placed_all &= len(placed) == record.pending_count(*position)
             unplaced += not placed
+        if assignments:
+            self._stalled.record_placed(workflow.workflow_id, now_ms=now_ms)
         if has_placed_all and not workflow.repeats:
             self._fully_placed.add(workflow.workflow_id)
         if has_placed_all and not assignments:
@@ -326,8 +342,12 @@
         )
 
     def _is_starved(self, record, now_ms):
-        """Return whether a workflow has been idle for too long."""
-        return self.idle_ms(record, now_ms=now_ms) > MAX_IDLE_MS
+        """Return whether nothing of a workflow has run for too long."""
+        return self.idle_ms(
+            record, now_ms=now_ms
+        ) > MAX_IDLE_MS or self._stalled.is_stalled(
+            record.workflow.workflow_id, now_ms=now_ms
+        )
 
 
 def _waiting_steps(record, now_ms):
--- a/tests/dispatch/stall_reporter.feature
+++ b/tests/dispatch/stall_reporter.feature
@@ -99,3 +99,9 @@
     Then the leader has logged workflow_stalled with states=unconfirmed,unconfirmed
     When vm1 reports its orders as confirmed for 2 s
     Then the leader has logged workflow_resumed with workflow=0123456789abcdef
+
+  # The planner took assigned attempts for running ones.
+  Scenario: a leader tells its planner which workflows wait for which VMs
+    Given a leader on a platform store and a VM that follows it
+    When a workflow of 2 tasks is submitted
+    Then the planner learns within 3 s that it has waited 1.5 s for vm1
--- a/tests/dispatch/stall_reporter_steps.py
+++ b/tests/dispatch/stall_reporter_steps.py
@@ -15,6 +15,7 @@
 from radishlanding.message import TaskEndReport
 from radishlanding.message import VmReport
 from radishlanding.observe import Counters
+from radishlanding.policy import WorkflowPlanner
 from radishlanding.vm import clock_ms
 from radishlanding.workflow import Assignment
 from radishlanding.workflow import EndKind
@@ -313,3 +314,19 @@
     key, value = pair.split("=")
     found = _events(context, event)
     assert [item[key] for item in found] == [value], context.lines
+
+
+@then(
+    "the planner learns within {within_s:d} s that it has waited {wait_s:g} s "
+    "for {vm:w}"
+)
+def _planner_learns(context, within_s, wait_s, vm):
+    with unittest.mock.patch.object(WorkflowPlanner, "use_stalls") as use:
+        context.bridge.call(_report_orders, context, True, within_s)
+    stalls = [
+        stall for call in use.call_args_list for stall in call[0][0].values()
+    ]
+    assert any(
+        stall.stalled_ms >= wait_s * 1000 and stall.vms == {vm}
+        for stall in stalls
+    ), stalls
--- a/tests/policy/idle_workflow.feature
+++ b/tests/policy/idle_workflow.feature
@@ -43,6 +43,13 @@
     When a workflow of 12 best-effort tasks is placed for 20 s, each running 1.5 s
     Then some task of it ran each time within 2.25 s
 
+  # An assignment ended the wait, also if the worker answered nothing.
+  Scenario: attempts that do not run do not keep the others waiting
+    Given 4 VMs on which best-effort tasks are unwanted: headroom
+    And one more without tasks that refuses each one after 8 s, for 0.7 s
+    When a workflow of 12 best-effort tasks is placed for 20 s, each running 1.5 s
+    Then 4 tasks of it have started within 2 s
+
   Scenario: the time before an occurrence is due is no wait
     Given 4 VMs on which best-effort tasks are unwanted: headroom
     When a scheduled workflow of best-effort tasks is planned from 3 s before it is due
--- a/tests/policy/idle_workflow_steps.py
+++ b/tests/policy/idle_workflow_steps.py
@@ -9,6 +9,7 @@
 
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import Interference
+from radishlanding.policy import Stall
 from radishlanding.policy import VmLoad
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.vm import Capacity
@@ -155,6 +156,9 @@
         loads = _current_loads(context, registry)
         if now_ms < context.refuses_until_ms:
             loads = [ld for ld in loads if ld.vm != context.refusing_vm]
+        planner.use_stalls(
+            _stalls(registry, ends_ms, now_ms - idle_since_ms), now_ms=now_ms
+        )
         active = [] if planner.is_fully_placed(record) else [record]
         assignments = planner.plan(active, loads, now_ms=now_ms)
         _apply(registry, now_ms, assignments=assignments)
@@ -196,6 +200,14 @@
     return now_ms if due and not ends_ms else None
 
 
+def _stalls(registry, ends_ms, stalled_ms):
+    """Return what a leader knows of attempts that do not run."""
+    vms = registry.busy_vms()
+    if ends_ms or not vms:
+        return {}
+    return {NAME: Stall(stalled_ms=stalled_ms, vms=frozenset(vms))}
+
+
 def _accepted(context, assignments, now_ms):
     """Return the assignments that no VM is going to refuse."""
     refusing_vm = context.refusing_vm if "refusing_vm" in context else None
@@ -238,6 +250,16 @@
     assert longest_ms < limit_s * 1000, longest_ms
 
 
+@then("{count:d} tasks of it have started within {limit_s:g} s")
+def _count_started(context, count, limit_s):
+    started = [
+        at_ms
+        for at_ms in context.started_ms.values()
+        if at_ms < limit_s * 1000
+    ]
+    assert len(started) == count, context.started_ms
+
+
 @then("each task of it has started within {limit_s:d} s")
 def _started_within(context, limit_s):
     assert len(context.started_ms) == context.step.count, context.started_ms
--- /dev/null
+++ b/tests/policy/stalled_workflows_steps.py
@@ -0,0 +1,95 @@
+"""Steps about workflows whose assigned attempts do not run."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from radishlanding.policy import Stall
+from radishlanding.policy import VmLoad
+from radishlanding.policy.stalled_workflows import StalledWorkflows
+from radishlanding.vm import Capacity
+
+NAME = "0123456789abcdef"
+START_MS = 1_000_000
+
+
+@given("a workflow that has waited {wait_s:g} s for attempts on {vm}")
+def _waits(context, wait_s, vm):
+    context.now_ms = START_MS
+    context.stalled = StalledWorkflows()
+    context.stalls = {
+        NAME: Stall(stalled_ms=int(wait_s * 1000), vms=frozenset({vm}))
+    }
+    context.stalled.update(context.stalls, now_ms=context.now_ms)
+    assert _is_stalled(context)
+
+
+def _is_stalled(context):
+    return context.stalled.is_stalled(NAME, now_ms=context.now_ms)
+
+
+@when("a task of it is placed")
+def _place(context):
+    context.stalled.record_placed(NAME, now_ms=context.now_ms)
+    context.stalled.update(context.stalls, now_ms=context.now_ms)
+
+
+@when("a task of it is placed, and the clock is set back by {back_s:d} s")
+def _place_and_set_back(context, back_s):
+    _place(context)
+    context.now_ms -= back_s * 1000
+
+
+@then("it is stalled")
+def _stalled(context):
+    assert _is_stalled(context)
+
+
+@then("it is stalled again {wait_s:g} s later, and not before")
+def _stalled_later(context, wait_s):
+    placed_ms = context.now_ms
+    due_ms = placed_ms + int(wait_s * 1000)
+    for context.now_ms in range(placed_ms, due_ms, 100):
+        assert not _is_stalled(context), context.now_ms
+    context.now_ms = due_ms
+    assert _is_stalled(context)
+
+
+@then("of {first} and {second} it may use {other}, and of {only} alone {same}")
+def _may_use(context, first, second, other, only, same):
+    assert _usable(context, first, second) == [other]
+    assert _usable(context, only) == [same]
+
+
+def _usable(context, *vms):
+    loads = [
+        VmLoad(
+            vm=vm,
+            boot="b",
+            pool="order-desk",
+            zone="z0",
+            labels=[],
+            capacity=Capacity(),
+            free=Capacity(),
+            idle_millicores=0,
+        )
+        for vm in vms
+    ]
+    return [load.vm for load in context.stalled.other_vms(NAME, loads)]
+
+
+@when("its attempts on vm1 have ended")
+def _have_ended(context):
+    context.now_ms += 1000
+    context.stalled.update({}, now_ms=context.now_ms)
+
+
+@when("no attempt has waited for {pass_s:d} s")
+def _pass(context, pass_s):
+    context.now_ms += pass_s * 1000
+    context.stalled.update({}, now_ms=context.now_ms)
+
+
+@then("it may use both VMs")
+def _may_use_both(context):
+    assert _usable(context, "vm1", "vm2") == ["vm1", "vm2"]
