Outvote a report that is numbered far ahead

Callers saw no task on a VM whose worker was sound, until the worker started again: one report under its identity with a number far ahead said that it drains, or has no room, and all of its own reports counted as older.

ReportFilter outvoted odd descriptions, but not odd numbers. Three reports in a row that are older than the known one, each newer than the one before, now replace it. Late copies of a worker's reports come among newer ones, which begin the count anew, and a report that starts to drain still takes effect at once.

--- a/src/radishlanding/vmagent/report_filter.py
+++ b/src/radishlanding/vmagent/report_filter.py
@@ -17,13 +17,19 @@
 
     Another writer may send reports under the identity of a worker. Without
     a reason to prefer one of two descriptions, the one is used that came
-    several times in a row.
+    several times in a row. Nor does one report with a number far ahead
+    outdate all later ones: several older ones in a row, each newer than the
+    one before, replace it.
     """
 
-    __slots__ = ("_repeats", "_rival")
+    __slots__ = ("_older", "_older_number", "_repeats", "_rival")
 
     def __init__(self):
-        """Start without a rival description."""
+        """Start without a rival description or number."""
+        # Reports in a row that were older than the known one, and the number
+        # of the last one.
+        self._older = 0
+        self._older_number = NO_REPORT
         self._repeats = 0
         self._rival = None
 
@@ -45,4 +51,18 @@
         # No worker goes back from draining, so that a number that another
         # writer set too high delays no drain.
         starts_to_drain = report.is_draining and not known.is_draining
-        return report.number > known.number or starts_to_drain
+        if report.number > known.number or starts_to_drain:
+            self._older = 0
+            return True
+        return self._outvotes(report)
+
+    def _outvotes(self, report):
+        """Return whether an older report follows on enough of its kind."""
+        if report.number <= self._older_number:
+            self._older = 0
+        self._older_number = report.number
+        self._older += 1
+        if self._older < MIN_REPEATS:
+            return False
+        self._older = 0
+        return True
--- a/tests/vmagent/worker_registry.feature
+++ b/tests/vmagent/worker_registry.feature
@@ -53,3 +53,23 @@
     Then for 3 s the same boot, pool and attempt are reported
     When the worker answers again and reports
     Then within 2 s the leader knows that it does not drain
+
+  # One ping kept tasks from a sound worker until it started again, as all of
+  # its own reports had smaller numbers.
+  Scenario Outline: a report numbered far ahead that it <claim> is outvoted
+    Given an agent process whose worker runs a task, and its leader
+    When another writer reports, numbered far ahead, that it <claim>
+    Then within 2 s the leader is told that it <claim>
+    When the worker reports 3 times
+    Then within 2 s the leader is no longer told that it <claim>
+
+    Examples:
+      | claim       |
+      | drains      |
+      | has no room |
+
+  Scenario: late copies of reports do not undo a drain
+    Given an agent process whose worker runs a task, and its leader
+    When the worker reports 3 times, and then that it drains
+    And 2 copies of its earlier reports arrive late, in order
+    Then for 2 s the leader is told that it drains
--- a/tests/vmagent/worker_registry_steps.py
+++ b/tests/vmagent/worker_registry_steps.py
@@ -1,6 +1,7 @@
 """Steps for pings that name a worker."""
 
 import contextlib
+import functools
 import time
 
 import trio
@@ -9,6 +10,7 @@
 from behave import when
 
 from radishlanding.http import HttpClient
+from radishlanding.vm import Capacity
 from tests.vmagent.departure_steps import open_agent
 from tests.vmagent.departure_steps import TASK
 
@@ -19,6 +21,15 @@
     "the worker's id and start in another pool": (None, {"service": "other"}),
     "the worker's id and start, far ahead": (None, {"sequence": 10**9}),
 }
+NO_ROOM = {"cpu": 0, "memMb": 0, "gpu": 0}
+# Fields of a ping, and the test of a reported state that shows them.
+CLAIMS = {
+    "drains": ({"state": "draining"}, lambda state: state.is_draining),
+    "has no room": (
+        {"freeCapacity": NO_ROOM},
+        lambda state: state.capacity == Capacity(),
+    ),
+}
 
 
 def _reports_address(context):
@@ -117,6 +128,70 @@
     _reports_itself(context)
 
 
+@when("another writer reports, numbered far ahead, that it {claim}")
+def _claims(context, claim):
+    fields, _ = CLAIMS[claim]
+    context.bridge.call(
+        functools.partial(
+            context.runner.ping_once,
+            _reports_address(context),
+            sequence=10**9,
+            **fields,
+        )
+    )
+
+
+@when("the worker reports {count:d} times")
+def _reports_often(context, count):
+    for _ in range(count):
+        _reports_itself(context)
+
+
+@then("within {wait_s:d} s the leader is told that it {claim}")
+def _claim_is_known(context, wait_s, claim):
+    _wait_claim(context, claim, True, wait_s)
+
+
+@then("within {wait_s:d} s the leader is no longer told that it {claim}")
+def _claim_is_outvoted(context, wait_s, claim):
+    _wait_claim(context, claim, False, wait_s)
+
+
+def _wait_claim(context, claim, expected, wait_s):
+    _, is_claimed = CLAIMS[claim]
+
+    def is_known():
+        state = context.dispatcher.reports[-1].state
+        return is_claimed(state) == expected
+
+    assert context.bridge.call(_until, is_known, wait_s)
+
+
+@when("the worker reports {count:d} times, and then that it drains")
+def _reports_and_drains(context, count):
+    _reports_often(context, count)
+    _drains(context)
+
+
+@when("{count:d} copies of its earlier reports arrive late, in order")
+def _late_copies(context, count):
+    async def ping():
+        for number in range(2, 2 + count):
+            await context.runner.ping_once(
+                _reports_address(context), sequence=number, state="ready"
+            )
+
+    context.bridge.call(ping)
+
+
+@then("for {wait_s:d} s the leader is told that it drains")
+def _still_drains(context, wait_s):
+    context.dispatcher.reports.clear()
+    context.bridge.call(trio.sleep, wait_s)
+    states = [report.state for report in context.dispatcher.reports]
+    assert states and all(state.is_draining for state in states), states
+
+
 @when("the worker starts again and its clock is set back 60 s")
 def _set_back(context):
     _start_again(context, set_back_s=60)
