Follow a boot again that was taken for ended and reports

Callers saw no task on a VM with a sound worker: its agent said that the worker drains, until the worker started again.

An agent takes a worker for ended if it has been deregistered and refuses a connection, or if another worker answers at its address. Only another boot undid that. A deregistration can come from another writer or be late, and reports of the same boot were stored without effect.

Such a report is now confirmed by the worker like that of an unknown boot; then the agent lists the worker again and stops what still runs of the attempts that it has reported as ended, as they may run elsewhere.

Both rows of "the same boot is used again after ..." failed before, at "the leader is no longer told that it drains"; without the stops the first one fails at "the run of the ended attempt is stopped".

--- a/src/radishlanding/vmagent/order_handler.py
+++ b/src/radishlanding/vmagent/order_handler.py
@@ -91,3 +91,9 @@
             if task.end is None and not task.is_stopping:
                 task.is_stopping = True
                 self._executor.stop(task)
+
+    def stop_ended(self):
+        """Stop what was sent of the attempts that count as ended."""
+        for task in self._supervisor.table.ended():
+            if task.is_sent:
+                self._executor.stop(task)
--- a/src/radishlanding/vmagent/worker_registry.py
+++ b/src/radishlanding/vmagent/worker_registry.py
@@ -25,8 +25,8 @@
 
     A report proves nothing about the worker at its address: it may be late,
     or come from another writer. A report that names a boot which is not
-    supervised yet takes effect once the worker at the address has confirmed
-    that it is this boot.
+    supervised yet, or that was taken for ended, takes effect once the worker
+    at the address has confirmed that it is this boot.
     """
 
     __slots__ = (
@@ -78,7 +78,11 @@
             outdated or unconfirmed one has no effect.
         """
         supervisor = self.supervisors.get(report.address)
-        if supervisor is not None and supervisor.report.boot == report.boot:
+        if (
+            supervisor is not None
+            and supervisor.report.boot == report.boot
+            and not supervisor.has_left
+        ):
             supervisor.apply_report(report)
         elif report.address in self._checked:
             # The worker reports again.
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -156,12 +156,30 @@
         """
         if not self._report_filter.accepts(report, self.report):
             return
-        if self.is_leaving and report.number > self.report.number:
+        if self.has_left:
+            self._handle_return(report)
+        elif self.is_leaving and report.number > self.report.number:
             _log.info("worker_stays", vm=self.vm, boot=report.boot)
             self.is_leaving = False
             self.table.notify()
         self.update(report)
 
+    def _handle_return(self, report):
+        """Follow a boot again that was taken for ended and reports.
+
+        Its attempts were reported as ended and may run elsewhere by now, so
+        that those which still run are stopped.
+
+        :param report: The newer report, which the worker has confirmed.
+        """
+        _log.warning("worker_returns", vm=self.vm, boot=report.boot)
+        self.is_leaving = False
+        self.has_left = False
+        self.has_synced = False
+        self.is_partly_listed = False
+        self._order_handler.stop_ended()
+        self.table.notify()
+
     def update(self, report):
         """Store a newer report of the worker, and handle a new boot.
 
--- a/tests/vmagent/worker_registry.feature
+++ b/tests/vmagent/worker_registry.feature
@@ -73,3 +73,19 @@
     When the worker reports 3 times, and then that it drains
     And 2 copies of its earlier reports arrive late, in order
     Then for 2 s the leader is told that it drains
+
+  # A worker that seemed to be gone once was not used again until it started
+  # again.
+  Scenario Outline: the same boot is used again after <fault>
+    Given an agent process whose worker runs a task, and its leader
+    When <fault>
+    Then within 3 s the leader is told that the task has ended
+    When the same boot is there again and reports
+    Then within 2 s the leader is no longer told that it drains
+    And within 2 s the run of the ended attempt is stopped
+    And within 2 s a task that the leader orders runs on it
+
+    Examples:
+      | fault                                                             |
+      | another writer deregisters it, and its address refuses connections |
+      | another worker answers at its address                             |
--- a/tests/vmagent/worker_registry_steps.py
+++ b/tests/vmagent/worker_registry_steps.py
@@ -10,7 +10,11 @@
 from behave import when
 
 from radishlanding.http import HttpClient
+from radishlanding.message import StartOrders
+from radishlanding.message import TaskOrder
 from radishlanding.vm import Capacity
+from tests.standin.open_platform import serve_until_cancelled
+from tests.vmagent.departure_steps import EPOCH
 from tests.vmagent.departure_steps import open_agent
 from tests.vmagent.departure_steps import TASK
 
@@ -30,6 +34,7 @@
         lambda state: state.capacity == Capacity(),
     ),
 }
+OTHER_TASK = "fedcba9876543210.0.0.0"
 
 
 def _reports_address(context):
@@ -192,6 +197,89 @@
     assert states and all(state.is_draining for state in states), states
 
 
+@when("another writer deregisters it, and its address refuses connections")
+def _refuses_connections(context):
+    async def deregister_and_refuse():
+        client = HttpClient(address=_reports_address(context))
+        await client.send("DELETE", "/-/instances/i-0", timeout_s=1.0)
+        await client.close()
+        context.runner_scope.cancel()
+
+    context.bridge.call(deregister_and_refuse)
+
+
+@when("another worker answers at its address")
+def _other_answers(context):
+    context.runner.worker_id = "i-1"
+
+
+@when("the same boot is there again and reports")
+def _is_there_again(context):
+    async def serve_again():
+        if context.runner_scope.cancel_called:
+            context.runner_scope = trio.CancelScope()
+            await context.bridge.nursery.start(
+                serve_until_cancelled,
+                context.runner,
+                context.runner_scope,
+                context.runner.address,
+            )
+        context.runner.worker_id = "i-0"
+        await context.runner.ping_once(_reports_address(context))
+
+    context.bridge.call(serve_again)
+
+
+@then("within {wait_s:d} s the leader is told that the task has ended")
+def _end_is_known(context, wait_s):
+    def is_known():
+        ended = context.dispatcher.reports[-1].ended
+        return TASK in {item.task_id for item in ended}
+
+    assert context.bridge.call(_until, is_known, wait_s)
+
+
+@then("within {wait_s:d} s the run of the ended attempt is stopped")
+def _run_is_stopped(context, wait_s):
+    def is_stopped():
+        return TASK not in context.runner.runs
+
+    assert context.bridge.call(_until, is_stopped, wait_s)
+
+
+@then("within {wait_s:d} s a task that the leader orders runs on it")
+def _runs_order(context, wait_s):
+    async def order_until_running():
+        attempt = 0
+        with trio.move_on_after(wait_s):
+            while OTHER_TASK not in context.runner.runs:
+                attempt += 1
+                await _order(context, attempt)
+                await trio.sleep(0.1)
+        return OTHER_TASK in context.runner.runs
+
+    assert context.bridge.call(order_until_running)
+
+
+async def _order(context, attempt):
+    """Order an attempt, as a refused one is placed again."""
+    report = context.dispatcher.reports[-1]
+    order = TaskOrder(
+        task_id=OTHER_TASK,
+        attempt=attempt,
+        spec="stand",
+        reserved=Capacity(),
+    )
+    message = StartOrders(
+        vm=report.vm,
+        epoch=EPOCH,
+        boot=report.state.boot,
+        clock_echo_ms=report.clock_ms,
+        orders=[order],
+    )
+    await context.dispatcher.send(message)
+
+
 @when("the worker starts again and its clock is set back 60 s")
 def _set_back(context):
     _start_again(context, set_back_s=60)
