Let no lasting probe keep tasks from a VM

Callers saw ready workflows wait beside a VM with most of its room free. After a quarantine a VM takes one task at a time until one succeeds; a probe that runs for long, or hangs, kept it at that one for as long. Any finite task of the VM counted as the probe, also one that ran before the quarantine. HealthLimit helps only where all VMs of a pool are barred.

The probing now ends if nothing fails for the longest duration, which impairments of workers hardly exceed; a later failure bars the VM at once, for twice as long as before. Until then a workflow that has waited for a second may have a task on such a VM if no other one admits it. A quarantine itself keeps all tasks away, as before.

--- a/src/radishlanding/dispatch/fleet_loads.py
+++ b/src/radishlanding/dispatch/fleet_loads.py
@@ -91,6 +91,7 @@
         load.max_new_tasks = self._vm_health.max_new_tasks(
             session.vm, running=load.finite_tasks
         )
+        load.is_probed = self._vm_health.is_probing(session.vm)
         return load
 
     def step_of(self, task):
--- a/src/radishlanding/dispatch/vm_health_tracker.py
+++ b/src/radishlanding/dispatch/vm_health_tracker.py
@@ -109,6 +109,14 @@
             return None
         return quarantine.max_new_tasks(running=running, now_s=boot_clock_s())
 
+    def is_probing(self, vm):
+        """Return whether a VM takes one task at a time after a quarantine.
+
+        :param vm: Identity of the VM.
+        """
+        quarantine = self._quarantines.get(vm)
+        return quarantine is not None and quarantine.is_probing(boot_clock_s())
+
     def check_stuck(self, session):
         """Back off from a VM on which tasks of several workflows are stuck."""
         workflow_ids = {
--- a/src/radishlanding/policy/quarantine.py
+++ b/src/radishlanding/policy/quarantine.py
@@ -10,7 +10,8 @@
 
     Only distinct tasks count, as one faulty task says nothing of the VM. The
     duration doubles with each further failure. After it the VM is probed
-    with one task at a time until one succeeds.
+    with one task at a time until one succeeds, or none has failed for the
+    longest duration, as a probe may run for long.
     """
 
     __slots__ = (
@@ -64,6 +65,14 @@
         self._duration_s = 0.0
         self._until_s = 0.0
 
+    def is_probing(self, now_s):
+        """Return whether the VM takes one task at a time.
+
+        :param now_s: Current time, in seconds.
+        """
+        passed_s = now_s - self._until_s
+        return bool(self._duration_s) and 0 <= passed_s < self._max_duration_s
+
     def max_new_tasks(self, *, running, now_s):
         """Return how many further tasks the VM may take, None for any.
 
@@ -72,4 +81,4 @@
         """
         if now_s < self._until_s:
             return 0
-        return max(0, 1 - running) if self._duration_s else None
+        return max(0, 1 - running) if self.is_probing(now_s) else None
--- a/src/radishlanding/policy/vm_load.py
+++ b/src/radishlanding/policy/vm_load.py
@@ -27,6 +27,7 @@
         :class:`Interference`.
     :param spare_headroom: Headroom that its serving tasks can spare.
     :param max_new_tasks: Further tasks that it may take, None for any.
+    :param is_probed: Whether that limits probes after a quarantine.
     :param is_stuck: Whether its tasks make no progress.
     :param trust: Trust in it from 0 to 1, see :class:`VmTrust`.
     :param planned_tasks: Number of tasks added since the load was copied.
@@ -51,6 +52,7 @@
     headroom_cost: float = 0.0
     spare_headroom: float = DEFAULT_SPARE_HEADROOM
     max_new_tasks: int | None = None
+    is_probed: bool = False
     is_stuck: bool = False
     trust: float = 1.0
     planned_tasks: int = 0
@@ -78,6 +80,7 @@
             headroom_cost=self.headroom_cost,
             spare_headroom=self.spare_headroom,
             max_new_tasks=self.max_new_tasks,
+            is_probed=self.is_probed,
             is_stuck=self.is_stuck,
             trust=self.trust,
             finite_tasks=self.finite_tasks,
@@ -129,11 +132,13 @@
         """
         return self.refusal(key, step) is None
 
-    def refusal(self, key, step):
+    def refusal(self, key, step, *, exceeds_probes=False):
         """Return why the VM cannot take one more task, or None.
 
         :param key: Workflow, occurrence and step of the task.
         :param step: The :class:`radishlanding.workflow.Step`.
+        :param exceeds_probes: Whether a VM that is probed may take more than
+            one task at a time.
         :returns: A :class:`Refusal` or None.
         """
         free, needs = self.free, step.needs
@@ -143,7 +148,7 @@
             return Refusal.ACCELERATORS
         if not step.fills and free.millicores < needs.millicores:
             return Refusal.PROCESSORS
-        if self.max_new_tasks is not None and self.max_new_tasks <= 0:
+        if self.has_all_new_tasks and not (exceeds_probes and self.is_probed):
             return Refusal.QUARANTINE
         if step.label and step.label not in self.labels:
             return Refusal.LABEL
@@ -151,6 +156,11 @@
             return Refusal.TASKS_PER_VM
         return None
 
+    @property
+    def has_all_new_tasks(self):
+        """Return whether its health allows no further task."""
+        return self.max_new_tasks is not None and self.max_new_tasks <= 0
+
     def suits(self, step):
         """Return whether the VM could take a task of a step if it were idle.
 
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -63,8 +63,9 @@
         :param is_starved: Whether no task of the workflow has run for some
             time. One of its best-effort tasks, a whole gang or all standing
             tasks may then run wherever they fit, the others where no
-            best-effort task runs yet. VMs on which tasks are stuck may then
-            be chosen if no other one suits the step.
+            best-effort task runs yet. VMs that are probed after a quarantine
+            may then be chosen after all others, and those on which tasks are
+            stuck if no other one suits the step.
         :param max_doubtful: Tasks of the step that doubtful VMs may have
             together, None for no limit.
         :param cost_behind: Callable that takes a VM and returns the headroom
@@ -142,7 +143,8 @@
 
     def _entry(self, number, vm):
         """Return a heap entry; the smallest one is the best."""
-        cost = tuple(-part for part in self._score(vm))
+        is_last = vm.is_stuck or vm.has_all_new_tasks
+        cost = (is_last, *(-part for part in self._score(vm)))
         return cost, number, vm.vm, vm
 
     def _count_trials_left(self, vms):
@@ -173,13 +175,18 @@
             return False
         if self._step.fills and self._best_effort_refusal(vm):
             return False
-        if not vm.can_fit(self._key, self._step):
+        if self._load_refusal(vm) is not None:
             return False
         if self._exceeds_limit(vm):
             self.is_held_back = True
             return False
         return True
 
+    def _load_refusal(self, vm):
+        return vm.refusal(
+            self._key, self._step, exceeds_probes=self._is_starved
+        )
+
     def _exceeds_limit(self, vm):
         """Return whether the doubtful VMs have their share of the step."""
         return (
@@ -196,7 +203,7 @@
         """
         if vm.is_stuck and not self._admits_stuck:
             return Refusal.STUCK
-        refusal = vm.refusal(self._key, self._step)
+        refusal = self._load_refusal(vm)
         if refusal is None and self._step.fills:
             refusal = self._best_effort_refusal(vm)
         if refusal is None and self._exceeds_limit(vm):
--- a/tests/policy/policy.feature
+++ b/tests/policy/policy.feature
@@ -38,6 +38,14 @@
     When a task succeeds
     Then the VM takes any tasks at 133 s with 5 running
 
+  # A VM took no second task for as long as its probe ran.
+  Scenario: a probe that neither fails nor succeeds ends the quarantine
+    Given a quarantine in which 3 distinct tasks failed at 100 s
+    Then the VM takes 0 tasks at 709 s with 1 running
+    And the VM takes any tasks at 711 s with 1 running
+    When another task fails at 720 s
+    Then the VM takes 0 tasks at 739 s with 0 running
+
   Scenario: one task that fails repeatedly does not quarantine a VM
     Given a quarantine in which 1 distinct tasks failed at 100 s
     Then the VM takes any tasks at 105 s with 0 running
