Use stuck VMs where a few others are full

Callers saw ready workflows wait with most of the capacity free. A VM is left out while tasks of two workflows make no progress on it, however long they run. A workflow that had waited for a second got such a VM only if no other one suited it, so that a single sound VM that was full kept it from any number of stuck ones.

Such a workflow may now use them if they are at least half of the VMs that suit the step. Sound VMs that admit a task go first, and a few stuck VMs beside a full pool are left alone, as before.

Both rows of "a few full VMs do not keep waiting tasks from many stuck ones" failed before; "sound VMs go before many stuck ones" guards the order.

--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -64,8 +64,9 @@
             time. One of its best-effort tasks, a whole gang or all standing
             tasks may then run wherever they fit, the others where no
             best-effort task runs yet. VMs that are probed after a quarantine
-            may then be chosen after all others, and those on which tasks are
-            stuck if no other one suits the step.
+            may then be chosen, and those on which tasks are stuck if they
+            are at least half of the VMs that suit the step; other VMs that
+            admit a task go first.
         :param max_doubtful: Tasks of the step that doubtful VMs may have
             together, None for no limit.
         :param cost_behind: Callable that takes a VM and returns the headroom
@@ -80,9 +81,7 @@
             self._doubtful_left = max_doubtful - sum(
                 vm.steps.get(key, 0) for vm in vms if is_doubtful(vm)
             )
-        self._admits_stuck = is_starved and not any(
-            vm.suits(step) for vm in vms if not vm.is_stuck
-        )
+        self._admits_stuck = is_starved and _are_many_stuck(step, vms)
         self._interference = interference
         self._is_light = interference.is_light(step.image)
         self._is_starved = is_starved
@@ -292,6 +291,15 @@
     return 0 if is_probe and not step.standing else -1
 
 
+def _are_many_stuck(step, vms):
+    """Return whether tasks are stuck on half of the VMs that suit a step.
+
+    Then the few others may be full for long, with most of the capacity free.
+    """
+    stuck = [vm.is_stuck for vm in vms if vm.suits(step)]
+    return 2 * sum(stuck) >= len(stuck)
+
+
 def _count_forced(step):
     """Return how many tasks of a starved step go wherever they fit.
 
--- a/tests/dispatch/health_limit.feature
+++ b/tests/dispatch/health_limit.feature
@@ -45,6 +45,24 @@
     Then 0 tasks are placed, none of them on VMs that are stuck
     And 1 VM is reported to refuse them as stuck and 2 for their processors
 
+  # Workflows waited for as long as two tasks made no progress on each of these
+  # VMs, with most of the capacity free.
+  Scenario Outline: a few full VMs do not keep waiting tasks from many stuck ones
+    Given a fleet of 4 VMs of which <bad> are stuck
+    And its sound VMs are full
+    When a lasting workflow of 4 tasks has waited for 1.5 s
+    Then all 4 tasks are placed
+
+    Examples:
+      | bad |
+      | 2   |
+      | 3   |
+
+  Scenario: sound VMs go before many stuck ones
+    Given a fleet of 4 VMs of which 3 are stuck
+    When a lasting workflow of 4 tasks is planned after a wait of 1.5 s
+    Then 4 tasks are placed, none of them on VMs that are stuck
+
   # The VM took no other task until that one had succeeded.
   Scenario: a probe that lasts does not keep waiting tasks from its VM
     Given a fleet of 3 VMs of which 1 are quarantined
--- a/tests/dispatch/health_limit_steps.py
+++ b/tests/dispatch/health_limit_steps.py
@@ -35,15 +35,28 @@
 
 @when("a lasting workflow of 4 tasks is planned")
 def _planned(context):
+    _plan(context, 0)
+
+
+@when("a lasting workflow of 4 tasks is planned after a wait of {wait_s:g} s")
+def _planned_late(context, wait_s):
+    _plan(context, wait_s)
+
+
+def _plan(context, wait_s):
     planner = WorkflowPlanner(
         order=EarliestDeadline(),
         interference=context.interference,
         rng=random.Random(1),
     )
-    workflow = make_workflow([Step(count=4, needs=NEEDS, standing=True)])
+    workflow = make_workflow(
+        [Step(count=4, needs=NEEDS, standing=True)], accepted_ms=1000
+    )
     loads = context.fleet.loads(Site(version=1), with_stuck=True)
     context.assignments = planner.plan(
-        [WorkflowRecord(workflow=workflow)], loads, now_ms=1000
+        [WorkflowRecord(workflow=workflow)],
+        loads,
+        now_ms=1000 + int(wait_s * 1000),
     )
 
 
