Let an advisor's failing question take turns with others

Callers of advised queues would see no task start while one question failed: the most urgent step without a ticket was asked about again and again, for as long as it waited, and no other step got tickets or new ones.

AdviceSchedule puts steps without a ticket first, and only answers changed that. A step whose last question failed now takes turns with those whose tickets have expired, until it is answered.

"a step without an answer takes turns with others" failed without the records of failures: 8 of 8 questions were about the step without an answer.

--- a/src/radishlanding/dispatch/ticket_prefetcher.py
+++ b/src/radishlanding/dispatch/ticket_prefetcher.py
@@ -170,9 +170,11 @@
                 timeout_s=CALL_TIMEOUT_S + 2 * query.expected_s,
             )
         except AdvisorUnavailable as exc:
+            self._schedule.record_failure(query.step)
             self._counters.add("advice_unanswered")
             _log.warning("advice_unanswered", step=name, reason=exc)
             return False
+        self._schedule.record_answer(query.step)
         answered_s = boot_clock_s()
         valid_s = query.timing.valid_ms / 1000
         # It is not known when during the call the tickets became valid.
--- a/src/radishlanding/policy/advice_schedule.py
+++ b/src/radishlanding/policy/advice_schedule.py
@@ -18,11 +18,12 @@
     An advisor answers one question of a process at a time. Steps with waiting
     tasks go first, and among them boots that nothing is known of. Tickets of
     such steps that have expired are asked for again in turn, so that a step
-    which finds no VM keeps none of the others from their tickets. Tickets of
-    other steps come last.
+    which finds no VM keeps none of the others from their tickets. A step whose
+    last question failed takes turns with them. Tickets of other steps come
+    last.
     """
 
-    __slots__ = ("_asked_s", "_tickets")
+    __slots__ = ("_asked_s", "_failed", "_tickets")
 
     def __init__(self, *, tickets):
         """Start without questions.
@@ -31,6 +32,8 @@
         """
         # When each step was asked about last, on the boot clock.
         self._asked_s = {}
+        # Steps whose last question got no usable answer.
+        self._failed = set()
         self._tickets = tickets
 
     def choose(self, steps, *, now_s):
@@ -72,10 +75,19 @@
         """
         if not item.is_waiting:
             return 2, 0.0
-        if not self._tickets.issued_s(item.step, boots[0]):
+        has_failed = item.step in self._failed
+        if not has_failed and not self._tickets.issued_s(item.step, boots[0]):
             return 0, 0.0
         return 1, self._asked_s.get(item.step, 0.0)
 
+    def record_answer(self, step):
+        """Record that the last question about a step was answered."""
+        self._failed.discard(step)
+
+    def record_failure(self, step):
+        """Record that the last question about a step got no usable answer."""
+        self._failed.add(step)
+
     def retain(self, steps):
         """Drop all other steps.
 
@@ -83,6 +95,7 @@
         """
         for step in self._asked_s.keys() - steps:
             del self._asked_s[step]
+        self._failed &= steps
 
 
 def _max_boots(timing):
--- a/tests/policy/advice_schedule.feature
+++ b/tests/policy/advice_schedule.feature
@@ -11,6 +11,15 @@
     When each answer is a ticket that has expired by the next question
     Then 8 questions are about each step in turn
 
+  # One question that got no answer was asked again and again, for as long as
+  # its step waited, and no other step got tickets.
+  Scenario: a step without an answer takes turns with others
+    Given steps 1 and 2 that wait, the first of them more urgent
+    When questions about step 1 get no answer, and tickets of step 2 expire
+    Then 8 questions are about each step in turn
+    When the advisor answers about step 1 again, and 2 boots are new
+    Then the next question is about step 1
+
   # VMs beyond the first ones were never asked about where tickets are short.
   Scenario: of one step, boots that nothing is known of go first
     Given an advisor of 20 ms and 5 ms a VM, for 300 ms
--- a/tests/policy/advice_schedule_steps.py
+++ b/tests/policy/advice_schedule_steps.py
@@ -106,6 +106,29 @@
         context.now_s += VALID_S
 
 
+@when("questions about step 1 get no answer, and tickets of step 2 expire")
+def _one_fails(context):
+    context.asked = []
+    for _ in range(8):
+        query = _choose(context)
+        context.asked.append(query.step[2])
+        if query.step[2] == 1:
+            context.schedule.record_failure(query.step)
+        else:
+            _answer(context, query)
+        context.now_s += VALID_S
+
+
+@when("the advisor answers about step 1 again, and 2 boots are new")
+def _answers_again(context):
+    query = _choose(context)
+    assert query.step[2] == 1, query
+    _answer(context, query)
+    context.schedule.record_answer(query.step)
+    boots = ["a/1", "b/1", "c/1"]
+    context.steps = [_step(1, boots=boots), _step(2)]
+
+
 @then("{count:d} questions are about each step in turn")
 def _in_turn(context, count):
     assert context.asked == [1, 2] * (count // 2), context.asked
