Undo pauses that are carried out late

Callers saw a best-effort task stand still on a sound worker with most of its room free, long after the last fault: it counted as running at full pace, and was paused.

The agent took a pace call without an answer for one without effect. If the pace to set was full again by the next round, nothing was sent any more, and paces were repeated only below full. A pause that was carried out, though its answer was lost, or that came seconds late, lasted until the next change of the task's pace, which without serving tasks on the VM never comes.

An attempt of which a pace call may have reached the worker without an answer is now told its pace again until there is one, and every 3 s after that, also if the pace is full.

--- a/src/radishlanding/vmagent/task_pacer.py
+++ b/src/radishlanding/vmagent/task_pacer.py
@@ -15,7 +15,8 @@
 
 # Latency figures cover half a second: the next one shows a new pace's effect.
 CONTROL_INTERVAL_S = 0.6
-# Paces below full are repeated, as a delayed call may undo a newer one.
+# Paces below full are repeated, as a delayed call may undo a newer one; full
+# ones of tasks of which a call got no answer, too.
 REPEAT_INTERVAL_S = 3.0
 # The leader renews its ranks with each report, at least every second. Older
 # ones may name tasks first that no other VM favours any more.
@@ -40,6 +41,7 @@
         "_ranks",
         "_repeat_at_s",
         "_supervisor",
+        "_unanswered",
         "_weights",
     )
 
@@ -58,6 +60,9 @@
         self._ranks = {}
         self._repeat_at_s = 0.0
         self._supervisor = supervisor
+        # Attempts of which a pace call got no answer, and whether it was the
+        # last one: any of these calls may be carried out late.
+        self._unanswered = {}
         self._weights = {}
 
     def update_weights(self, weights):
@@ -171,13 +176,25 @@
         if is_due:
             self._repeat_at_s = boot_clock_s() + REPEAT_INTERVAL_S
         percents = self._percents(best_effort)
+        self._unanswered = {
+            key: is_last
+            for key, is_last in self._unanswered.items()
+            if key in percents
+        }
         return [
             (task, percents[task.key])
             for task in best_effort
             if task.pace_percent != percents[task.key]
-            or (is_due and task.pace_percent != FULL_PERCENT)
+            or self._unanswered.get(task.key, False)
+            or (is_due and self._may_change(task))
         ]
 
+    def _may_change(self, task):
+        """Return whether an earlier call may still change a task's pace."""
+        return (
+            task.pace_percent != FULL_PERCENT or task.key in self._unanswered
+        )
+
     def _observe(self, best_effort):
         active = self._supervisor.table.active()
         self._latency_monitor.observe(
@@ -251,6 +268,8 @@
                 fence=self._supervisor.fence,
             )
         except WorkerUnavailable as exc:
+            if exc.was_sent:
+                self._unanswered[task.key] = True
             self._counters.add("pace_unanswered")
             _log.warning(
                 "pace_unanswered",
@@ -261,6 +280,8 @@
                 reason=exc,
             )
             return
+        if task.key in self._unanswered:
+            self._unanswered[task.key] = False
         now_s = boot_clock_s()
         self._counters.record_duration(
             "pace_order", since_s=sent_s, now_s=now_s
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -32,6 +32,7 @@
         "has_ended",
         "is_replaced",
         "is_unreachable",
+        "late_pace_s",
         "loses_polls",
         "paces",
         "paces_at_s",
@@ -65,6 +66,9 @@
         self.is_replaced = False
         self.is_unreachable = False
         self.polls = 0
+        # Delay with which the next pace call is carried out, without an
+        # answer; None for no such call.
+        self.late_pace_s = None
         self.loses_polls = False
         self.paces = {}
         self.paces_at_s = {}
@@ -190,7 +194,21 @@
         if task_id == self.unpaceable_task:
             await trio.sleep(PACE_TIMEOUT_S)
             raise WorkerUnavailable("no answer")
+        if self.late_pace_s is not None:
+            late_s, self.late_pace_s = self.late_pace_s, None
+            trio.lowlevel.spawn_system_task(
+                self._pace_late, task_id, attempt, percent, late_s
+            )
+            await trio.sleep(PACE_TIMEOUT_S)
+            raise WorkerUnavailable("no answer")
+        self._set_pace(task_id, attempt, percent)
+        return True
+
+    async def _pace_late(self, task_id, attempt, percent, late_s):
+        await trio.sleep(late_s)
+        self._set_pace(task_id, attempt, percent)
+
+    def _set_pace(self, task_id, attempt, percent):
         if self.paces.get((task_id, attempt)) != percent:
             self.paces_at_s[task_id] = time.monotonic()
         self.paces[(task_id, attempt)] = percent
-        return True
--- a/tests/vmagent/task_pacer.feature
+++ b/tests/vmagent/task_pacer.feature
@@ -39,3 +39,16 @@
     When the leader ranks the second one first
     And it sends reports without ranks for 3.5 s
     Then within 1.5 s only the first one runs
+
+  # The task stood still until it was paced the next time: a full pace was not
+  # repeated, and a call without an answer was taken for one without effect.
+  Scenario Outline: a pause that is carried out <late_s> s late does not last
+    Given a supervisor whose worker runs a serving task and 1 best-effort ones
+    And the next pace call is carried out after <late_s> s, without an answer
+    When the serving task exceeds its latency target for 0.7 s, and has no load for 6 s
+    Then within 3.5 s all best-effort tasks run at full pace
+
+    Examples:
+      | late_s |
+      | 0.5    |
+      | 5      |
--- a/tests/vmagent/task_pacer_steps.py
+++ b/tests/vmagent/task_pacer_steps.py
@@ -96,6 +96,13 @@
     context.worker.unpaceable_task = context.best_effort[0]
 
 
+@given(
+    "the next pace call is carried out after {late_s:g} s, without an answer"
+)
+def _late(context, late_s):
+    context.worker.late_pace_s = late_s
+
+
 @when("the serving task exceeds its latency target {times:d} time")
 @when("the serving task exceeds its latency target {times:d} times")
 def _exceeds(context, times):
@@ -133,6 +140,31 @@
     time.sleep(exceeds_s)
 
 
+@when(
+    "the serving task exceeds its latency target for {exceeds_s:g} s, and has "
+    "no load for {idle_s:g} s"
+)
+def _exceeds_and_idles(context, exceeds_s, idle_s):
+    _exceeds_for(context, exceeds_s)
+    context.worker.gauges[SERVING] = 0
+    time.sleep(idle_s)
+    assert context.worker.paces_at_s, "nothing was paced"
+
+
+@then("within {wait_s:g} s all best-effort tasks run at full pace")
+def _all_run(context, wait_s):
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        paces = {
+            task: context.worker.paces.get((task, 1), 100)
+            for task in context.best_effort
+        }
+        if set(paces.values()) == {100}:
+            return
+        assert time.monotonic() < deadline_s, paces
+        context.bridge.call(trio.sleep, 0.05)
+
+
 @then(
     "the second best-effort task is reported with less work than the first, "
     "at a pace of 0 %"
