Let agents dial a leader that is named beside theirs

Callers of a site with more than four dispatchers saw VMs left out by a new leader: their agents were still connected with the one before, which was cut off from the store alone. They read from the store every 5 s who leads, and LeaderSearch used that only for agents without a leader. Only standbys or the end of that connection told them; meanwhile their leases ran out.

A leader that is named is now dialled beside the one that is followed. It accepts the VM in its newer epoch, which the agent then follows.

"a leader that is named beside the one that is followed is dialled" failed before: the third was not among the four addresses chosen. That an agent loses its lease for this was read from the code, not played.

--- a/src/radishlanding/policy/leader_search.py
+++ b/src/radishlanding/policy/leader_search.py
@@ -39,15 +39,16 @@
         :param leader: Address of the leader, None while there is none.
         :param hints: Addresses of dispatchers that are said to lead.
         :param now_s: Monotonic time, in seconds.
-        :returns: The leader and some standbys. Without a leader, those that
-            are said to lead, the standbys and, after ``SEARCH_DELAY_S``, more
-            and more of the others.
+        :returns: The leader, those that are said to lead, some standbys and,
+            without a leader, after ``SEARCH_DELAY_S`` more and more of the
+            others.
         """
         ranked = sorted(known, key=self._rank)
         if leader is not None:
             self._absent_since_s = None
             others = [address for address in ranked if address != leader]
-            return {leader, *others[:STANDBY_COUNT]}
+            # The leader may have been replaced and be cut off from the site.
+            return {leader, *hints, *others[:STANDBY_COUNT]}
         if self._absent_since_s is None:
             self._absent_since_s = now_s
         searched_s = now_s - self._absent_since_s - SEARCH_DELAY_S
--- a/tests/policy/leader_search.feature
+++ b/tests/policy/leader_search.feature
@@ -26,3 +26,10 @@
     When the third is named as the leader 0.5 s later
     Then each of 160 agents is connected with the third
     And all agents together dial at most 640 times, 5600 times without the search
+
+  # Agents of a large site that were still connected with an earlier leader,
+  # which had lost only the store, did not look for the new one.
+  Scenario: a leader that is named beside the one that is followed is dialled
+    Given 12 dispatchers, of which the first leads
+    When the third is named as the leader
+    Then each of 66 agents is connected with both, and with 5 at most
--- a/tests/policy/leader_search_steps.py
+++ b/tests/policy/leader_search_steps.py
@@ -90,3 +90,24 @@
 def _few_dials(context, most, all_dials):
     assert sum(context.dials) <= most, sum(context.dials)
     assert len(context.dials) * len(context.addresses) == all_dials
+
+
+@when("the third is named as the leader")
+def _third_named(context):
+    context.named = context.addresses[2]
+
+
+@then(
+    "each of {agents:d} agents is connected with both, and with {most:d} at "
+    "most"
+)
+def _connected_with_both(context, agents, most):
+    for number in range(agents):
+        chosen = LeaderSearch(own_id=f"vm-{number}").addresses(
+            context.addresses,
+            leader=context.leader,
+            hints={context.named},
+            now_s=0,
+        )
+        assert {context.leader, context.named} <= chosen, chosen
+        assert len(chosen) <= most, chosen
