Read lists with checkpoints that are too long to keep

Callers saw nothing start on a sound worker, for good: one checkpoint of more than 4,096 bytes made each list of its worker unreadable, the agent took the worker for silent, its attempts lapsed, and their ends, which carry the checkpoint as well, were never settled. The platform sets no limit.

Such a checkpoint is left out of the list now. Its attempt runs on, and would resume from an earlier checkpoint, as a longer one is not kept anywhere.

--- a/src/radishlanding/platform/listing.py
+++ b/src/radishlanding/platform/listing.py
@@ -8,6 +8,7 @@
 from radishlanding.platform.fields import check_number
 from radishlanding.platform.fields import check_text
 from radishlanding.platform.fields import MAX_NUMBER
+from radishlanding.platform.fields import MAX_TEXT_BYTES
 from radishlanding.platform.fields import read_int
 from radishlanding.platform.fields import read_list
 from radishlanding.worker import AttemptListing
@@ -56,7 +57,7 @@
     return RunningAttempt(
         task_id=check_text(task_id, "task"),
         attempt=check_int(attempt, "attempt"),
-        checkpoint=check_text(checkpoint, "checkpoint"),
+        checkpoint=_decode_checkpoint(checkpoint),
         progress=int(check_number(progress, "progress")),
         gauge=check_number(gauges[0], "gauge") if gauges else 0.0,
     )
@@ -76,5 +77,18 @@
         attempt=check_int(attempt, "attempt"),
         kind=_KIND_BY_END.get(reason, EndKind.INTERRUPTED),
         reason=reason,
-        checkpoint=check_text(checkpoint, "checkpoint"),
+        checkpoint=_decode_checkpoint(checkpoint),
     )
+
+
+def _decode_checkpoint(value):
+    """Return a checkpoint, empty if it is too long to be kept.
+
+    The platform sets no limit to its length. Without it the attempt resumes
+    from an earlier one; an unreadable list would end all attempts.
+    """
+    if isinstance(value, str):
+        size_bytes = len(value.encode(errors="surrogatepass"))
+        if size_bytes > MAX_TEXT_BYTES:
+            return ""
+    return check_text(value, "checkpoint")
--- a/tests/platform/listings.feature
+++ b/tests/platform/listings.feature
@@ -39,3 +39,14 @@
       | 0     | complete   |
       | 499   | complete   |
       | 500   | incomplete |
+
+  # One long checkpoint made all lists of its worker unreadable, so that its
+  # attempts lapsed and nothing was started there any more.
+  Scenario Outline: a checkpoint of <size> characters is <kept> of a listing
+    Given a worker of the platform that lists checkpoints of <size> characters
+    Then the listing has both attempts, and their checkpoints are <kept>
+
+    Examples:
+      | size | kept     |
+      | 4096 | part     |
+      | 5000 | no part  |
--- a/tests/platform/listings_steps.py
+++ b/tests/platform/listings_steps.py
@@ -195,3 +195,25 @@
 def _extent(context, extent):
     listing = context.bridge.call(_list_attempts, context)
     assert listing.is_complete == (extent == "complete"), len(listing.ended)
+
+
+@given(
+    "a worker of the platform that lists checkpoints of {size:d} characters"
+)
+def _lists_checkpoints(context, size):
+    context.checkpoint = "c" * size
+    body = {
+        "clockMs": 1,
+        "running": [[TASK, 1, context.checkpoint, 50]],
+        "ended": [[1, TASK, 0, "stopped", context.checkpoint]],
+    }
+    context.bridge.call(_open, context, json.dumps(body).encode())
+
+
+@then("the listing has both attempts, and their checkpoints are {kept}")
+def _has_checkpoints(context, kept):
+    listing = context.bridge.call(_list_attempts, context)
+    rows = [*listing.running, *listing.ended]
+    expected = context.checkpoint if kept == "part" else ""
+    assert [row.attempt for row in rows] == [1, 0], rows
+    assert {row.checkpoint for row in rows} == {expected}
