--- a/tests/platform/listings.feature
+++ b/tests/platform/listings.feature
@@ -47,6 +47,6 @@
     Then the listing has both attempts, and their checkpoints are <kept>
 
     Examples:
-      | size | kept     |
-      | 4096 | part     |
-      | 5000 | no part  |
+      | size | kept    |
+      | 4096 | part    |
+      | 5000 | no part |
--- a/tests/vmagent/worker_registry.feature
+++ b/tests/vmagent/worker_registry.feature
@@ -86,6 +86,6 @@
     And within 2 s a task that the leader orders runs on it
 
     Examples:
-      | fault                                                             |
+      | fault                                                              |
       | another writer deregisters it, and its address refuses connections |
-      | another worker answers at its address                             |
+      | another worker answers at its address                              |
