--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -63,8 +63,10 @@
         :param is_starved: Whether no task of the workflow has run for some
             time. One of its best-effort tasks, a whole gang or all standing
             tasks may then run wherever they fit, the others where no
-            best-effort task runs yet. VMs on which tasks are stuck may then
-            be chosen if no other one suits the step.
+            best-effort task runs yet. VMs that are probed after a quarantine
+            may then be chosen, and those on which tasks are stuck if they
+            are at least half of the VMs that suit the step; other VMs that
+            admit a task go first.
         :param max_doubtful: Tasks of the step that doubtful VMs may have
             together, None for no limit.
         :param cost_behind: Callable that takes a VM and returns the headroom
@@ -79,9 +81,7 @@
             self._doubtful_left = max_doubtful - sum(
                 vm.steps.get(key, 0) for vm in vms if is_doubtful(vm)
             )
-        self._admits_stuck = is_starved and not any(
-            vm.suits(step) for vm in vms if not vm.is_stuck
-        )
+        self._admits_stuck = is_starved and _are_many_stuck(step, vms)
         self._interference = interference
         self._is_light = interference.is_light(step.image)
         self._is_starved = is_starved
@@ -142,7 +142,8 @@
 
     def _entry(self, number, vm):
         """Return a heap entry; the smallest one is the best."""
-        cost = tuple(-part for part in self._score(vm))
+        is_last = vm.is_stuck or vm.has_all_new_tasks
+        cost = (is_last, *(-part for part in self._score(vm)))
         return cost, number, vm.vm, vm
 
     def _count_trials_left(self, vms):
@@ -173,13 +174,18 @@
             return False
         if self._step.fills and self._best_effort_refusal(vm):
             return False
-        if not vm.can_fit(self._key, self._step):
+        if self._load_refusal(vm) is not None:
             return False
         if self._exceeds_limit(vm):
             self.is_held_back = True
             return False
         return True
 
+    def _load_refusal(self, vm):
+        return vm.refusal(
+            self._key, self._step, exceeds_probes=self._is_starved
+        )
+
     def _exceeds_limit(self, vm):
         """Return whether the doubtful VMs have their share of the step."""
         return (
@@ -196,7 +202,7 @@
         """
         if vm.is_stuck and not self._admits_stuck:
             return Refusal.STUCK
-        refusal = vm.refusal(self._key, self._step)
+        refusal = self._load_refusal(vm)
         if refusal is None and self._step.fills:
             refusal = self._best_effort_refusal(vm)
         if refusal is None and self._exceeds_limit(vm):
@@ -285,6 +291,15 @@
     return 0 if is_probe and not step.standing else -1
 
 
+def _are_many_stuck(step, vms):
+    """Return whether tasks are stuck on half of the VMs that suit a step.
+
+    Then the few others may be full for long, with most of the capacity free.
+    """
+    stuck = [vm.is_stuck for vm in vms if vm.suits(step)]
+    return 2 * sum(stuck) >= len(stuck)
+
+
 def _count_forced(step):
     """Return how many tasks of a starved step go wherever they fit.
 
--- a/tests/dispatch/health_limit_steps.py
+++ b/tests/dispatch/health_limit_steps.py
@@ -1,12 +1,14 @@
 """Steps about VMs that are barred by their health."""
 
 import random
+import time
 
 from behave import given
 from behave import then
 from behave import when
 
 from radishlanding.config import Site
+from radishlanding.dispatch.vm_health_tracker import MIN_QUARANTINE_S
 from radishlanding.policy import EarliestDeadline
 from radishlanding.policy import WorkflowPlanner
 from radishlanding.policy.refusal import Refusal
@@ -33,28 +35,49 @@
 
 @when("a lasting workflow of 4 tasks is planned")
 def _planned(context):
+    _plan(context, 0)
+
+
+@when("a lasting workflow of 4 tasks is planned after a wait of {wait_s:g} s")
+def _planned_late(context, wait_s):
+    _plan(context, wait_s)
+
+
+def _plan(context, wait_s):
     planner = WorkflowPlanner(
         order=EarliestDeadline(),
         interference=context.interference,
         rng=random.Random(1),
     )
-    workflow = make_workflow([Step(count=4, needs=NEEDS, standing=True)])
+    workflow = make_workflow(
+        [Step(count=4, needs=NEEDS, standing=True)], accepted_ms=1000
+    )
     loads = context.fleet.loads(Site(version=1), with_stuck=True)
     context.assignments = planner.plan(
-        [WorkflowRecord(workflow=workflow)], loads, now_ms=1000
+        [WorkflowRecord(workflow=workflow)],
+        loads,
+        now_ms=1000 + int(wait_s * 1000),
     )
 
 
 @given("its sound VMs are full")
 def _full(context):
     for session in context.fleet.sessions.values():
-        if not session.vm.startswith("stuck"):
-            _fill(context, session)
+        if session.vm.startswith("sound"):
+            count = session.state.capacity.millicores // NEEDS.millicores
+            _assign(context, session, count)
+
+
+@given("the quarantine is over, and a task runs as a probe")
+def _probed(context):
+    time.sleep(MIN_QUARANTINE_S + 0.1)
+    for session in context.fleet.sessions.values():
+        if session.vm.startswith("quarantined"):
+            _assign(context, session, 1)
 
 
-def _fill(context, session):
-    """Assign as many tasks to a VM as it takes."""
-    count = session.state.capacity.millicores // NEEDS.millicores
+def _assign(context, session, count):
+    """Assign tasks of a workflow to a VM."""
     name = f"{len(context.registry.workflows) + 100:016x}"
     workflow = make_workflow([Step(count=count, needs=NEEDS)], name=name)
     assignments = [
