Let repeats of a call take only slots that nobody waits for

A worker answers a bounded number of calls at a time. Repeats that are sent beside unanswered tries would compete with the first tries of other tasks, and a few tasks without an answer could use up all calls in flight.

CallSlots.acquire_for_repeat() takes a slot only if one is free and no other call waits for its turn, and at most half of the calls in flight are repeats. It never waits.

--- a/src/radishlanding/worker/call_slots.py
+++ b/src/radishlanding/worker/call_slots.py
@@ -17,7 +17,9 @@
         "_calls",
         "_hold_s",
         "_max_calls",
+        "_max_repeats",
         "_released",
+        "_repeats",
         "_slots",
         "_turn",
     )
@@ -34,7 +36,10 @@
         self._calls = {}
         self._hold_s = hold_s
         self._max_calls = max_calls
+        # Leaves first tries room beside the repeats of unanswered ones.
+        self._max_repeats = max_calls // 2
         self._released = trio.Event()
+        self._repeats = set()
         self._slots = slots
         # Only the next call in turn watches for a free slot.
         self._turn = trio.Lock()
@@ -48,13 +53,32 @@
             while not self._has_room():
                 with trio.move_on_at(self._next_expiry_s()):
                     await self._released.wait()
-            call = object()
-            self._calls[call] = trio.current_time()
+            return self._add()
+
+    def acquire_for_repeat(self):
+        """Take a slot for a repeat of a call that is in flight.
+
+        :returns: The call, None if no slot is free or another call waits.
+        """
+        if (
+            self._turn.locked()
+            or not self._has_room()
+            or len(self._repeats) >= self._max_repeats
+        ):
+            return None
+        call = self._add()
+        self._repeats.add(call)
+        return call
+
+    def _add(self):
+        call = object()
+        self._calls[call] = trio.current_time()
         return call
 
     def release(self, call):
         """Record that a call has ended."""
         del self._calls[call]
+        self._repeats.discard(call)
         self._released.set()
         self._released = trio.Event()
 
