Know within 1.1 s whether an unanswered start takes effect

Callers saw accepted work stand still for 4.9 s in the median, and up to 15 s, from assignment to task_ended kind=not_run reason="the order is too old", while other workers had room.

Cause: a start without an answer was repeated for 2.5 s with a new deadline each time, 1 s after the last one; then a stop had to be accepted by the same worker, with one try a second; then a list requested after that had to lack the attempt. Nothing bounded the sum.

A worker refuses a start whose own deadlineMs has passed on its clock (`late`), however late it carries the call out. So all tries of a start now carry one deadline, at most START_VALIDITY_S (1 s) after the first. A complete list of the same boot that was requested after the deadline, and whose clock is past it, shows what became of the attempt: if the list lacks it, it cannot run any more. The stop is still sent first, and repeated until the attempt has ended, but it need not be accepted. The deadline is dropped when the worker starts again, as the new boot's clock starts anew; there a stop has to be accepted as before. An attempt that was given up on the boot before is reported as interrupted then, as it may have run there.

Starts and stops without an answer are tried again every 0.25 s on another connection, up to 4 at a time for one attempt. The first `started` decides. A refusal decides nothing while another try is unanswered; once none is, the attempt ends at once. Repeats wait for no slot and are held back by SilenceBreaker.

start_resolved logs how long the outcome was open and what showed it. AttemptTable.has_uncertain() tells whether a list may resolve an attempt. A reading of the worker's clock that took longer than 0.1 s is not used, as it would use up the shorter validity.

--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -103,9 +103,18 @@
             slots=PACE_SLOTS, max_calls=MAX_PACES, hold_s=SLOT_HOLD_S
         )
 
-    async def _call(self, path, value, slots):
+    async def _call(self, path, value, slots, *, is_repeat=False):
+        """Call the runner once a slot is free.
+
+        :raises RequestWithdrawn: It is a repeat, and no slot is free.
+        """
         queued_s = boot_clock_s()
-        call = await slots.acquire()
+        if is_repeat:
+            call = slots.acquire_for_repeat()
+        else:
+            call = await slots.acquire()
+        if call is None:
+            raise RequestWithdrawn
         try:
             waited_s = boot_clock_s() - queued_s
             if waited_s > LOGGED_WAIT_S:
@@ -136,8 +145,11 @@
             return None if terms is None else _encode(make_value(terms))
 
         call = None
-        with trio.move_on_after(max(0.0, permit.wait_s())):
-            call = await self._start_slots.acquire()
+        if permit.is_repeat:
+            call = self._start_slots.acquire_for_repeat()
+        else:
+            with trio.move_on_after(max(0.0, permit.wait_s())):
+                call = await self._start_slots.acquire()
         if call is None:
             raise RequestWithdrawn
         try:
@@ -243,16 +255,22 @@
             return StartResult.INVALID, clock_ms
         raise WorkerUnavailable(f"run-start: status {status}")
 
-    async def stop(self, task_id, attempt, *, fence):
+    async def stop(self, task_id, attempt, *, fence, is_repeat=False):
         """Stop an attempt, or prevent one that has not arrived from starting.
 
-        :returns: Whether the runner has accepted the call.
+        :param is_repeat: Whether another try of the stop is in flight.
+        :returns: Whether the runner has accepted the call, None if it was not
+            sent.
         """
-        status, _ = await self._call(
-            "run-stop",
-            {"task": task_id, "run": attempt, "fencingToken": fence},
-            self._stop_slots,
-        )
+        try:
+            status, _ = await self._call(
+                "run-stop",
+                {"task": task_id, "run": attempt, "fencingToken": fence},
+                self._stop_slots,
+                is_repeat=is_repeat,
+            )
+        except RequestWithdrawn:
+            return None
         if status >= 500 or status == 429:
             raise WorkerUnavailable(f"run-stop: status {status}")
         return status == 200
--- a/src/radishlanding/policy/silence_breaker.py
+++ b/src/radishlanding/policy/silence_breaker.py
@@ -40,6 +40,10 @@
             self._has_timed_out or now_s - self._quiet_since_s > MAX_SILENCE_S
         )
 
+    def has_timed_out(self, server):
+        """Return whether nothing was answered since a call timed out."""
+        return server is self._server and self._has_timed_out
+
     def record_call(self, server, now_s):
         """Record that a call is sent."""
         if server is not self._server:
@@ -57,6 +61,11 @@
             self._quiet_since_s = now_s
             self._waiting -= 1
 
+    def record_withdrawal(self, server):
+        """Record that a call was not sent after all."""
+        if server is self._server:
+            self._waiting -= 1
+
     def record_timeout(self, server, *, sent_s=math.inf):
         """Record that a call was given up without an answer.
 
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -78,7 +78,39 @@
             task for task in self._attempts.values() if task.end is not None
         ]
 
-    def end(self, task, kind, *, reason, number=0, checkpoint=""):
+    def has_uncertain(self):
+        """Return whether a list may show what became of an active attempt.
+
+        That is one whose start is unanswered, or that is being stopped.
+        """
+        now_s = boot_clock_s()
+        return any(
+            task.is_stop_begun
+            or (task.unanswered_starts and task.doubt_s(now_s))
+            for task in self.active()
+        )
+
+    def record_resolution(self, task, *, outcome, by):
+        """Log what became of an unanswered start, once it is known.
+
+        :param task: The :class:`TaskAttempt`, in its state before that.
+        :param outcome: ``running`` or how the attempt ended.
+        :param by: What showed it: ``answer``, ``list``, ``stop`` together
+            with a list, or ``worker`` for its end or silence.
+        """
+        doubt_s = task.doubt_s(boot_clock_s())
+        if doubt_s:
+            _log.info(
+                "start_resolved",
+                task=task.task_id,
+                attempt=task.attempt,
+                vm=task.vm,
+                outcome=outcome,
+                doubt_ms=int(doubt_s * 1000),
+                by=by,
+            )
+
+    def end(self, task, kind, *, reason, number=0, checkpoint="", by="worker"):
         """Record the end of an attempt; later calls change nothing.
 
         :param task: The :class:`TaskAttempt`.
@@ -86,9 +118,11 @@
         :param reason: Why it ended, for reports and the log.
         :param number: The worker's number of the end, 0 for none.
         :param checkpoint: Checkpoint to resume from, empty to keep the last.
+        :param by: What showed it, see :meth:`record_resolution`.
         """
         if task.end is not None:
             return
+        self.record_resolution(task, outcome=kind, by=by)
         task.end = kind
         task.end_reason = reason
         task.end_number = number
@@ -163,6 +197,7 @@
         for row in listing.running:
             task = self._find_or_add(row)
             listed.add(task.key)
+            self.record_resolution(task, outcome="running", by="list")
             task.checkpoint = row.checkpoint or task.checkpoint
             task.observe_progress(row.progress, now_s=now_s)
             task.gauge = row.gauge
@@ -193,23 +228,26 @@
                 reason=row.reason,
                 number=row.number,
                 checkpoint=row.checkpoint,
+                by="list",
             )
         if not listing.is_complete:
             return
         for task in self.active():
-            if (
-                task.key not in listed
-                and task.is_confirmed
-                and task.confirmed_s < sent_s
-            ):
-                self._end_unlisted(task)
-
-    def _end_unlisted(self, task):
+            if task.key in listed:
+                continue
+            if task.is_confirmed and task.confirmed_s < sent_s:
+                self._end_unlisted(task, by="stop")
+            elif task.cannot_start_after(listing, sent_s=sent_s):
+                self._end_unlisted(task, by="list")
+
+    def _end_unlisted(self, task, *, by):
         """Record the end of an attempt that the worker does not list."""
-        if task.not_run_reason and not task.is_listed:
-            self.end(task, EndKind.NOT_RUN, reason=task.not_run_reason)
+        has_run = task.is_listed or task.has_started
+        if task.not_run_reason and not has_run:
+            kind, reason = EndKind.NOT_RUN, task.not_run_reason
         else:
-            self.end(task, EndKind.INTERRUPTED, reason="unknown to the worker")
+            kind, reason = EndKind.INTERRUPTED, "unknown to the worker"
+        self.end(task, kind, reason=reason, by=by)
 
     def _find_or_add(self, row):
         task = self._attempts.get((row.task_id, row.attempt))
@@ -217,6 +255,7 @@
             task = TaskAttempt(
                 task_id=row.task_id,
                 attempt=row.attempt,
+                is_listed=True,
                 is_confirmed=True,
                 is_sent=True,
                 # An earlier agent may have left one.
--- a/src/radishlanding/vmagent/order_handler.py
+++ b/src/radishlanding/vmagent/order_handler.py
@@ -45,6 +45,7 @@
             task = TaskAttempt(
                 task_id=order.task_id,
                 attempt=order.attempt,
+                vm=self._supervisor.vm,
                 order=order,
                 accepted_s=boot_clock_s(),
                 checkpoint=order.checkpoint,
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -8,6 +8,8 @@
 from radishlanding.policy import FULL_PERCENT
 from radishlanding.policy import ProgressMonitor
 from radishlanding.policy import WorkMeter
+from radishlanding.vmagent.hedged_call import RETRY_INTERVAL_S
+from radishlanding.vmagent.start_deadline import StartDeadline
 from radishlanding.workflow import EndKind
 
 
@@ -17,6 +19,7 @@
 
     :param task_id: Name of the task.
     :param attempt: Number of the attempt.
+    :param vm: Identity of the VM, for the log.
     :param order: The order, None for an attempt of an earlier agent that was
         found on the worker.
     :param accepted_s: When the order arrived, on the boot clock, in seconds.
@@ -27,13 +30,19 @@
     :param confirmed_s: When it was confirmed, on the boot clock, in seconds.
     :param is_sent: Whether a start call of it has been sent, perhaps by an
         earlier agent. Otherwise it cannot run.
-    :param is_start_uncertain: Whether a start call got no answer, and may
-        still arrive.
+    :param first_sent_s: When the first call with its start deadline was sent,
+        on the boot clock, in seconds.
+    :param start_deadline: The deadline of its starts on the present boot,
+        None if no call with one may still be carried out.
+    :param has_started: Whether the worker has confirmed its start.
     :param unanswered_starts: Number of start calls without an answer. Even if
         the attempt runs, one of them may be executed by the next boot.
     :param not_run_reason: Reason to report if a later list shows that it
         never ran, empty if it was not given up.
-    :param is_stopping: Whether it is being stopped.
+    :param is_stopping: Whether the leader has ordered to stop it.
+    :param is_stop_begun: Whether its present boot is being told to stop or
+        refuse it, by order or as its start got no answer.
+    :param is_stop_accepted: Whether the worker has accepted that.
     :param checkpoint: Newest checkpoint to resume from.
     :param progress: Share of its work that is done, in percent.
     :param progress_monitor: Detects that the progress is too slow.
@@ -50,16 +59,21 @@
 
     task_id: str
     attempt: int
+    vm: str = ""
     order: TaskOrder | None = None
     accepted_s: float = 0.0
     is_listed: bool = False
     is_confirmed: bool = False
     confirmed_s: float = 0.0
     is_sent: bool = False
-    is_start_uncertain: bool = False
+    first_sent_s: float = 0.0
+    start_deadline: StartDeadline | None = None
+    has_started: bool = False
     unanswered_starts: int = 0
     not_run_reason: str = ""
     is_stopping: bool = False
+    is_stop_begun: bool = False
+    is_stop_accepted: bool = False
     checkpoint: str = ""
     progress: int = 0
     progress_monitor: ProgressMonitor = dataclasses.field(
@@ -83,6 +97,49 @@
         """Return whether it cannot run once the worker has started again."""
         return self.is_listed and not self.unanswered_starts
 
+    def doubt_s(self, now_s):
+        """Return for how long a start of it has had an unknown outcome.
+
+        It is 0 if there is none, or while an answer is still to be expected.
+
+        :param now_s: Current time on the boot clock, in seconds.
+        """
+        has_outcome = self.is_listed or self.has_started or self.end
+        if has_outcome or not self.is_sent:
+            return 0.0
+        open_s = now_s - self.first_sent_s
+        return open_s if open_s >= RETRY_INTERVAL_S else 0.0
+
+    def cannot_start_after(self, listing, *, sent_s):
+        """Return whether a list shows that no start call has effect any more.
+
+        The worker refuses starts after their deadline. An attempt that such a
+        list lacks does not run, and will not.
+
+        :param listing: A :class:`radishlanding.worker.AttemptListing`.
+        :param sent_s: When it was requested, on the boot clock, in seconds.
+        """
+        return (
+            self.is_stop_begun
+            and self.start_deadline is not None
+            and self.start_deadline.precedes(listing, sent_s=sent_s)
+        )
+
+    def leave_boot(self):
+        """Forget what only held for the boot of the worker that has ended.
+
+        The clock of the next boot starts anew, so that an unanswered start may
+        be carried out there after its deadline, or have run on the last boot.
+        """
+        self.start_deadline = None
+        self.not_run_reason = ""
+        self.is_stopping = False
+        self.is_stop_begun = False
+        self.is_stop_accepted = False
+        if self.unanswered_starts:
+            # A list says nothing before the next boot refuses the start.
+            self.is_confirmed = False
+
     @property
     def latency_share(self):
         """Return the tail latency divided by its target, 0 without one."""
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -221,10 +221,7 @@
         if is_replaced:
             self.worker = self._make_worker(self.report)
         for task in self.table.active():
-            task.is_stopping = False
-            if task.unanswered_starts:
-                # A list says nothing before this boot refuses the start.
-                task.is_confirmed = False
+            task.leave_boot()
         self.stop([task.key for task in self.table.active()])
 
     def use_fence(self, fence):
--- a/src/radishlanding/worker/leased_worker.py
+++ b/src/radishlanding/worker/leased_worker.py
@@ -32,11 +32,14 @@
             is 0 if the call was not sent.
         """
 
-    async def stop(self, task_id, attempt, *, fence):
+    async def stop(self, task_id, attempt, *, fence, is_repeat=False):
         """Stop an attempt, or prevent its start if it is not there.
 
         :param fence: Fencing token.
-        :returns: Whether the worker has accepted the call.
+        :param is_repeat: Whether another try of the stop is in flight. It is
+            only sent if no other call waits for its turn.
+        :returns: Whether the worker has accepted the call, None if it was not
+            sent.
         """
 
     async def list_attempts(
--- a/src/radishlanding/worker/start_permit.py
+++ b/src/radishlanding/worker/start_permit.py
@@ -8,8 +8,13 @@
 
     A start may wait for its turn and for a connection. What was true when it
     was ordered may have changed meanwhile.
+
+    :ivar is_repeat: Whether another try of the start is in flight. It is only
+        sent if no other call waits for its turn.
     """
 
+    is_repeat: bool
+
     def wait_s(self):
         """Return how much longer the start may wait, in seconds."""
 
--- a/src/radishlanding/worker/start_terms.py
+++ b/src/radishlanding/worker/start_terms.py
@@ -1,4 +1,4 @@
-"""What a start order says of the time at which it is sent."""
+"""What a start call says beside its order."""
 
 import dataclasses
 
@@ -8,8 +8,8 @@
     """Fencing token and deadline of a start.
 
     :param fence: Fencing token.
-    :param deadline_ms: Time on the worker's clock at which all attempts on it
-        end, in milliseconds.
+    :param deadline_ms: Time on the worker's clock after which it refuses the
+        start, in milliseconds. It also holds its attempts until then.
     """
 
     fence: int
--- a/tests/platform/open_permit.py
+++ b/tests/platform/open_permit.py
@@ -10,6 +10,8 @@
 
     __slots__ = ("_fence",)
 
+    is_repeat = False
+
     def __init__(self, *, fence=7):
         """Permit starts with a fencing token."""
         self._fence = fence
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -114,7 +114,7 @@
             return StartResult.NO_ROOM, self.clock_ms()
         return StartResult.STARTED, self.clock_ms()
 
-    async def stop(self, task_id, attempt, *, fence):
+    async def stop(self, task_id, attempt, *, fence, is_repeat=False):
         """Stop an attempt, and refuse its later starts."""
         self._check()
         self.forbidden.add((task_id, attempt))
--- a/tests/vmagent/order_executor.feature
+++ b/tests/vmagent/order_executor.feature
@@ -63,3 +63,71 @@
     Then within 0.3 s each of these has been reported as not_run
     When the worker answers again, and 3 s later 10 more are ordered
     Then within 0.5 s each of these has started
+
+  # Tasks stood still for 4.9 s in the median, and up to 15 s, on workers that
+  # left their starts unanswered: whether they ran was open for that long.
+  Scenario: an attempt whose calls get no answer is soon known not to run
+    Given an agent whose worker carries out all calls 2 to 12 s late, unanswered
+    When one attempt is ordered
+    Then after 0.4 s its outcome is uncertain
+    And within 1.7 s it is reported as not_run
+    And no outcome is uncertain
+    And the log says that its start was resolved to not_run by list
+    And a stop was sent
+    And at most 3 calls are sent from 2 to 5 s after its order
+    And after 14 s it has not run
+
+  Scenario: an attempt whose first tries are lost soon runs
+    Given an agent whose worker carries out its first 2 starts 2 s late, unanswered
+    When one attempt is ordered
+    Then within 0.6 s it runs
+    And the log says that its start was resolved to running by answer
+    And no outcome is uncertain
+    And after 4 s it runs and was not stopped
+
+  # A list that was requested before the deadline lacks it.
+  Scenario: an attempt that began just before its deadline is not given up
+    Given an agent whose worker carries out its first 9 starts 0.85 s late, unanswered
+    When one attempt is ordered
+    Then within 1 s it runs
+    And after 4 s it runs and was not stopped
+    And the log says that its start was resolved to running by list
+
+  # A list that lacks an attempt is no proof while its start may be carried out.
+  Scenario: an attempt that is stopped may begin until its deadline
+    Given an agent whose worker carries out starts 0.8 s and stops 3 s late, unanswered
+    When one attempt is ordered
+    Then after 0.3 s its outcome is uncertain
+    When the leader stops it
+    Then within 0.8 s it runs
+    And after 2.5 s no end of it is reported
+    And within 4 s it is reported as interrupted
+
+  # The answers of two tries may differ. A task that runs must not be given up.
+  Scenario: a refused repeat does not decide while the first try is unanswered
+    Given an agent whose worker answers its first start after 0.6 s, and has no room for the others
+    When one attempt is ordered
+    Then within 0.8 s it runs
+    And after 4 s it runs and was not stopped
+
+  # The clock of a new boot starts anew, so that a copy of a start may run there
+  # after its deadline, or have run on the boot before.
+  Scenario Outline: a list of a new boot is no proof before a stop is answered
+    Given an agent whose worker, up for <age> s, answers no start or stop
+    When one attempt is ordered, and 0.5 s later the worker restarts
+    Then after 3 s no end of it is reported
+    When the worker answers stops again
+    Then within 2 s it is reported as interrupted
+
+    Examples:
+      | age |
+      | 0   |
+      | 60  |
+
+  Scenario: a stop whose first call is lost takes effect soon
+    Given an agent whose worker carries out its first stop 2 s late, unanswered
+    When one attempt is ordered
+    Then within 0.6 s it runs
+    When the leader stops it
+    Then within 0.5 s the worker has stopped it
+    And within 0.8 s it is reported as interrupted
