Have a new boot refuse starts of attempts that ended before it

A worker may carry out a call seconds after it was sent. If it restarts in between, under the same name, it knows neither of a stop nor of an end, and its clock starts anew, so that the deadline of the call is far ahead. It ran an attempt that was on record as not_run, while its task had been placed elsewhere.

Only attempts without an end were stopped on the new boot.

A copy that arrives before the agent learns of the new boot still runs until it is listed.

--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -5,6 +5,7 @@
 from radishlanding.observe import EventLog
 from radishlanding.policy import FULL_PERCENT
 from radishlanding.vm import boot_clock_s
+from radishlanding.vmagent.late_starts import LateStarts
 from radishlanding.vmagent.task_attempt import TaskAttempt
 from radishlanding.workflow import EndKind
 
@@ -19,13 +20,20 @@
     ``settled_number``.
     """
 
-    __slots__ = ("_attempts", "_changed", "_settled", "settled_number")
+    __slots__ = (
+        "_attempts",
+        "_changed",
+        "_settled",
+        "late_starts",
+        "settled_number",
+    )
 
     def __init__(self):
         """Start empty."""
         self._changed = trio.Event()
         self._settled = set()
         self._attempts = {}
+        self.late_starts = LateStarts()
         self.settled_number = 0
 
     async def wait_changed(self):
@@ -123,6 +131,8 @@
         if task.end is not None:
             return
         self.record_resolution(task, outcome=kind, by=by)
+        if task.unanswered_starts:
+            self.late_starts.add(task.key)
         task.end = kind
         task.end_reason = reason
         task.end_number = number
--- a/src/radishlanding/vmagent/order_executor.py
+++ b/src/radishlanding/vmagent/order_executor.py
@@ -3,6 +3,7 @@
 from radishlanding.policy import SilenceBreaker
 from radishlanding.vmagent.attempt_start import AttemptStart
 from radishlanding.vmagent.attempt_stop import AttemptStop
+from radishlanding.vmagent.task_attempt import TaskAttempt
 from radishlanding.worker import StartResult
 from radishlanding.workflow import EndKind
 
@@ -53,6 +54,18 @@
         elif not task.is_stop_begun:
             self._begin_stop(task)
 
+    def refuse(self, task_id, attempt):
+        """Make the worker refuse an attempt that has ended on the last boot.
+
+        :param task_id: Name of the task.
+        :param attempt: Number of the attempt.
+        """
+        self._begin_stop(
+            TaskAttempt(
+                task_id=task_id, attempt=attempt, vm=self._supervisor.vm
+            )
+        )
+
     def _begin_stop(self, task):
         task.is_stop_begun = True
         self._nursery.start_soon(self._stop, self._make(AttemptStop, task))
--- a/src/radishlanding/vmagent/order_handler.py
+++ b/src/radishlanding/vmagent/order_handler.py
@@ -80,6 +80,11 @@
             return f"the order is based on a clock {age_ms} ms old"
         return ""
 
+    def refuse_late_starts(self):
+        """Make a new boot refuse starts of attempts that ended before it."""
+        for task_id, attempt in self._supervisor.table.late_starts.keys():
+            self._executor.refuse(task_id, attempt)
+
     def stop(self, keys):
         """Stop the attempts that have not ended; unknown ones are ignored.
 
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -200,7 +200,8 @@
 
         An attempt that the previous boot never listed, or of which a start
         call is unanswered, may start on the new one, which has the same
-        identity; it is stopped there.
+        identity; it is stopped there. So are those that have ended while a
+        start call was unanswered.
 
         :param before: The newest report of the previous boot.
         """
@@ -220,6 +221,8 @@
         self.is_partly_listed = False
         if is_replaced:
             self.worker = self._make_worker(self.report)
+        else:
+            self._order_handler.refuse_late_starts()
         for task in self.table.active():
             task.leave_boot()
         self.stop([task.key for task in self.table.active()])
--- a/tests/vmagent/late_runner_steps.py
+++ b/tests/vmagent/late_runner_steps.py
@@ -1,5 +1,6 @@
 """Steps for orders to a worker that leaves calls unanswered for a while."""
 
+import math
 import random
 
 import trio
@@ -94,6 +95,15 @@
     _open(context, fate_of)
 
 
+@given(
+    "an agent whose worker, up for {age_s:g} s, carries out starts "
+    "{delay_s:g} s late, unanswered"
+)
+def _old_starts_late(context, age_s, delay_s):
+    fate_of = _lose_first("run-start", math.inf, delay_s)
+    _open(context, fate_of, age_s=age_s)
+
+
 @given("an agent whose worker, up for {age_s:g} s, answers no start or stop")
 def _none_answered(context, age_s):
     def fate_of(_call, _number):
@@ -123,6 +133,16 @@
     context.bridge.call(order_and_restart)
 
 
+@when("its end is put on record, and the worker restarts")
+def _settled_then_restarted(context):
+    async def settle_and_restart():
+        context.since_s = trio.current_time()
+        context.supervisor.table.settle([(context.tasks[0], 1)])
+        context.runner.boot()
+
+    context.bridge.call(settle_and_restart)
+
+
 @when("the worker answers stops again")
 def _answers_stops(context):
     async def answer():
--- a/tests/vmagent/order_executor.feature
+++ b/tests/vmagent/order_executor.feature
@@ -124,6 +124,14 @@
       | 0   |
       | 60  |
 
+  # A task ran twice: its end was on record, and it was placed elsewhere.
+  Scenario: a new boot does not run an attempt that has ended on the last one
+    Given an agent whose worker, up for 60 s, carries out starts 3 s late, unanswered
+    When one attempt is ordered
+    Then within 1.7 s it is reported as not_run
+    When its end is put on record, and the worker restarts
+    Then after 6 s it has not run
+
   Scenario: a stop whose first call is lost takes effect soon
     Given an agent whose worker carries out its first stop 2 s late, unanswered
     When one attempt is ordered
