Join the parts: returns of a boot refuse, and confirmation by start or list

What still runs of ended attempts is refused on a worker that returns by the call that needs no attempt in the table, as AttemptStop ends with its attempt. An attempt is reported as confirmed if its start was confirmed or a list had it: the acknowledgement of a stop confirms attempts that never ran, too.

--- a/src/radishlanding/vmagent/order_handler.py
+++ b/src/radishlanding/vmagent/order_handler.py
@@ -102,4 +102,4 @@
         """Stop what was sent of the attempts that count as ended."""
         for task in self._supervisor.table.ended():
             if task.is_sent:
-                self._executor.stop(task)
+                self._executor.refuse(task.task_id, task.attempt)
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -195,9 +195,9 @@
             lacks_order=self.order is None,
             full_pace_ms=self.work_meter.full_pace_ms,
             pace_percent=self.pace_percent or 0,
-            # The stop of an attempt that was given up confirms no start.
+            # An acknowledged stop confirms no start.
             is_unconfirmed=not self.is_confirmed
-            or (bool(self.not_run_reason) and not self.is_listed),
+            or not (self.is_listed or self.has_started),
         )
 
     def end_report(self):
--- a/tests/vmagent/running_report.feature
+++ b/tests/vmagent/running_report.feature
@@ -14,4 +14,5 @@
       | is listed by the worker                       | confirmed   |
       | was listed by the boot before                 | unconfirmed |
       | was given up, and its stop is acknowledged    | unconfirmed |
+      | was not started, and its stop is acknowledged | unconfirmed |
       | was given up, and is listed by the worker     | confirmed   |
--- a/tests/vmagent/running_report_steps.py
+++ b/tests/vmagent/running_report_steps.py
@@ -7,13 +7,14 @@
 
 STATES = {
     "was ordered": {},
-    "was started": {"is_confirmed": True},
+    "was started": {"is_confirmed": True, "has_started": True},
     "is listed by the worker": {"is_confirmed": True, "is_listed": True},
     "was listed by the boot before": {"is_listed": True},
     "was given up, and its stop is acknowledged": {
         "is_confirmed": True,
         "not_run_reason": "unanswered",
     },
+    "was not started, and its stop is acknowledged": {"is_confirmed": True},
     "was given up, and is listed by the worker": {
         "is_confirmed": True,
         "is_listed": True,
