Keep the start deadline of an attempt that is given up

Once all calls of a start are refused as fence or late, it gets a new deadline with its next call. An attempt that is being stopped gets no further call, and without a deadline no list could show any more that it does not run, so that its end would depend on the stop. Found by reading; no scenario covers it, as a list usually resolves such an attempt before the last refusal arrives.

--- a/src/radishlanding/vmagent/order_permit.py
+++ b/src/radishlanding/vmagent/order_permit.py
@@ -117,7 +117,7 @@
         task = self._task
         if result not in _RETRYABLE:
             self._refusal = result
-        elif not task.unanswered_starts:
+        elif self.is_wanted and not task.unanswered_starts:
             # Nothing can start it any more, so that it may get more time.
             task.start_deadline = None
         elif result == StartResult.LATE:
