Keep the holds of sound workers over several lost polls

Callers saw accepted work stand still for 10 s and reported it as lost. The hold of a worker that was sound had lapsed, so that it ended all that ran there, and its agent noticed only 2.7 s later.

Cause: polls went one after the other. A lost one cost 1.5 s, each further one 1 s, and the first list on a new connection extends no deadline, as it may reach a later boot. Three lost polls could use up the hold of 4.5 s.

A poll is now taken for lost 0.4 s after its wait (0.5 s would not let a list follow within 1 s of a lost poll that waits for 0.5 s). Then further connections are tried side by side, one every 0.15 s, at most four at a time. A list without a deadline shows the boot on each, and a poll with a deadline follows there; the first connection on which both are answered is kept. So a lost call delays the next one by 0.15 s, not by its time-out. As before, a deadline goes only to a worker that has answered the last poll, on a connection of the present boot, and the clock tracks the last one given.

After 2 s without an answer one connection is tried every 0.4 s, for 1 s, as a worker accepts 64 and may keep those of lost calls for 12 s. A worker that answers late is given up to 1 s also for its polls.

poll_failed tells how long there was no answer, and comes once a second; hold_late is logged when an extension came with less than 1.5 s left.

Polling moves from WorkerSupervisor to WorkerPoller, and lists from Runner to RunnerListConnection. The fuzz of listings replaces the client there; what it checks is unchanged.

--- a/src/radishlanding/platform/runner.py
+++ b/src/radishlanding/platform/runner.py
@@ -16,19 +16,17 @@
 from radishlanding.observe import EventLog
 from radishlanding.platform.fields import MAX_NUMBER
 from radishlanding.platform.fields import read_int
-from radishlanding.platform.listing import decode_listing
+from radishlanding.platform.runner_list_connection import MAX_ANSWER_BYTES
+from radishlanding.platform.runner_list_connection import RunnerListConnection
 from radishlanding.vm import boot_clock_s
 from radishlanding.worker import BootCheck
 from radishlanding.worker import CallSlots
 from radishlanding.worker import StartResult
-from radishlanding.worker import WorkerReplaced
 from radishlanding.worker import WorkerUnavailable
 
 # The runner is on the same VM, but a stop takes time, and a slow runner
 # answers late.
 CALL_TIMEOUT_S = 1.0
-# A listing holds up to 500 ended attempts and all running ones.
-MAX_ANSWER_BYTES = 1024 * 1024
 # Each call in flight needs a connection, of which a runner accepts 64, and
 # each new connection costs the runner time. Listings have one of their own.
 START_SLOTS = 3
@@ -65,8 +63,7 @@
         "_address",
         "_client",
         "_headers",
-        "_list_client",
-        "_listed_born_ms",
+        "_list_conn",
         "_pace_slots",
         "_start_slots",
         "_stop_slots",
@@ -83,11 +80,7 @@
         self._client = HttpClient(
             address=address, max_body_bytes=MAX_ANSWER_BYTES
         )
-        self._list_client = HttpClient(
-            address=address, max_body_bytes=MAX_ANSWER_BYTES
-        )
-        # Boot that answered last on the open connection for listings.
-        self._listed_born_ms = None
+        self._list_conn = self.open_list_connection()
         self._headers = (
             ("content-type", "application/json"),
             ("x-expect-instance", worker_id),
@@ -257,56 +250,24 @@
             raise WorkerUnavailable(f"run-stop: status {status}")
         return status == 200
 
-    async def list_attempts(
-        self, *, fence, born_ms, settled_number, deadline_ms, wait_s
-    ):
-        """Extend the deadline, and list running and ended attempts.
-
-        A connection ends with the boot that accepted it. The first listing
-        on a connection neither extends the deadline nor settles ends, as it
-        may reach a later boot than the one that these numbers come from.
-
-        :param fence: Fencing token.
-        :param born_ms: Boot that the other numbers come from, as Unix time of
-            its start in milliseconds.
-        :param settled_number: Number of the last end that the runner may
-            forget.
-        :param deadline_ms: The new deadline on the runner's clock in
-            milliseconds, None to keep the current one.
-        :param wait_s: How long to wait for an attempt to end, in seconds.
-        :returns: A :class:`radishlanding.worker.AttemptListing`, None if the
-            fencing token is outdated.
-        :raises WorkerReplaced: Another runner answers at this address.
+    async def list_attempts(self, **options):
+        """List attempts over the connection that is kept for this.
+
+        :param options: See :meth:`RunnerListConnection.list_attempts`.
         """
-        value = {"fencingToken": fence, "ackedUpto": 0}
-        if (
-            self._list_client.has_idle_connection
-            and self._listed_born_ms == born_ms
-        ):
-            value["ackedUpto"] = settled_number
-            if deadline_ms is not None:
-                value["deadlineMs"] = deadline_ms
-            if wait_s:
-                value["waitMs"] = int(wait_s * 1000)
-        self._listed_born_ms = None
-        status, answer = await self._send(
-            self._list_client,
-            "hold",
-            value,
-            timeout_s=CALL_TIMEOUT_S + wait_s,
-        )
-        if status == 421:
-            raise WorkerReplaced("another runner answers at this address")
-        if status == 409:
-            return None
-        if status != 200:
-            raise WorkerUnavailable(f"hold: status {status}")
-        try:
-            listing = decode_listing(answer)
-        except (TypeError, ValueError) as exc:
-            raise WorkerUnavailable(f"hold: {exc}") from exc
-        self._listed_born_ms = listing.born_ms or born_ms
-        return listing
+        return await self._list_conn.list_attempts(**options)
+
+    def open_list_connection(self):
+        """Return a further connection for lists, which opens when used."""
+        return RunnerListConnection(address=self._address, send=self._send)
+
+    async def keep_list_connection(self, conn):
+        """Use a connection for lists from now on, and close the last one.
+
+        :param conn: One of :meth:`open_list_connection`.
+        """
+        closed, self._list_conn = self._list_conn, conn
+        await closed.close()
 
     async def pace(self, task_id, attempt, *, percent, fence):
         """Throttle an attempt.
@@ -329,7 +290,7 @@
     async def close(self):
         """Close the connections."""
         await self._client.close()
-        await self._list_client.close()
+        await self._list_conn.close()
 
 
 def _encode(value):
--- a/src/radishlanding/vmagent/worker_clock.py
+++ b/src/radishlanding/vmagent/worker_clock.py
@@ -6,6 +6,8 @@
 CLOCK_RATE_MARGIN = 1.025
 # Allowed between a worker's reading of its clock and the agent's receipt.
 ANSWER_DELAY_S = 0.2
+# An extension that leaves less of the one before is late.
+LATE_HOLD_S = 1.5
 
 
 class WorkerClock:
@@ -15,7 +17,13 @@
     its own clock.
     """
 
-    __slots__ = ("_clock_ms", "_hold_max_s", "_read_at_s", "held_until_s")
+    __slots__ = (
+        "_answered_until_s",
+        "_clock_ms",
+        "_hold_max_s",
+        "_read_at_s",
+        "held_until_s",
+    )
 
     def __init__(self, *, hold_max_s, may_be_held):
         """Start without a reading.
@@ -25,6 +33,8 @@
         :param may_be_held: Whether an earlier agent may have given a
             deadline that still holds.
         """
+        # End of the last extension that was answered, None for none.
+        self._answered_until_s = None
         self._hold_max_s = hold_max_s
         self._read_at_s = 0.0
         self._clock_ms = None
@@ -51,6 +61,7 @@
         The new boot may have accepted a deadline on the clock of the last
         one, which was ahead, so that only the longest hold bounds it.
         """
+        self._answered_until_s = None
         self._clock_ms = None
         self.held_until_s = boot_clock_s() + self._hold_max_s
 
@@ -72,6 +83,24 @@
         passed_s = (now_s - self._read_at_s) / CLOCK_RATE_MARGIN
         return int(self._clock_ms + (passed_s + remaining_s) * 1000)
 
+    def record_extension(self, end_s):
+        """Record that the worker has answered an extension.
+
+        :param end_s: End of the extension, on the boot clock, in seconds.
+        :returns: How much of the one before was left, in seconds, if that was
+            less than ``LATE_HOLD_S`` and at least as much is gained; negative
+            if it had ended. None otherwise.
+        """
+        before_s = self._answered_until_s
+        if before_s is None:
+            self._answered_until_s = end_s
+            return None
+        self._answered_until_s = max(before_s, end_s)
+        if end_s - before_s < LATE_HOLD_S:
+            return None
+        left_s = before_s - boot_clock_s()
+        return left_s if left_s < LATE_HOLD_S else None
+
     def has_expired(self):
         """Return whether every deadline that was given has passed."""
         return boot_clock_s() > self.held_until_s + ANSWER_DELAY_S
--- a/src/radishlanding/vmagent/worker_supervisor.py
+++ b/src/radishlanding/vmagent/worker_supervisor.py
@@ -1,33 +1,22 @@
 """Supervises the tasks of one worker."""
 
-import dataclasses
-
 import trio
 
 from radishlanding.message import VmState
 from radishlanding.observe import EventLog
-from radishlanding.vm import boot_clock_s
 from radishlanding.vm import VmLease
 from radishlanding.vmagent.attempt_table import AttemptTable
 from radishlanding.vmagent.order_handler import OrderHandler
-from radishlanding.vmagent.report_filter import NO_REPORT
 from radishlanding.vmagent.report_filter import ReportFilter
-from radishlanding.vmagent.silence_monitor import SilenceMonitor
 from radishlanding.vmagent.task_pacer import TaskPacer
 from radishlanding.vmagent.worker_clock import WorkerClock
-from radishlanding.worker import WorkerReplaced
-from radishlanding.worker import WorkerUnavailable
+from radishlanding.vmagent.worker_poller import WorkerPoller
 
 # How long a worker runs on without its agent, which restarts in about 2 s.
 # Also bounds how long the tasks of a worker that does not answer are missing.
 HOLD_S = 4.5
 # Largest share of the platform's longest hold that is used.
 HOLD_SHARE = 0.75
-# Longest wait of a poll, and thus the interval at which holds are extended.
-POLL_WAIT_S = 0.5
-# Between polls while ends are not settled, as the worker then answers at once.
-SETTLE_WAIT_S = 0.05
-RETRY_DELAY_S = 0.1
 # Number of a boot's first report. If another one is the first to arrive, an
 # earlier agent may have held the worker.
 FIRST_REPORT = 1
@@ -47,8 +36,8 @@
         "_hold_s",
         "_make_worker",
         "_order_handler",
+        "_poller",
         "_report_filter",
-        "_silence",
         "clock",
         "fence",
         "has_left",
@@ -100,7 +89,7 @@
         self.lease = VmLease(duration_s=vm_lease_s)
         self.report = report
         self._report_filter = ReportFilter()
-        self._silence = SilenceMonitor()
+        self._poller = WorkerPoller(supervisor=self)
         self.scope = trio.CancelScope()
         self.table = AttemptTable()
         self.worker = make_worker(report)
@@ -126,13 +115,13 @@
             capacity=self.report.capacity,
             is_draining=self.is_draining,
             remaining_ms=self.report.remaining_ms,
-            is_silent=self._silence.is_silent,
+            is_silent=self._poller.is_silent,
         )
 
     @property
     def is_responsive(self):
         """Return whether the worker has answered the last poll."""
-        return self._silence.is_responsive
+        return self._poller.is_responsive
 
     @property
     def is_draining(self):
@@ -213,7 +202,7 @@
         self.table.end_tasks(ended, reason="the worker has restarted")
         self.table.reset_end_numbers()
         self.clock.reset()
-        self._record_answer()
+        self._poller.record_answer()
         self.is_leaving = False
         self.has_left = False
         self.has_synced = False
@@ -275,50 +264,9 @@
         """Poll the worker and pace its tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.pacer.run)
-            while True:
-                await self._run_once()
-
-    async def _run_once(self):
-        if not self.fence or self.has_left:
-            with trio.move_on_after(POLL_WAIT_S):
-                await self.table.wait_changed()
-            return
-        worker_id = self.report.worker_id
-        try:
-            await self._poll()
-            self._record_answer()
-        except WorkerReplaced as exc:
-            # The other worker may have reported during the poll.
-            if worker_id == self.report.worker_id:
-                self._mark_left(f"{exc}")
-            return
-        except WorkerUnavailable as exc:
-            self._handle_unavailable(exc)
-            await trio.sleep(RETRY_DELAY_S)
-            return
-        if self.table.ended():
-            with trio.move_on_after(SETTLE_WAIT_S):
-                await self.table.wait_changed()
-
-    def _record_answer(self):
-        if self._silence.record_answer():
-            _log.info("worker_answers", vm=self.vm)
-            self.table.notify()
+            await self._poller.run()
 
-    def _handle_unavailable(self, exc):
-        _log.info("poll_failed", vm=self.vm, reason=exc)
-        if self._silence.record_failure(boot_clock_s()):
-            _log.warning("worker_silent", vm=self.vm, boot=self.report.boot)
-            self.table.notify()
-        # Another writer may have deregistered a worker that is only slow.
-        if self.is_leaving and (self.report.is_draining or exc.was_refused):
-            self._mark_left("the worker has deregistered and does not answer")
-        elif self.table.active() and self.clock.has_expired():
-            self.table.end_all(
-                reason="the worker does not answer and its hold has expired"
-            )
-
-    def _mark_left(self, reason):
+    def mark_left(self, reason):
         """Record that the worker and all its attempts have ended.
 
         :param reason: Why, for reports and the log.
@@ -328,52 +276,14 @@
         self.has_synced = True
         self.table.end_all(reason=reason)
 
-    async def _poll(self):
-        """Extend the worker's deadline, and list its attempts.
-
-        The deadline of a worker that did not answer the last poll is not
-        extended, so that the agent knows when the last one has passed.
+    def record_listing(self, listing, *, fence):
+        """Record a list under the newest token, until one is complete.
 
-        :raises WorkerReplaced: Another worker answers at the address.
-        :raises WorkerUnavailable: The worker gave no answer.
+        :param listing: A :class:`radishlanding.worker.AttemptListing`.
+        :param fence: Token that it was requested under.
         """
-        remaining_s = self.remaining_s() if self.is_responsive else 0
-        deadline_ms = None
-        if remaining_s > 0 and self.clock.is_known:
-            deadline_ms = self.clock.deadline_ms(remaining_s)
-        fence, boot = self.fence, self.report.boot
-        sent_s = boot_clock_s()
-        is_immediate = not self.has_synced or deadline_ms is None
-        listing = await self.worker.list_attempts(
-            fence=fence,
-            born_ms=self.report.born_ms,
-            settled_number=self.table.settled_number,
-            deadline_ms=deadline_ms,
-            wait_s=0 if is_immediate or self.table.ended() else POLL_WAIT_S,
-        )
-        if listing is None or boot != self.report.boot:
-            _log.info("poll_refused", vm=self.vm, fence=fence, boot=boot)
-            await trio.sleep(RETRY_DELAY_S)
-            return
-        if listing.born_ms and listing.born_ms != self.report.born_ms:
-            # Each boot numbers its ends from 1: what was settled in the
-            # previous boot must not settle ends of this one.
-            self.update(
-                dataclasses.replace(
-                    self.report, born_ms=listing.born_ms, number=NO_REPORT
-                )
-            )
+        if fence != self.fence or self.has_synced:
             return
-        self.clock.update(listing.clock_ms)
-        self.table.apply_listing(listing, sent_s=sent_s, now_s=boot_clock_s())
-        if fence == self.fence and not self.has_synced:
-            self._record_listing(listing)
-        if remaining_s <= 0:
-            with trio.move_on_after(RETRY_DELAY_S):
-                await self.table.wait_changed()
-
-    def _record_listing(self, listing):
-        """Record a list under the newest token, until one is complete."""
         if self.is_partly_listed and not listing.is_complete:
             return
         self.has_synced = listing.is_complete
--- a/src/radishlanding/worker/leased_worker.py
+++ b/src/radishlanding/worker/leased_worker.py
@@ -40,7 +40,14 @@
         """
 
     async def list_attempts(
-        self, *, fence, born_ms, settled_number, deadline_ms, wait_s
+        self,
+        *,
+        fence,
+        born_ms,
+        settled_number,
+        deadline_ms,
+        wait_s,
+        timeout_s,
     ):
         """Set the deadline, and return running and ended attempts.
 
@@ -51,10 +58,21 @@
         :param deadline_ms: The new deadline on the worker's clock, in
             milliseconds; None leaves it unchanged.
         :param wait_s: How long to wait for an end, in seconds.
+        :param timeout_s: How much longer to wait for the answer, in seconds.
         :returns: An :class:`AttemptListing`, None if the token was too low.
         :raises WorkerReplaced: Another worker answers at its address.
         """
 
+    def open_list_connection(self):
+        """Return a further :class:`ListConnection`."""
+
+    async def keep_list_connection(self, conn):
+        """List over another connection from now on.
+
+        :param conn: A :class:`ListConnection` of this worker; the one that
+            was used before is closed.
+        """
+
     async def pace(self, task_id, attempt, *, percent, fence):
         """Limit an attempt to a share of its speed.
 
--- a/tests/platform/fuzz_steps.py
+++ b/tests/platform/fuzz_steps.py
@@ -176,7 +176,7 @@
 
 async def _check_listing(body):
     runner = Runner(address="127.0.0.1:1", worker_id="i-1")
-    runner._client = runner._list_client = _FixedClient(body)
+    runner._list_conn._client = _FixedClient(body)
     try:
         listing = await runner.list_attempts(
             fence=1, born_ms=1, settled_number=0, deadline_ms=None, wait_s=0
--- a/tests/vmagent/fake_worker.py
+++ b/tests/vmagent/fake_worker.py
@@ -149,8 +149,25 @@
         self.running.clear()
         self.settled_number = 0
 
+    def open_list_connection(self):
+        """Return itself, as lists need no connection."""
+        return self
+
+    async def keep_list_connection(self, conn):
+        """Do nothing, as lists need no connection."""
+
+    async def close(self):
+        """Do nothing, as lists need no connection."""
+
     async def list_attempts(
-        self, *, fence, born_ms, settled_number, deadline_ms, wait_s
+        self,
+        *,
+        fence,
+        born_ms,
+        settled_number,
+        deadline_ms,
+        wait_s,
+        timeout_s,
     ):
         """List all running attempts and unsettled ends."""
         self._check_poll()
--- a/tests/vmagent/worker_supervisor_steps.py
+++ b/tests/vmagent/worker_supervisor_steps.py
@@ -14,7 +14,7 @@
 from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Capacity
 from radishlanding.vm import clock_ms
-from radishlanding.vmagent.worker_supervisor import POLL_WAIT_S
+from radishlanding.vmagent.worker_poller import POLL_WAIT_S
 from radishlanding.vmagent.worker_supervisor import WorkerSupervisor
 from radishlanding.worker import WorkerReport
 from tests.vmagent.fake_worker import FakeLeasedWorker
