Avoid VMs that did not run attempts only while others admit them

Such VMs now come last, and are chosen once the workflow has waited for a second; only those are avoided whose attempt has had 1.5 s to start. A late update of the clock counts 0.5 s. workflow_waits names them as avoided.

--- a/src/radishlanding/dispatch/start_monitor.py
+++ b/src/radishlanding/dispatch/start_monitor.py
@@ -4,6 +4,7 @@
 
 from radishlanding.dispatch.start_state import StartState
 from radishlanding.dispatch.waiting_attempt import WaitingAttempt
+from radishlanding.policy import MAX_STALL_MS
 from radishlanding.policy import RunClock
 from radishlanding.policy import Stall
 from radishlanding.vm import boot_clock_s
@@ -132,9 +133,12 @@
         :returns: :class:`radishlanding.policy.Stall` objects by the identity
             of the workflow.
         """
+        due_s = boot_clock_s() - MAX_STALL_MS / 1000
         vms = collections.defaultdict(set)
         for key, attempts in self._waiting.items():
-            vms[_workflow_id(key)].update(vm for *_, vm in attempts)
+            vms[_workflow_id(key)].update(
+                vm for since_s, _, _, vm in attempts if since_s <= due_s
+            )
         return {
             workflow_id: Stall(
                 stalled_ms=waited_ms, vms=frozenset(vms[workflow_id])
--- a/src/radishlanding/policy/refusal.py
+++ b/src/radishlanding/policy/refusal.py
@@ -7,6 +7,7 @@
     """The first rule that keeps a task from a VM."""
 
     ACCELERATORS = "accelerators"
+    AVOIDED = "avoided"
     DOUBTFUL = "doubtful"
     GANG_SIZE = "gang_size"
     HEADROOM = "headroom"
--- a/src/radishlanding/policy/run_clock.py
+++ b/src/radishlanding/policy/run_clock.py
@@ -2,7 +2,7 @@
 
 # Reports that arrived while the leader was suspended are read after that, so
 # that a longer pause between two updates tells nothing about attempts.
-MAX_STEP_S = 2.0
+MAX_STEP_S = 0.5
 
 
 class RunClock:
--- a/src/radishlanding/policy/stall.py
+++ b/src/radishlanding/policy/stall.py
@@ -8,7 +8,8 @@
     """For how long nothing of a workflow has run, and what it waits for.
 
     :param stalled_ms: For how long, in milliseconds.
-    :param vms: Identities of the VMs with attempts that are not known to run.
+    :param vms: Identities of the VMs with attempts that have had the time to
+        start, and are not known to run.
     """
 
     stalled_ms: int
--- a/src/radishlanding/policy/stalled_workflows.py
+++ b/src/radishlanding/policy/stalled_workflows.py
@@ -12,8 +12,8 @@
 
     The assignments keep such a workflow from counting as idle, although the
     workers may answer nothing. Another task of it may start wherever it fits,
-    but on the VMs that it waits for only if there is no other. That task has
-    as much time to run before the next one may.
+    but on the VMs that it waits for only if no other one admits it. That task
+    has as much time to run before the next one may.
     """
 
     __slots__ = ("_avoided_ms", "_placed_ms", "_stalls")
@@ -44,12 +44,8 @@
             if 0 <= now_ms - seen_ms < AVOIDANCE_MS
         }
         for workflow_id, stall in stalls.items():
-            if stall.stalled_ms > MAX_STALL_MS:
-                self._avoided_ms.update(
-                    dict.fromkeys(
-                        ((workflow_id, vm) for vm in stall.vms), now_ms
-                    )
-                )
+            for vm in stall.vms:
+                self._avoided_ms[workflow_id, vm] = now_ms
 
     def record_placed(self, workflow_id, *, now_ms):
         """Record that tasks of a workflow were placed.
@@ -73,16 +69,10 @@
         placed_ms = self._placed_ms.get(workflow_id)
         return placed_ms is None or not 0 <= now_ms - placed_ms < MAX_STALL_MS
 
-    def other_vms(self, workflow_id, vms):
-        """Return the VMs that run the attempts of a workflow, or all.
+    def avoided_vms(self, workflow_id):
+        """Return the VMs that have not run attempts of a workflow in time.
 
         :param workflow_id: Identity of the workflow.
-        :param vms: :class:`VmLoad` objects.
+        :returns: Set of their identities.
         """
-        if not self._avoided_ms:
-            return vms
-        return [
-            load
-            for load in vms
-            if (workflow_id, load.vm) not in self._avoided_ms
-        ] or vms
+        return {vm for name, vm in self._avoided_ms if name == workflow_id}
--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -65,7 +65,17 @@
             if is_open(task_id)
         }
 
-    def place(self, record, position, vms, *, is_starved, orders, now_ms):
+    def place(
+        self,
+        record,
+        position,
+        vms,
+        *,
+        is_starved,
+        orders,
+        now_ms,
+        avoided_vms=frozenset(),
+    ):
         """Return assignments of a step's waiting tasks.
 
         Records are made of no more tasks than are placed, and one.
@@ -75,6 +85,7 @@
         :param vms: :class:`VmLoad` objects of the workflow's pool, which are
             updated as tasks are placed.
         :param is_starved: See :class:`VmSelector`.
+        :param avoided_vms: See :class:`VmSelector`.
         :param orders: The :class:`OrderBudget` of the workflow; a gang is
             placed as a whole if it has no more than ``MAX_GANG_TASKS``.
         :param now_ms: Unix time, in milliseconds.
@@ -97,6 +108,7 @@
                 allowed,
                 is_starved=is_starved,
                 max_doubtful=max_doubtful,
+                avoided_vms=avoided_vms,
             )
             if not assignments and any(map(is_doubtful, allowed)):
                 self._doubt_limit.hold(key, now_ms=now_ms)
@@ -110,6 +122,7 @@
             is_starved,
             max_doubtful=max_doubtful,
             cost_behind=self._cost_behind(record, position),
+            avoided_vms=avoided_vms,
         )
         assignments = self._place_tasks(
             key, step, tasks, selector, orders, count
@@ -118,13 +131,16 @@
             self._doubt_limit.hold(key, now_ms=now_ms)
         return assignments
 
-    def refusals(self, record, position, vms, *, is_starved):
+    def refusals(
+        self, record, position, vms, *, is_starved, avoided_vms=frozenset()
+    ):
         """Return how many VMs refuse a task of a step, by reason.
 
         :param record: Record of the workflow.
         :param position: Numbers of the occurrence and the step.
         :param vms: :class:`VmLoad` objects of the workflow's pool.
         :param is_starved: See :class:`VmSelector`.
+        :param avoided_vms: See :class:`VmSelector`.
         :returns: Counts by :class:`Refusal`, with None for the VMs that
             would take the task.
         """
@@ -140,6 +156,7 @@
             allowed,
             is_starved,
             cost_behind=self._cost_behind(record, position),
+            avoided_vms=avoided_vms,
         )
         counts = collections.Counter(map(selector.refusal, allowed))
         without_ticket = len(vms) - len(allowed)
@@ -233,6 +250,7 @@
         *,
         max_doubtful=None,
         cost_behind=None,
+        avoided_vms=frozenset(),
     ):
         return VmSelector(
             interference=self._interference,
@@ -242,9 +260,12 @@
             is_starved=is_starved,
             max_doubtful=max_doubtful,
             cost_behind=cost_behind,
+            avoided_vms=avoided_vms,
         )
 
-    def _place_gang(self, key, step, tasks, vms, *, is_starved, max_doubtful):
+    def _place_gang(
+        self, key, step, tasks, vms, *, is_starved, max_doubtful, avoided_vms
+    ):
         """Place all tasks of a gang, or none.
 
         They share one attempt number, above any earlier one of a member.
@@ -256,12 +277,14 @@
         for rack in racks:
             in_rack = [vm for vm in vms if not rack or _rack(vm) == rack]
             chosen = self._try_gang(
-                key, step, in_rack, is_starved, max_doubtful
+                key, step, in_rack, is_starved, max_doubtful, avoided_vms
             )
             if chosen:
                 break
         if not chosen and step.same_rack:
-            chosen = self._try_gang(key, step, vms, is_starved, max_doubtful)
+            chosen = self._try_gang(
+                key, step, vms, is_starved, max_doubtful, avoided_vms
+            )
         if not chosen:
             return []
         members = list(tasks)
@@ -271,9 +294,14 @@
             for task, vm in zip(members, chosen, strict=True)
         ]
 
-    def _try_gang(self, key, step, vms, is_starved, max_doubtful):
+    def _try_gang(self, key, step, vms, is_starved, max_doubtful, avoided_vms):
         selector = self._selector(
-            key, step, vms, is_starved, max_doubtful=max_doubtful
+            key,
+            step,
+            vms,
+            is_starved,
+            max_doubtful=max_doubtful,
+            avoided_vms=avoided_vms,
         )
         chosen = []
         for _ in range(step.count):
--- a/src/radishlanding/policy/vm_selector.py
+++ b/src/radishlanding/policy/vm_selector.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_admits_stuck",
+        "_avoided_vms",
         "_cost_behind",
         "_doubtful_left",
         "_heap",
@@ -52,6 +53,7 @@
         is_starved=False,
         max_doubtful=None,
         cost_behind=None,
+        avoided_vms=frozenset(),
     ):
         """Rank the VMs for the tasks of a step.
 
@@ -72,9 +74,12 @@
         :param cost_behind: Callable that takes a VM and returns the headroom
             that its tasks behind those of the step in precedence take, which
             they will have to leave to them; None if they are to keep it.
+        :param avoided_vms: Identities of VMs that have not run attempts of
+            the workflow. They are chosen only if it is starved, after others.
         """
         # Whether the limit has kept a doubtful VM from being chosen.
         self.is_held_back = False
+        self._avoided_vms = avoided_vms
         self._cost_behind = cost_behind
         self._doubtful_left = None
         if max_doubtful is not None and not is_starved:
@@ -142,7 +147,9 @@
 
     def _entry(self, number, vm):
         """Return a heap entry; the smallest one is the best."""
-        is_last = vm.is_stuck or vm.has_all_new_tasks
+        is_last = (
+            vm.is_stuck or vm.has_all_new_tasks or vm.vm in self._avoided_vms
+        )
         cost = (is_last, *(-part for part in self._score(vm)))
         return cost, number, vm.vm, vm
 
@@ -172,6 +179,8 @@
         """Return whether a VM may take one more task."""
         if vm.is_stuck and not self._admits_stuck:
             return False
+        if self._is_avoided(vm):
+            return False
         if self._step.fills and self._best_effort_refusal(vm):
             return False
         if self._load_refusal(vm) is not None:
@@ -181,6 +190,9 @@
             return False
         return True
 
+    def _is_avoided(self, vm):
+        return vm.vm in self._avoided_vms and not self._is_starved
+
     def _load_refusal(self, vm):
         return vm.refusal(
             self._key, self._step, exceeds_probes=self._is_starved
@@ -202,6 +214,8 @@
         """
         if vm.is_stuck and not self._admits_stuck:
             return Refusal.STUCK
+        if self._is_avoided(vm):
+            return Refusal.AVOIDED
         refusal = self._load_refusal(vm)
         if refusal is None and self._step.fills:
             refusal = self._best_effort_refusal(vm)
--- a/src/radishlanding/policy/workflow_planner.py
+++ b/src/radishlanding/policy/workflow_planner.py
@@ -261,10 +261,8 @@
 
     def _place(self, record, loads, now_ms, orders):
         workflow = record.workflow
-        vms = self._stalled.other_vms(
-            workflow.workflow_id,
-            [vm for vm in loads if vm.pool == workflow.pool],
-        )
+        vms = [vm for vm in loads if vm.pool == workflow.pool]
+        avoided_vms = self._stalled.avoided_vms(workflow.workflow_id)
         is_starved = self._is_starved(record, now_ms)
         assignments, has_placed_all, unplaced = [], True, 0
         for position in self._waiting_steps(record, now_ms):
@@ -278,6 +276,7 @@
                 position,
                 vms,
                 is_starved=is_starved,
+                avoided_vms=avoided_vms,
                 orders=orders,
                 now_ms=now_ms,
             )
@@ -329,7 +328,11 @@
             return None
         vms = [vm for vm in loads if vm.pool == workflow.pool]
         refusals = self._step_placer.refusals(
-            record, position, vms, is_starved=self._is_starved(record, now_ms)
+            record,
+            position,
+            vms,
+            is_starved=self._is_starved(record, now_ms),
+            avoided_vms=self._stalled.avoided_vms(workflow.workflow_id),
         )
         admitting = refusals.pop(None, 0)
         return PlacementWait(
--- a/tests/policy/idle_workflow.feature
+++ b/tests/policy/idle_workflow.feature
@@ -50,6 +50,14 @@
     When a workflow of 12 best-effort tasks is placed for 20 s, each running 1.5 s
     Then 4 tasks of it have started within 2 s
 
+  # All other VMs refused the tasks for 10 s, and the one that the workflow had
+  # waited for was free again.
+  Scenario: a VM that did not run attempts is used if no other one admits them
+    Given 4 VMs that are full
+    And one more without tasks that refuses each one after 3 s, for 0.7 s
+    When a workflow of 12 best-effort tasks is placed for 6 s, each running 1.5 s
+    Then tasks were placed there again within 1.5 s of the refusals
+
   Scenario: the time before an occurrence is due is no wait
     Given 4 VMs on which best-effort tasks are unwanted: headroom
     When a scheduled workflow of best-effort tasks is planned from 3 s before it is due
--- a/tests/policy/idle_workflow_steps.py
+++ b/tests/policy/idle_workflow_steps.py
@@ -74,6 +74,15 @@
         load.idle_millicores = 0.0
 
 
+@given("{count:d} VMs that are full")
+def _full_vms(context, count):
+    context.interference = Interference()
+    context.step = BEST_EFFORT
+    context.loads = [_empty_load(number) for number in range(count)]
+    for load in context.loads:
+        load.free = Capacity()
+
+
 @given("one more with a serving task and idle processors")
 def _one_more(context):
     load = _load(len(context.loads))
@@ -144,6 +153,8 @@
     context.started_ms, context.vms = {}, set()
     # Time of the refusal, and attempt, by task.
     context.refusals, context.refuses_until_ms = {}, START_MS
+    # When each task was placed on the refusing VM, and is refused.
+    context.refused_ms = []
     for now_ms in range(START_MS, START_MS + length_s * 1000, ROUND_MS):
         ended_ms = _end_tasks(registry, ends_ms, now_ms)
         if ended_ms is not None:
@@ -215,6 +226,7 @@
     for item in refused:
         at_ms = now_ms + context.refusal_delay_ms
         context.refusals[item.task_id] = at_ms, item.attempt
+        context.refused_ms.append((now_ms, at_ms))
     return [item for item in assignments if item not in refused]
 
 
@@ -260,6 +272,13 @@
     assert len(started) == count, context.started_ms
 
 
+@then("tasks were placed there again within {limit_s:g} s of the refusals")
+def _placed_again(context, limit_s):
+    first_end_ms = min(end_ms for _, end_ms in context.refused_ms)
+    again = [at for at, _ in context.refused_ms if at >= first_end_ms]
+    assert again and min(again) <= first_end_ms + limit_s * 1000
+
+
 @then("each task of it has started within {limit_s:d} s")
 def _started_within(context, limit_s):
     assert len(context.started_ms) == context.step.count, context.started_ms
