Undo a drain only after six older reports in a row

Found by the review: three late copies of a worker's reports, one after the other after a pause, counted as its present state, so that tasks could start on a worker that drains.

--- a/src/radishlanding/vmagent/report_filter.py
+++ b/src/radishlanding/vmagent/report_filter.py
@@ -4,6 +4,8 @@
 
 # An odd report is outvoted by the next ones of the worker itself.
 MIN_REPEATS = 3
+# Late copies of earlier reports must not undo a drain.
+MIN_REPEATS_TO_UNDO_DRAIN = 6
 
 # Number of a boot that is known from a list of its attempts only.
 NO_REPORT = 0
@@ -54,15 +56,19 @@
         if report.number > known.number or starts_to_drain:
             self._older = 0
             return True
-        return self._outvotes(report)
+        undoes_drain = known.is_draining and not report.is_draining
+        return self._outvotes(
+            report,
+            MIN_REPEATS_TO_UNDO_DRAIN if undoes_drain else MIN_REPEATS,
+        )
 
-    def _outvotes(self, report):
+    def _outvotes(self, report, repeats):
         """Return whether an older report follows on enough of its kind."""
         if report.number <= self._older_number:
             self._older = 0
         self._older_number = report.number
         self._older += 1
-        if self._older < MIN_REPEATS:
+        if self._older < repeats:
             return False
         self._older = 0
         return True
