End a stopped attempt at once whose starts were all refused

Found by the review: its worker had refused each start for its token or its deadline, so that nothing could start it any more, and its end waited for that worker to accept a stop all the same, without a bound.

order_executor.feature, "an attempt whose starts were all refused ends when it is stopped", failed before (no end after 0.5 s).

--- a/src/radishlanding/vmagent/order_executor.py
+++ b/src/radishlanding/vmagent/order_executor.py
@@ -42,12 +42,12 @@
     def stop(self, task):
         """Stop an attempt in the background.
 
-        An attempt whose start was not sent ends at once: its permit does not
-        hold any more.
+        An attempt that no call can start any more ends at once, as its permit
+        does not hold any more.
 
         :param task: A :class:`TaskAttempt`.
         """
-        if not task.is_sent:
+        if task.cannot_run:
             self._supervisor.table.end(
                 task, EndKind.INTERRUPTED, reason="stopped before its start"
             )
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -97,6 +97,12 @@
         """Return whether it cannot run once the worker has started again."""
         return self.is_listed and not self.unanswered_starts
 
+    @property
+    def cannot_run(self):
+        """Return whether no call that was sent can have started it."""
+        has_run = self.is_listed or self.has_started
+        return not self.is_sent or not (has_run or self.unanswered_starts)
+
     def doubt_s(self, now_s):
         """Return for how long a start of it has had an unknown outcome.
 
--- a/tests/vmagent/late_runner_steps.py
+++ b/tests/vmagent/late_runner_steps.py
@@ -68,6 +68,18 @@
     _open(context, _lose_first("run-stop", 1, delay_s))
 
 
+@given(
+    "an agent whose worker refuses starts for their token, and answers no stop"
+)
+def _refuses_starts(context):
+    def fate_of(call, _number):
+        if call == "run-start":
+            return CallFate(refusal="fence")
+        return CallFate(delay_s=NEVER_S, is_answered=False)
+
+    _open(context, fate_of)
+
+
 @given(
     "an agent whose worker carries out starts {start_s:g} s and stops "
     "{stop_s:g} s late, unanswered"
--- a/tests/vmagent/order_executor.feature
+++ b/tests/vmagent/order_executor.feature
@@ -103,6 +103,14 @@
     And after 2.5 s no end of it is reported
     And within 4 s it is reported as interrupted
 
+  # It waited for a stop to be accepted, although no start could take effect.
+  Scenario: an attempt whose starts were all refused ends when it is stopped
+    Given an agent whose worker refuses starts for their token, and answers no stop
+    When one attempt is ordered
+    Then after 0.3 s it has not run
+    When the leader stops it
+    Then within 0.5 s it is reported as interrupted
+
   # The answers of two tries may differ. A task that runs must not be given up.
   Scenario: a refused repeat does not decide while the first try is unanswered
     Given an agent whose worker answers its first start after 0.6 s, and has no room for the others
