Count the failed attempts of a gang, not its failed members

Cause: WorkflowRegistry added up the failures of all members. Change: a workflow records which attempts of a gang have failed, each once, whichever member reports it, in whichever entry.

--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -33,6 +33,9 @@
     :param done: Number of done tasks by ``OCCURRENCE.STEP``.
     :param dropped: Done tasks without a record, of steps that are not done:
         bounds of :class:`IndexRanges` by ``OCCURRENCE.STEP``.
+    :param failed_attempts: Numbers of the failed attempts of each task and
+        gang that is not done, by ``OCCURRENCE.STEP.INDEX`` of a task and
+        ``OCCURRENCE.STEP`` of a gang.
     :param is_tombstone: Whether it stands for a :class:`Tombstone`.
     """
 
@@ -43,6 +46,9 @@
     tasks: dict[str, TaskRecord] = dataclasses.field(default_factory=dict)
     done: dict[str, int] = dataclasses.field(default_factory=dict)
     dropped: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    failed_attempts: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict
+    )
     is_tombstone: bool = False
 
     @property
@@ -136,6 +142,7 @@
         self.tasks.clear()
         self.done.clear()
         self.dropped.clear()
+        self.failed_attempts.clear()
         self.workflow.steps = []
         self.workflow.spec = ""
         self._derived = None
@@ -205,6 +212,20 @@
         record = self.tasks.get(key)
         return record if record is not None else TaskRecord(task_id=key)
 
+    def members(self, task):
+        """Return the records of a task's gang, or its own alone.
+
+        :param task: The :class:`TaskRecord`.
+        """
+        parsed = TaskId.parse(task.task_id)
+        step = self.workflow.steps[parsed.step]
+        if not step.gang:
+            return [task]
+        return [
+            self.task(parsed.occurrence, parsed.step, index)
+            for index in range(step.count)
+        ]
+
     def pending_count(self, occurrence, number):
         """Return how many tasks of a step wait for a VM.
 
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -3,6 +3,8 @@
 import collections
 
 from radishlanding.workflow.end import EndKind
+from radishlanding.workflow.failed_attempts import FailedAttempts
+from radishlanding.workflow.failed_attempts import limit_gang_failures
 from radishlanding.workflow.phase import WorkflowPhase
 from radishlanding.workflow.queue_ref import QueueRef
 from radishlanding.workflow.record import WorkflowRecord
@@ -75,6 +77,7 @@
                 self.tombstones.add(Tombstone.from_record(record))
                 continue
             self.workflows[record.workflow.workflow_id] = record
+            limit_gang_failures(record)
             for task in record.tasks.values():
                 if task.is_assigned:
                     self._by_vm[task.vm][task.task_id] = task
@@ -226,13 +229,12 @@
         if end.kind == EndKind.DONE:
             self._mark_done(record, task, made_ms)
         elif end.kind == EndKind.FAILED:
-            task.failures += 1
-            self._check_failures(record, task, made_ms)
+            self._count_failure(record, task, end.attempt, made_ms)
         return record
 
     def _set_checkpoint(self, record, task, checkpoint):
         """Set a checkpoint; a member's counts for its whole gang."""
-        for member in _members(record, task):
+        for member in record.members(task):
             member.checkpoint = checkpoint
 
     def _mark_done(self, record, task, made_ms):
@@ -240,29 +242,23 @@
         # The first end of a gang's member marks all of them.
         if record.workflow.steps[parsed.step].standing or task.is_done:
             return
-        for member in _members(record, task):
+        FailedAttempts(record, task).clear()
+        for member in record.members(task):
             if not member.is_done:
                 member.is_done = True
                 record.mark_done(TaskId.parse(member.task_id))
         if record.is_completed() and not record.phase.has_ended:
             self._finish(record, WorkflowPhase.COMPLETED, made_ms)
 
-    def _check_failures(self, record, task, made_ms):
-        if record.phase.has_ended or record.workflow.is_standing:
-            return
-        failures = sum(member.failures for member in _members(record, task))
+    def _count_failure(self, record, task, attempt, made_ms):
         limit = record.workflow.max_attempts
-        if limit and failures >= limit:
+        if (
+            record.phase.has_ended
+            or record.workflow.is_standing
+            or task.is_done
+            or not limit
+        ):
+            return
+        failed = FailedAttempts(record, task)
+        if failed.add(attempt) and failed.count() >= limit:
             self._finish(record, WorkflowPhase.FAILED, made_ms)
-
-
-def _members(record, task):
-    """Return the members of a task's gang, or the task alone."""
-    parsed = TaskId.parse(task.task_id)
-    step = record.workflow.steps[parsed.step]
-    if not step.gang:
-        return [task]
-    return [
-        record.task(parsed.occurrence, parsed.step, index)
-        for index in range(step.count)
-    ]
--- a/src/radishlanding/workflow/task_record.py
+++ b/src/radishlanding/workflow/task_record.py
@@ -13,7 +13,8 @@
     :param boot: Boot of the worker that the attempt is assigned to, empty
         after its end.
     :param is_done: Whether an attempt succeeded.
-    :param failures: Number of failed attempts.
+    :param failures: Number of failed attempts, where the workflow limits
+        them. A gang's count at the first member whose failure is on record.
     :param checkpoint: Progress to resume from, empty for none.
     :param failed_vm: VM on which the latest failed attempt ran, empty for
         none.
