Count failures that are reported after the next assignment

What callers could see: a start more than the limit of failed attempts allows (BUDGET). Cause: a VM was taken for lost and its attempts recorded as interrupted. When its agent came back and reported that one had failed, the end belonged to no current attempt: it was acknowledged to the worker, and counted nowhere. Change: such an end gets an entry and counts, once for each attempt of a task or gang, unless the task is done or its workflow has ended, or an earlier build may have counted it.

--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -277,8 +277,7 @@
 
         :param ends: :class:`radishlanding.workflow.TaskEnd` objects.
         :param vm: VM that reported the ends, empty if none did.
-        :returns: Ends that are not of a current attempt and thus need no
-            entry.
+        :returns: Ends that change nothing and thus need no entry.
         """
         settled = []
         for end in ends:
@@ -290,7 +289,7 @@
                 queued.kind != EndKind.INTERRUPTED or queued.kind == end.kind
             ):
                 continue
-            if self._registry.is_current(end):
+            if self._registry.needs(end):
                 self._ends[key] = (end, vm)
                 self.wake()
             else:
--- a/src/radishlanding/workflow/failed_attempts.py
+++ b/src/radishlanding/workflow/failed_attempts.py
@@ -55,6 +55,14 @@
         self._task.failures += 1
         return True
 
+    def may_add(self, attempt):
+        """Return whether it is certain that an ended attempt is not counted.
+
+        :param attempt: Its number.
+        """
+        numbers = self._numbers
+        return attempt not in numbers and self.count() == len(numbers)
+
     def clear(self):
         """Drop the numbers, as the task or the gang is done."""
         self._record.failed_attempts.pop(self._key, None)
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -137,6 +137,29 @@
             and task.attempt == item.attempt
         )
 
+    def needs(self, end):
+        """Return whether an end changes the state.
+
+        :param end: A :class:`TaskEnd`.
+        """
+        return self.is_current(end) or self._is_uncounted_failure(end)
+
+    def _is_uncounted_failure(self, end):
+        """Return whether an end is a failure of an attempt given up before.
+
+        Its VM was taken for lost, so that the task may run again.
+        """
+        if end.kind != EndKind.FAILED:
+            return False
+        record, task = self.find(end.task_id)
+        return (
+            task is not None
+            and end.attempt <= task.attempt
+            and not task.is_done
+            and _counts_failures(record)
+            and FailedAttempts(record, task).may_add(end.attempt)
+        )
+
     def is_assigned(self, task_id):
         """Return whether a task is assigned to a VM."""
         _, task = self.find(task_id)
@@ -213,9 +236,12 @@
         return record
 
     def _apply_end(self, end, made_ms):
-        if not self.is_current(end):
+        if not self.needs(end):
             return None
         record, task = self.find(end.task_id)
+        if not self.is_current(end):
+            self._count_failure(record, task, end.attempt, made_ms)
+            return record
         self._by_vm[task.vm].pop(task.task_id, None)
         self.versions[task.vm] += 1
         if end.kind == EndKind.FAILED:
@@ -251,14 +277,16 @@
             self._finish(record, WorkflowPhase.COMPLETED, made_ms)
 
     def _count_failure(self, record, task, attempt, made_ms):
-        limit = record.workflow.max_attempts
-        if (
-            record.phase.has_ended
-            or record.workflow.is_standing
-            or task.is_done
-            or not limit
-        ):
+        if task.is_done or not _counts_failures(record):
             return
         failed = FailedAttempts(record, task)
+        limit = record.workflow.max_attempts
         if failed.add(attempt) and failed.count() >= limit:
             self._finish(record, WorkflowPhase.FAILED, made_ms)
+
+
+def _counts_failures(record):
+    """Return whether failed attempts may end a workflow."""
+    workflow = record.workflow
+    has_limit = workflow.max_attempts and not workflow.is_standing
+    return has_limit and not record.phase.has_ended
--- a/tests/workflow/failed_attempts.feature
+++ b/tests/workflow/failed_attempts.feature
@@ -78,3 +78,49 @@
     And attempt 2 ends done for member 2
     Then the workflow is completed
     And no failed attempts are on record
+
+  # A start more than the limit allows, as the agent was away when its VM was
+  # taken for lost.
+  Scenario: a failure that is reported after the next assignment counts
+    Given a gang of 3 tasks with 2 attempts
+    When the gang runs
+    And attempt 1 ends interrupted for all members
+    And the gang runs
+    And attempt 1 ends failed for member 2
+    And attempt 1 ends failed for members 0 and 1 in one entry
+    Then the workflow is running
+    When attempt 2 ends failed for member 2
+    Then the workflow is failed
+
+  Scenario: a failure that is reported late twice counts once
+    Given a workflow of steps a (1 task) with 3 attempts
+    When task 0.0.0 runs and ends interrupted
+    And task 0.0.0 runs
+    And attempt 1 of 0.0.0 ends failed
+    And attempt 1 of 0.0.0 ends failed
+    And attempt 2 of 0.0.0 ends failed
+    And attempt 2 of 0.0.0 ends failed
+    Then the workflow is running and its task may start: yes
+
+  Scenario Outline: only failures of a task that goes on are counted late
+    Given a workflow of steps a (1 task) with 1 attempts
+    When task 0.0.0 runs and ends interrupted
+    And <then>
+    And attempt 1 of 0.0.0 ends <end>
+    Then the workflow is <phase>
+
+    Examples:
+      | then                                  | end         | phase     |
+      | task 0.0.0 runs                       | failed      | failed    |
+      | task 0.0.0 runs                       | interrupted | running   |
+      | task 0.0.0 runs                       | done        | running   |
+      | task 0.0.0 runs and ends done         | failed      | completed |
+      | the workflow is cancelled by its caller | failed    | cancelled |
+
+  Scenario: a late failure that an earlier build may have counted is left out
+    Given a gang of 3 tasks with 3 attempts
+    And an earlier build has counted its failures as 1, 0, 0 in 2 attempts
+    When attempt 1 ends failed for member 0
+    And the gang runs
+    And its next attempt ends failed for member 1
+    Then the workflow is running
