Place the next attempt of a gang away from VMs that failed it

Cause: a task avoids the VM of its last failure, StepPlacer placed gangs without regard to it. Change: a gang is first placed on the VMs on which none of its members has failed, also if it then runs on several racks, and on all VMs if it doesn't fit.

--- a/src/radishlanding/policy/step_placer.py
+++ b/src/radishlanding/policy/step_placer.py
@@ -4,6 +4,7 @@
 import math
 
 from radishlanding.policy.doubt_limit import DoubtLimit
+from radishlanding.policy.gang_candidates import gang_candidates
 from radishlanding.policy.last_tasks import has_last_tasks
 from radishlanding.policy.refusal import Refusal
 from radishlanding.policy.vm_selector import is_doubtful
@@ -106,6 +107,7 @@
                 step,
                 tasks,
                 allowed,
+                failed_vms=record.failed_vms(*position),
                 is_starved=is_starved,
                 max_doubtful=max_doubtful,
                 avoided_vms=avoided_vms,
@@ -264,7 +266,16 @@
         )
 
     def _place_gang(
-        self, key, step, tasks, vms, *, is_starved, max_doubtful, avoided_vms
+        self,
+        key,
+        step,
+        tasks,
+        vms,
+        *,
+        failed_vms,
+        is_starved,
+        max_doubtful,
+        avoided_vms,
     ):
         """Place all tasks of a gang, or none.
 
@@ -272,20 +283,13 @@
         """
         if step.count > MAX_GANG_TASKS or not _may_fit(step, vms):
             return []
-        chosen = []
-        racks = sorted({_rack(vm) for vm in vms}) if step.same_rack else [""]
-        for rack in racks:
-            in_rack = [vm for vm in vms if not rack or _rack(vm) == rack]
+        for group in gang_candidates(step, vms, failed_vms):
             chosen = self._try_gang(
-                key, step, in_rack, is_starved, max_doubtful, avoided_vms
+                key, step, group, is_starved, max_doubtful, avoided_vms
             )
             if chosen:
                 break
-        if not chosen and step.same_rack:
-            chosen = self._try_gang(
-                key, step, vms, is_starved, max_doubtful, avoided_vms
-            )
-        if not chosen:
+        else:
             return []
         members = list(tasks)
         attempt = 1 + max(task.attempt for task in members)
@@ -324,11 +328,6 @@
         vm.headroom_cost -= self._interference.headroom_cost(step, vm.capacity)
 
 
-def _rack(vm):
-    """Return the rack of a VM, which is its last label."""
-    return vm.labels[-1] if vm.labels else ""
-
-
 def _may_fit(step, vms):
     """Return whether the VMs might have room for all tasks of a step.
 
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -226,6 +226,18 @@
             for index in range(step.count)
         ]
 
+    def failed_vms(self, occurrence, number):
+        """Return the VMs on which members of a gang have failed.
+
+        :param occurrence: Number of the occurrence, from 0.
+        :param number: Number of the step, from 0.
+        """
+        if f"{occurrence}.{number}" not in self.failed_attempts:
+            return frozenset()
+        count = self.workflow.steps[number].count
+        members = (self.task(occurrence, number, idx) for idx in range(count))
+        return {task.failed_vm for task in members if task.failed_vm}
+
     def pending_count(self, occurrence, number):
         """Return how many tasks of a step wait for a VM.
 
