Count one failure of a VM for each attempt of a gang on it

Cause: VmHealthTracker counted each member that failed as a failure of its VM. After one attempt with two members on it a VM was doubtful, which takes two failures in a row. Change: the members of a gang that fail in one attempt on one VM count once.

--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -367,8 +367,14 @@
     def record_end(self, end, vm):
         """Update the health of a VM from the end of a task on it."""
         session = self.sessions.get(vm)
-        if session is not None:
-            self._vm_health.record_end(end, session)
+        if session is None:
+            return
+        record, _ = self._registry.find(end.task_id)
+        self._vm_health.record_end(
+            end,
+            session,
+            is_gang=record is not None and record.is_gang(end.task_id),
+        )
 
     def loads(self, site, *, with_stuck=False):
         """Return the loads of VMs that may take new tasks.
--- a/src/radishlanding/dispatch/vm_health_tracker.py
+++ b/src/radishlanding/dispatch/vm_health_tracker.py
@@ -27,7 +27,13 @@
 class VmHealthTracker:
     """Keep tasks away from VMs that fail, refuse or stall them."""
 
-    __slots__ = ("_failed_vms", "_quarantines", "_vm_trust", "misestimated")
+    __slots__ = (
+        "_failed_gangs",
+        "_failed_vms",
+        "_quarantines",
+        "_vm_trust",
+        "misestimated",
+    )
 
     def __init__(self, *, vm_trust=None):
         """Initialise the tracker with all VMs healthy.
@@ -36,6 +42,8 @@
             told of failures and successes, None for a new one.
         """
         self._vm_trust = vm_trust or VmTrust()
+        # VM, step and attempt of gangs that have failed.
+        self._failed_gangs = set()
         # VMs on which a workflow has failed, by its identity.
         self._failed_vms = {}
         self._quarantines = {}
@@ -47,13 +55,20 @@
         """Return the number of workflows with failures on record."""
         return len(self._failed_vms)
 
-    def record_end(self, end, session):
+    def record_end(self, end, session, *, is_gang=False):
         """Update the health of a VM from the end of a task on it.
 
         :param end: A :class:`radishlanding.workflow.TaskEnd`.
         :param session: The :class:`VmSession` that reported it.
+        :param is_gang: Whether the task is a member of a gang. Those that
+            fail in one attempt on one VM are one failure.
         """
         if end.kind == EndKind.FAILED:
+            if is_gang:
+                failure = session.vm, step_name(end.task_id), end.attempt
+                if failure in self._failed_gangs:
+                    return
+                self._failed_gangs.add(failure)
             self._record_failure(end, session.vm)
         elif end.kind == EndKind.DONE:
             self._quarantines.pop(session.vm, None)
@@ -97,6 +112,11 @@
             for workflow_id, vms in self._failed_vms.items()
             if registry.is_open(workflow_id)
         }
+        self._failed_gangs = {
+            (vm, step, attempt)
+            for vm, step, attempt in self._failed_gangs
+            if registry.is_open(step.partition(".")[0])
+        }
 
     def max_new_tasks(self, vm, *, running):
         """Return how many new tasks a VM may take, None for no limit.
--- a/src/radishlanding/workflow/failed_attempts.py
+++ b/src/radishlanding/workflow/failed_attempts.py
@@ -25,7 +25,7 @@
         """
         parsed = TaskId.parse(task.task_id)
         self._key = f"{parsed.occurrence}.{parsed.step}"
-        if not record.workflow.steps[parsed.step].gang:
+        if not record.is_gang(task.task_id):
             self._key += f".{parsed.index}"
         self._record = record
         self._task = task
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -212,18 +212,26 @@
         record = self.tasks.get(key)
         return record if record is not None else TaskRecord(task_id=key)
 
+    def is_gang(self, name):
+        """Return whether a task is a member of a gang.
+
+        :param name: Identity of the task, of a workflow that has not ended.
+        """
+        steps = self.workflow.steps
+        return bool(steps) and steps[TaskId.parse(name).step].gang
+
     def members(self, task):
         """Return the records of a task's gang, or its own alone.
 
         :param task: The :class:`TaskRecord`.
         """
-        parsed = TaskId.parse(task.task_id)
-        step = self.workflow.steps[parsed.step]
-        if not step.gang:
+        if not self.is_gang(task.task_id):
             return [task]
+        parsed = TaskId.parse(task.task_id)
+        count = self.workflow.steps[parsed.step].count
         return [
             self.task(parsed.occurrence, parsed.step, index)
-            for index in range(step.count)
+            for index in range(count)
         ]
 
     def failed_vms(self, occurrence, number):
--- a/tests/dispatch/bookkeeping_steps.py
+++ b/tests/dispatch/bookkeeping_steps.py
@@ -7,6 +7,8 @@
 from radishlanding.dispatch import VmSession
 from radishlanding.dispatch.vm_health_tracker import VmHealthTracker
 from radishlanding.message import VmState
+from radishlanding.policy import VmTrust
+from radishlanding.vm import boot_clock_s
 from radishlanding.vm import Capacity
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import LogEntry
@@ -16,6 +18,8 @@
 from tests.workflow.workflow_steps import make_workflow
 from tests.workflow.workflow_steps import NEEDS
 
+# What is held against a VM halves in some seconds.
+TRUST_TOLERANCE = 0.02
 STATE = VmState(
     boot="b",
     zone="z0",
@@ -87,3 +91,47 @@
 @then("it holds failures of {count:d} workflows")
 def _holds_failures(context, count):
     assert context.tracker.failed_workflows == count
+
+
+@given("a tracker of VMs with full trust in them")
+def _trusting_tracker(context):
+    context.trust = VmTrust()
+    context.tracker = VmHealthTracker(vm_trust=context.trust)
+
+
+@when("3 members of a gang in one attempt have failed on vm1")
+def _members_failed(context):
+    _fail(context, [1, 1, 1], is_gang=True)
+
+
+@when("3 members of a gang in 3 attempts have failed on vm1")
+def _attempts_failed(context):
+    _fail(context, [1, 2, 3], is_gang=True)
+
+
+@when("3 tasks of a step that is no gang have failed on vm1")
+def _tasks_failed(context):
+    _fail(context, [1, 1, 1], is_gang=False)
+
+
+def _fail(context, attempts, *, is_gang):
+    session = VmSession(vm="vm1", conn=None, state=STATE, clock_ms=0)
+    for index, attempt in enumerate(attempts):
+        end = TaskEnd(
+            task_id=f"{'0' * 16}.0.0.{index}",
+            attempt=attempt,
+            kind=EndKind.FAILED,
+        )
+        context.tracker.record_end(end, session, is_gang=is_gang)
+
+
+@then("the trust in vm1 is that after {count:d} failures")
+def _trust_after(context, count):
+    expected = VmTrust()
+    now_s = boot_clock_s()
+    for _ in range(count):
+        expected.record_failure("vm1", now_s=now_s)
+    difference = context.trust.trust("vm1", now_s=now_s) - expected.trust(
+        "vm1", now_s=now_s
+    )
+    assert abs(difference) < TRUST_TOLERANCE, difference
