Count workflows as waiting until a task is known to have started

Cause: the first assignment on record made a workflow RUNNING, before its order was sent, and no end took that back. The leader's log of the case on has phase=running at 6.376 s, then kind=not_run reason=unhealthy for nine attempts of that workflow's task, the last one at 12.470 s. Change: a workflow runs once the worker has confirmed a start, has listed the attempt, or has ended it other than not_run. Reports of ends say so (has_run). Placement and admission go by assignments as before, but no longer by those that were refused. Tests changed, as they took an assignment for a start: leader.feature "a workflow waits until its assignment is on record" now goes on until the start is on record; workflow.feature, an attempt that ended as not_run leaves a workflow queued, as PROTOCOL.md says ("for which no task has started"); steps that have a workflow run now report that it does.

--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -12,6 +12,7 @@
 from radishlanding.dispatch.interference_store import InterferenceStore
 from radishlanding.dispatch.leadership_monitor import LeadershipMonitor
 from radishlanding.dispatch.order_sender import OrderSender
+from radishlanding.dispatch.pending_starts import PendingStarts
 from radishlanding.dispatch.queue_view import QueueView
 from radishlanding.dispatch.recorder import Recorder
 from radishlanding.dispatch.recovery_monitor import RecoveryMonitor
@@ -80,6 +81,7 @@
         "_site_watch",
         "_stall_reporter",
         "_start_monitor",
+        "_starts",
         "_submissions",
         "_ticket_prefetcher",
         "_timing",
@@ -205,6 +207,7 @@
         self._stall_reporter = StallReporter(
             registry=registry, monitor=self._start_monitor, counters=counters
         )
+        self._starts = PendingStarts(registry=registry)
         clock = RetentionClock(last_ms=registry.last_ms)
         self._recorder = Recorder(
             log=log,
@@ -215,6 +218,7 @@
             order_sender=self._order_sender,
             counters=counters,
             clock=clock,
+            starts=self._starts,
         )
         self._admission = AdmissionControl(
             registry=registry,
@@ -344,6 +348,7 @@
         :returns: A :class:`radishlanding.message.VmReportAck`.
         """
         had_full_report = session.has_full_report
+        self._starts.observe(report)
         ends = self.fleet.update(session, report)
         self._start_monitor.observe(session, ends)
         settled = self._recorder.add_ends(ends, vm=session.vm)
--- a/src/radishlanding/dispatch/queue_backlog.py
+++ b/src/radishlanding/dispatch/queue_backlog.py
@@ -12,7 +12,7 @@
     :param queue: Name of the queue.
     :param pool: Pool of the VMs that run them.
     :param priority: Smaller numbers go first.
-    :param waiting: Workflows of which no task has been assigned.
+    :param waiting: Workflows of which no task is known to have started.
     :param running: The others.
     :param core_ms: Work that is left, in core-milliseconds.
     :param drained_millicores: Work done per time over the last seconds, as a
--- a/src/radishlanding/dispatch/recorder.py
+++ b/src/radishlanding/dispatch/recorder.py
@@ -44,6 +44,7 @@
         "_registry",
         "_site_watch",
         "_snapshot_retry_s",
+        "_starts",
         "_submissions",
         "_wake",
     )
@@ -59,6 +60,7 @@
         order_sender,
         counters,
         clock,
+        starts,
     ):
         """Initialise the recorder; :meth:`run` appends entries.
 
@@ -71,6 +73,7 @@
         :param order_sender: The :class:`OrderSender`.
         :param counters: Metrics counters of the process.
         :param clock: The :class:`RetentionClock` of the leader.
+        :param starts: The :class:`PendingStarts`.
         """
         self._clock = clock
         self._registry = registry
@@ -88,6 +91,7 @@
         self._planner = planner
         self._site_watch = site_watch
         self._snapshot_retry_s = 0.0
+        self._starts = starts
         self._wake = trio.Event()
 
     def connect(self, submissions):
@@ -154,15 +158,17 @@
         self._registry.apply(entry)
         self._planner.mark_changed(_changed_workflows(entry))
         self._planner.mark_ran(_ran_workflows(entry), now_ms=entry.made_ms)
-        assignments = self._plan(entry.made_ms)
-        if assignments:
-            planned = LogEntry(
-                commit_id="",
-                made_ms=entry.made_ms,
-                assignments=assignments,
-            )
-            self._registry.apply(planned)
-            entry.assignments = assignments
+        planned = LogEntry(
+            commit_id="",
+            made_ms=entry.made_ms,
+            assignments=self._plan(entry.made_ms),
+        )
+        planned.started = self._starts.collect(
+            room, has_changes=bool(entry.size() + planned.size())
+        )
+        self._registry.apply(planned)
+        entry.assignments = planned.assignments
+        entry.started = planned.started
         self._fleet.uncommitted.update(
             item.task_id for item in entry.ends + entry.assignments
         )
@@ -237,6 +243,7 @@
         workflow_ids.update(
             item.task_id.partition(".")[0] for item in entry.assignments
         )
+        workflow_ids.update(entry.started)
         for workflow_id in workflow_ids:
             record = self._registry.workflows.get(workflow_id)
             if record is not None and record.shown != record.phase:
--- a/src/radishlanding/dispatch/start_monitor.py
+++ b/src/radishlanding/dispatch/start_monitor.py
@@ -8,10 +8,6 @@
 from radishlanding.policy import RunClock
 from radishlanding.policy import Stall
 from radishlanding.vm import boot_clock_s
-from radishlanding.workflow import EndKind
-
-# An interrupted attempt may have been lost before it ran.
-_KINDS_THAT_RAN = (EndKind.DONE, EndKind.FAILED)
 
 
 class StartMonitor:
@@ -68,7 +64,7 @@
                 self._confirmed.add(attempt)
                 self._record_run(item.task_id)
         for end in ends:
-            if end.kind in _KINDS_THAT_RAN and self._registry.is_current(end):
+            if end.kind.shows_start and self._registry.is_current(end):
                 self._record_run(end.task_id)
 
     def _record_run(self, task_id):
--- a/src/radishlanding/message/task_end_report.py
+++ b/src/radishlanding/message/task_end_report.py
@@ -18,6 +18,8 @@
         pace, in milliseconds, as in :class:`RunningTask`; until its end if it
         is done, and else until the last listing. 0 from an agent that does
         not measure it.
+    :param has_run: Whether the worker has confirmed the start of the attempt,
+        or has listed it. Never set by agents of earlier versions.
     """
 
     task_id: str
@@ -26,3 +28,4 @@
     checkpoint: str = ""
     reason: str = ""
     full_pace_ms: int = 0
+    has_run: bool = False
--- a/src/radishlanding/policy/open_workflow.py
+++ b/src/radishlanding/policy/open_workflow.py
@@ -8,7 +8,6 @@
 from radishlanding.policy.tier import EXPIRY_FACTOR
 from radishlanding.policy.tier import Tier
 from radishlanding.workflow import TaskId
-from radishlanding.workflow import WorkflowPhase
 from radishlanding.workflow import WorkflowRecord
 
 # A begun workflow may exceed its limits by this share of its objective, as
@@ -96,8 +95,8 @@
 
     @property
     def is_begun(self):
-        """Return whether a task of it has been assigned."""
-        return self.record.phase == WorkflowPhase.RUNNING
+        """Return whether a task of it has started or is assigned."""
+        return self.record.is_under_way
 
     @property
     def due_ms(self):
--- a/src/radishlanding/policy/remaining_work.py
+++ b/src/radishlanding/policy/remaining_work.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-from radishlanding.workflow import WorkflowPhase
-
 # Of a step that has begun, half of a task's run time is left on average.
 BEGUN_SHARE = 0.5
 
@@ -38,7 +36,7 @@
     :returns: A :class:`RemainingWork`.
     """
     workflow = record.workflow
-    is_running = record.phase == WorkflowPhase.RUNNING
+    is_running = record.is_under_way
     core_ms = total_core_ms = 0.0
     # End of each step's longest chain: as planned, and of what is left.
     chains_ms, paths_ms, estimates = [], [], []
--- a/src/radishlanding/policy/remaining_work_cache.py
+++ b/src/radishlanding/policy/remaining_work_cache.py
@@ -5,7 +5,6 @@
 
 from radishlanding.policy.remaining_work import RemainingWork
 from radishlanding.policy.remaining_work import work_left
-from radishlanding.workflow import WorkflowPhase
 
 # Steps and predecessors of a workflow that is computed at each call.
 ORDINARY_SIZE = 200
@@ -96,5 +95,4 @@
 
 
 def _state(record):
-    is_running = record.phase == WorkflowPhase.RUNNING
-    return is_running, sum(record.done.values())
+    return record.is_under_way, sum(record.done.values())
--- a/src/radishlanding/vmagent/attempt_table.py
+++ b/src/radishlanding/vmagent/attempt_table.py
@@ -240,6 +240,7 @@
                 checkpoint=row.checkpoint,
                 by="list",
             )
+            task.is_listed = True
         if not listing.is_complete:
             return
         for task in self.active():
@@ -252,8 +253,7 @@
 
     def _end_unlisted(self, task, *, by):
         """Record the end of an attempt that the worker does not list."""
-        has_run = task.is_listed or task.has_started
-        if task.not_run_reason and not has_run:
+        if task.not_run_reason and not task.has_run:
             kind, reason = EndKind.NOT_RUN, task.not_run_reason
         else:
             kind, reason = EndKind.INTERRUPTED, "unknown to the worker"
--- a/src/radishlanding/vmagent/task_attempt.py
+++ b/src/radishlanding/vmagent/task_attempt.py
@@ -23,7 +23,7 @@
     :param order: The order, None for an attempt of an earlier agent that was
         found on the worker.
     :param accepted_s: When the order arrived, on the boot clock, in seconds.
-    :param is_listed: Whether the worker has listed it as running.
+    :param is_listed: Whether the worker has listed it, as running or ended.
     :param is_confirmed: Whether the worker has listed it, or confirmed its
         start or stop. A list requested after that which lacks it shows that
         it does not run.
@@ -97,11 +97,16 @@
         """Return whether it cannot run once the worker has started again."""
         return self.is_listed and not self.unanswered_starts
 
+    @property
+    def has_run(self):
+        """Return whether the worker has listed it or confirmed its start."""
+        return self.is_listed or self.has_started
+
     @property
     def cannot_run(self):
         """Return whether no call that was sent can have started it."""
-        has_run = self.is_listed or self.has_started
-        return not self.is_sent or not (has_run or self.unanswered_starts)
+        may_run = self.has_run or self.unanswered_starts
+        return not self.is_sent or not may_run
 
     def doubt_s(self, now_s):
         """Return for how long a start of it has had an unknown outcome.
@@ -110,7 +115,7 @@
 
         :param now_s: Current time on the boot clock, in seconds.
         """
-        has_outcome = self.is_listed or self.has_started or self.end
+        has_outcome = self.has_run or self.end
         if has_outcome or not self.is_sent:
             return 0.0
         open_s = now_s - self.first_sent_s
@@ -202,8 +207,7 @@
             full_pace_ms=self.work_meter.full_pace_ms,
             pace_percent=self.pace_percent or 0,
             # An acknowledged stop confirms no start.
-            is_unconfirmed=not self.is_confirmed
-            or not (self.is_listed or self.has_started),
+            is_unconfirmed=not (self.is_confirmed and self.has_run),
         )
 
     def end_report(self):
@@ -215,4 +219,5 @@
             checkpoint=self.checkpoint,
             reason=self.end_reason,
             full_pace_ms=self.work_meter.full_pace_ms,
+            has_run=self.has_run,
         )
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -454,6 +454,7 @@
   checkpoint @3 :Text;
   reason @4 :Text;
   fullPaceMs @5 :Int64;
+  hasRun @6 :Bool;
 }
 
 struct RunningTask {
--- a/src/radishlanding/workflow/end.py
+++ b/src/radishlanding/workflow/end.py
@@ -15,3 +15,11 @@
     FAILED = "failed"
     INTERRUPTED = "interrupted"
     NOT_RUN = "not_run"
+
+    @property
+    def shows_start(self):
+        """Return whether the attempt has certainly run.
+
+        An interrupted one may have been lost before its start.
+        """
+        return self in (EndKind.DONE, EndKind.FAILED)
--- a/src/radishlanding/workflow/log_entry.py
+++ b/src/radishlanding/workflow/log_entry.py
@@ -20,6 +20,8 @@
     :param ends: Ends of attempts.
     :param assignments: Attempts that may start from now on.
     :param checkpoints: Progress of running attempts.
+    :param started: Ids of workflows whose first task is known to have
+        started; earlier builds write none.
     :param tombstones: Cancellations of workflows that are not known.
     """
 
@@ -30,6 +32,7 @@
     ends: list[TaskEnd] = dataclasses.field(default_factory=list)
     assignments: list[Assignment] = dataclasses.field(default_factory=list)
     checkpoints: list[TaskCheckpoint] = dataclasses.field(default_factory=list)
+    started: list[str] = dataclasses.field(default_factory=list)
     tombstones: list[Tombstone] = dataclasses.field(default_factory=list)
 
     def size(self):
@@ -40,5 +43,6 @@
             + len(self.ends)
             + len(self.assignments)
             + len(self.checkpoints)
+            + len(self.started)
             + len(self.tombstones)
         )
--- a/src/radishlanding/workflow/phase.py
+++ b/src/radishlanding/workflow/phase.py
@@ -4,7 +4,10 @@
 
 
 class WorkflowPhase(enum.StrEnum):
-    """Phases of a workflow as reported to its caller."""
+    """Phases of a workflow as reported to its caller.
+
+    It is queued until one of its tasks is known to have started.
+    """
 
     QUEUED = "queued"
     RUNNING = "running"
--- a/src/radishlanding/workflow/record.py
+++ b/src/radishlanding/workflow/record.py
@@ -51,6 +51,13 @@
     )
     is_tombstone: bool = False
 
+    @property
+    def is_under_way(self):
+        """Return whether a task of it has started or is assigned."""
+        if self.phase.has_ended:
+            return False
+        return self.phase == WorkflowPhase.RUNNING or self.has_assigned_tasks()
+
     @property
     def has_committed_end(self):
         """Return whether the workflow has ended and its end is committed."""
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -64,6 +64,11 @@
             record = self._apply_assignment(assignment)
             if record is not None:
                 changed[record.workflow.workflow_id] = record
+        for workflow_id in entry.started:
+            record = self.workflows.get(workflow_id)
+            if record is not None and record.phase == WorkflowPhase.QUEUED:
+                record.phase = WorkflowPhase.RUNNING
+                changed[workflow_id] = record
         return list(changed.values())
 
     def load(self, records):
@@ -198,8 +203,8 @@
     def backlog(self, queue):
         """Return how many workflows of a queue have not started.
 
-        Workflows whose first assignment is not committed yet count; repeated
-        ones do not.
+        A workflow has started once a worker is known to have started one of
+        its tasks, and that is committed. Repeated workflows do not count.
 
         :param queue: :class:`QueueRef` of the queue.
         """
@@ -230,7 +235,6 @@
         task.boot = assignment.boot
         record.tasks[task.task_id] = task
         record.progress.assign(parsed)
-        record.phase = WorkflowPhase.RUNNING
         self._by_vm[task.vm][task.task_id] = task
         self.versions[task.vm] += 1
         return record
@@ -239,6 +243,8 @@
         if not self.needs(end):
             return None
         record, task = self.find(end.task_id)
+        if end.kind.shows_start and record.phase == WorkflowPhase.QUEUED:
+            record.phase = WorkflowPhase.RUNNING
         if not self.is_current(end):
             self._count_failure(record, task, end.attempt, made_ms)
             return record
--- a/tests/dispatch/leader.feature
+++ b/tests/dispatch/leader.feature
@@ -71,11 +71,15 @@
     Then no task gets another attempt and none is stopped
 
   # Callers were told of starts that a change of leader had undone.
-  Scenario: a workflow waits until its assignment is on record
+  Scenario: a workflow waits until its start is on record
     When a workflow is submitted that needs a VM which does not follow yet
     And the store answers nothing once that VM follows
     Then 1 workflow waits
     When the store answers again
+    Then within 4 s that VM is ordered to start its task
+    When that VM reports it as running while the store answers nothing
+    Then 1 workflow waits
+    When the store answers again
     Then within 4 s no workflow waits
 
   Scenario: a workflow is absent only on a recent proof of leadership
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -731,6 +731,21 @@
     context.bridge.call(trio.sleep, 0.5)
 
 
+@then("within {wait_s:d} s that VM is ordered to start its task")
+def _later_ordered(context, wait_s):
+    agent = context.agents["vm2"]
+    assert _wait(context, lambda: len(agent.started) == 1, wait_s)
+
+
+@when("that VM reports it as running while the store answers nothing")
+def _later_runs_in_outage(context):
+    context.platform_store.mode = "silent"
+    (order,) = context.agents["vm2"].started
+    item = RunningTask(task_id=order.task_id, attempt=order.attempt)
+    _report(context, "vm2", running=[item])
+    context.bridge.call(trio.sleep, 0.8)
+
+
 def _count_waiting(context):
     async def count():
         return context.leader.backlog(QUEUE)
--- a/tests/dispatch/queue_identity.feature
+++ b/tests/dispatch/queue_identity.feature
@@ -84,5 +84,6 @@
     When workflows 000000000000000a and 000000000000000A are submitted
     Then each caller gets the outcome found
     And within 2 s the VM is ordered to start a task of each
-    When workflow 000000000000000A is cancelled
+    When the VM reports them as running
+    And workflow 000000000000000A is cancelled
     Then workflow 000000000000000a is running
--- a/tests/dispatch/queue_identity_steps.py
+++ b/tests/dispatch/queue_identity_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from radishlanding.dispatch.wall_clock import now_ms
+from radishlanding.message import RunningTask
 from radishlanding.message import TaskEndReport
 from radishlanding.workflow import EndKind
 from radishlanding.workflow import QueueRef
@@ -27,6 +28,8 @@
 UNPLACEABLE = "d" * 16
 STORE_DELAY_S = 0.3
 SETTLE_S = 0.3
+# Callers are told of a start within this time.
+STARTED_S = 2.0
 
 
 def _workflow(queue, *, name=NAME, **step):
@@ -73,7 +76,21 @@
     answer = _submit(context, _workflow(QUEUE))
     assert answer.outcome == WorkflowOutcome.FOUND, answer
     context.bridge.call(trio.sleep, SETTLE_S)
-    assert context.agents["vm1"].started
+    (order,) = context.agents["vm1"].started
+    item = RunningTask(task_id=order.task_id, attempt=order.attempt)
+    context.bridge.call(
+        functools.partial(send_report, context, "vm1", running=[item])
+    )
+    context.bridge.call(_await_running, context, NAME)
+
+
+async def _await_running(context, name):
+    with trio.fail_after(STARTED_S):
+        while True:
+            answer = await context.leader.find(name, QUEUE)
+            if answer.phase == WorkflowPhase.RUNNING:
+                return
+            await trio.sleep(0.05)
 
 
 @given("a workflow of queue q that is completed")
@@ -241,5 +258,4 @@
 
 @then("workflow {name:w} is running")
 def _name_running(context, name):
-    phase = _find(context, QUEUE, name=name).phase
-    assert phase == WorkflowPhase.RUNNING, phase
+    context.bridge.call(_await_running, context, name)
--- a/tests/workflow/failed_attempts_steps.py
+++ b/tests/workflow/failed_attempts_steps.py
@@ -80,7 +80,7 @@
         )
         for task in members
     ]
-    _apply(context, assignments=context.assignments)
+    _apply(context, assignments=context.assignments, started=[NAME])
 
 
 def _interrupt_others(context, failed, attempt):
--- a/tests/workflow/workflow.feature
+++ b/tests/workflow/workflow.feature
@@ -20,7 +20,7 @@
       | done        | completed | no      |
       | failed      | running   | yes     |
       | interrupted | running   | yes     |
-      | not_run     | running   | yes     |
+      | not_run     | queued    | yes     |
 
   Scenario: only failed attempts count towards the limit
     Given a workflow of steps a (1 task) with 2 attempts
--- a/tests/workflow/workflow_steps.py
+++ b/tests/workflow/workflow_steps.py
@@ -109,7 +109,7 @@
     _accept(context, make_workflow(steps, repeats=2, interval_ms=1000))
 
 
-def _run(context, short_id):
+def _run(context, short_id, *, starts=True):
     task_id = f"{NAME}.{short_id}"
     _, task = context.registry.find(task_id)
     attempt = (task.attempt if task else 0) + 1
@@ -117,6 +117,8 @@
         task_id=task_id, attempt=attempt, vm="vm1", boot="b1"
     )
     context.registry.apply(_entry(assignments=[assignment]))
+    if starts:
+        context.registry.apply(_entry(started=[NAME]))
     return attempt
 
 
@@ -137,7 +139,8 @@
 
 @when("task {short_id} runs and ends {kind:w}")
 def _run_to_end(context, short_id, kind):
-    _end(context, short_id, _run(context, short_id), kind)
+    attempt = _run(context, short_id, starts=kind != EndKind.NOT_RUN)
+    _end(context, short_id, attempt, kind)
 
 
 @when("tasks {short_ids} run")
