Count late failures in any order

What callers could see: one attempt more than the limit allows, if the failure of an earlier attempt was reported after that of the next one. Cause: the allowance for records of earlier builds, no more failures than the number of the attempt, was made for all records. Change: it is made only where an earlier build has counted failures.

--- a/src/radishlanding/workflow/failed_attempts.py
+++ b/src/radishlanding/workflow/failed_attempts.py
@@ -47,10 +47,12 @@
         """
         if attempt in self._numbers:
             return False
+        count = self.count()
+        has_unnumbered = count > len(self._numbers)
         self._record.failed_attempts.setdefault(self._key, []).append(attempt)
         # Attempts are numbered from 1, so that no more of them have failed.
         # An earlier build has then counted this one at another member.
-        if self.count() >= attempt:
+        if has_unnumbered and count >= attempt:
             return False
         self._task.failures += 1
         return True
--- a/tests/workflow/failed_attempts.feature
+++ b/tests/workflow/failed_attempts.feature
@@ -92,6 +92,21 @@
     When attempt 2 ends failed for member 2
     Then the workflow is failed
 
+  # The late failure of the first attempt was left out once the second one had
+  # failed.
+  Scenario Outline: a <kind> counts a late failure after that of the next attempt
+    Given a <workflow> with 2 attempts
+    When task 0.0.0 runs and ends interrupted
+    And task 0.0.0 runs and ends failed
+    Then the workflow is running
+    When attempt 1 of 0.0.0 ends failed
+    Then the workflow is failed
+
+    Examples:
+      | kind | workflow                       |
+      | gang | gang of 1 tasks                |
+      | task | workflow of steps a (1 task)   |
+
   Scenario: a failure that is reported late twice counts once
     Given a workflow of steps a (1 task) with 3 attempts
     When task 0.0.0 runs and ends interrupted
@@ -124,3 +139,7 @@
     And the gang runs
     And its next attempt ends failed for member 1
     Then the workflow is running
+
+  # Two orders of the same ends gave different counts.
+  Scenario: the count is that of the attempts with a failure, in any order
+    Then it is in 300 random orders of ends, repeats, lost VMs and snapshots
--- a/tests/workflow/failed_attempts_steps.py
+++ b/tests/workflow/failed_attempts_steps.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import random
 import re
 
 from behave import given
@@ -217,3 +218,47 @@
 def _none_on_record(context):
     found = _record(context).failed_attempts
     assert not found, found
+
+
+@then(
+    "it is in {count:d} random orders of ends, repeats, lost VMs and snapshots"
+)
+def _any_order(context, count):
+    for seed in range(count):
+        _check_random_order(context, random.Random(seed))
+
+
+def _check_random_order(context, rng):
+    """Run some attempts whose failures arrive at any time, also twice."""
+    attempts, size = rng.randint(1, 5), rng.randint(1, 4)
+    _repeated_gang(context, size, attempts + 1, 0)
+    delayed, failed = [], set()
+
+    def deliver(ends):
+        for end in ends:
+            _apply(context, ends=[end] * rng.randint(1, 2))
+            if rng.random() < 0.2:
+                _pass_snapshot(context)
+            failed.update({end.attempt} if end.kind == "failed" else ())
+            found = sum(
+                task.failures for task in _record(context).tasks.values()
+            )
+            assert found == len(failed), (found, failed)
+
+    for attempt in range(1, attempts + 1):
+        _gang_runs(context)
+        ends = []
+        for index in range(size):
+            kind = rng.choice(["failed", "interrupted"])
+            end = _end(index, attempt, kind)
+            if kind == "failed" and rng.random() < 0.5:
+                delayed.append(end)
+                end = _end(index, attempt, "interrupted")
+            ends.append(end)
+        rng.shuffle(ends)
+        deliver(ends)
+        rng.shuffle(delayed)
+        number = rng.randint(0, len(delayed))
+        deliver(delayed[:number])
+        del delayed[:number]
+    deliver(delayed)
