Test what earlier builds have counted, and state one condition once

Cause: three changes to the code on trial left all scenarios of tests/workflow/failed_attempts.feature passing: without the limit on the counts of earlier builds, without the check for what they may have counted, and with late failures of done tasks. Change: two scenarios, another attempt number in a third; _counts_failures holds the whole condition, may_add is called lacks.

--- a/src/radishlanding/workflow/failed_attempts.py
+++ b/src/radishlanding/workflow/failed_attempts.py
@@ -57,8 +57,8 @@
         self._task.failures += 1
         return True
 
-    def may_add(self, attempt):
-        """Return whether it is certain that an ended attempt is not counted.
+    def lacks(self, attempt):
+        """Return whether an ended attempt is certainly not counted.
 
         :param attempt: Its number.
         """
--- a/src/radishlanding/workflow/registry.py
+++ b/src/radishlanding/workflow/registry.py
@@ -160,9 +160,8 @@
         return (
             task is not None
             and end.attempt <= task.attempt
-            and not task.is_done
-            and _counts_failures(record)
-            and FailedAttempts(record, task).may_add(end.attempt)
+            and _counts_failures(record, task)
+            and FailedAttempts(record, task).lacks(end.attempt)
         )
 
     def is_assigned(self, task_id):
@@ -283,7 +282,7 @@
             self._finish(record, WorkflowPhase.COMPLETED, made_ms)
 
     def _count_failure(self, record, task, attempt, made_ms):
-        if task.is_done or not _counts_failures(record):
+        if not _counts_failures(record, task):
             return
         failed = FailedAttempts(record, task)
         limit = record.workflow.max_attempts
@@ -291,8 +290,8 @@
             self._finish(record, WorkflowPhase.FAILED, made_ms)
 
 
-def _counts_failures(record):
-    """Return whether failed attempts may end a workflow."""
+def _counts_failures(record, task):
+    """Return whether failed attempts of a task may end its workflow."""
     workflow = record.workflow
-    has_limit = workflow.max_attempts and not workflow.is_standing
-    return has_limit and not record.phase.has_ended
+    has_limit = bool(workflow.max_attempts) and not workflow.is_standing
+    return has_limit and not (record.phase.has_ended or task.is_done)
--- a/tests/workflow/failed_attempts.feature
+++ b/tests/workflow/failed_attempts.feature
@@ -64,6 +64,18 @@
       | 1, 1, 0 | 2 attempts | failed  |
       | 1, 0, 0 | 2 attempts | running |
 
+  # Three members had failed in one attempt; the interrupted one counted, too.
+  Scenario: an earlier build's count leaves room for later attempts
+    Given a gang of 3 tasks with 4 attempts
+    And an earlier build has counted its failures as 1, 1, 1 in 1 attempt
+    When the gang runs
+    And attempt 2 ends interrupted for all members
+    And the gang runs
+    And attempt 3 ends failed for members 0 and 1 in one entry
+    And the gang runs
+    And attempt 4 ends failed for member 0
+    Then the workflow is running
+
   Scenario: a failure that an earlier build has counted is not counted again
     Given a gang of 3 tasks with 2 attempts
     And an earlier build has counted the failure of member 0 in its attempt 1
@@ -132,10 +144,20 @@
       | task 0.0.0 runs and ends done         | failed      | completed |
       | the workflow is cancelled by its caller | failed    | cancelled |
 
+  Scenario: a late failure that counts for nothing needs no entry
+    Given a workflow of steps a (2 tasks)
+    When task 0.0.0 runs and ends interrupted
+    Then a late failure of task 0.0.0 needs an entry: no
+    Given a workflow of steps a (2 tasks) with 2 attempts
+    When task 0.0.0 runs and ends interrupted
+    Then a late failure of task 0.0.0 needs an entry: yes
+    When task 0.0.0 runs and ends done
+    Then a late failure of task 0.0.0 needs an entry: no
+
   Scenario: a late failure that an earlier build may have counted is left out
     Given a gang of 3 tasks with 3 attempts
     And an earlier build has counted its failures as 1, 0, 0 in 2 attempts
-    When attempt 1 ends failed for member 0
+    When attempt 2 ends failed for member 0
     And the gang runs
     And its next attempt ends failed for member 1
     Then the workflow is running
--- a/tests/workflow/failed_attempts_steps.py
+++ b/tests/workflow/failed_attempts_steps.py
@@ -214,6 +214,12 @@
     assert sum(found) == count, found
 
 
+@then("a late failure of task 0.0.{index:d} needs an entry: {expected:w}")
+def _needs_entry(context, index, expected):
+    needs = context.registry.needs(_end(index, 1, "failed"))
+    assert needs == (expected == "yes"), needs
+
+
 @then("no failed attempts are on record")
 def _none_on_record(context):
     found = _record(context).failed_attempts
--- a/tests/workflow/workflow_steps.py
+++ b/tests/workflow/workflow_steps.py
@@ -75,6 +75,7 @@
 
 
 @given("a workflow of steps a ({count:d} task) with {limit:d} attempts")
+@given("a workflow of steps a ({count:d} tasks) with {limit:d} attempts")
 def _limited_attempts(context, count, limit):
     steps = [Step(count=count, needs=NEEDS)]
     _accept(context, make_workflow(steps, max_attempts=limit))
