Begin leases with the leader's proof of leadership

Callers saw: tasks on the machines of a zone that was cut off ran twice, 7.9 s after the cut, until the leases in the zone had lapsed. Cause: the next leader took a refused connection for the death of the last one and left its later grants out. It lived, reached the agents of its zone, and went on granting leases for owner_grace_s after its last proof; each began with the report that it answered. Change: VmReportAck names the age of the proof, and a lease begins with the proof. So no lease of any earlier leader outlives a claim by more than its length, whoever is alive, and the next leader needs neither a death nor the grace period. What LeaderProbe concluded from refusals about grants is removed (deaths, predecessors' deaths). A lease for an agent of an earlier build, which does not read the age, is granted only on a proof that is newer than its report; after a leader of an earlier build the grace period counts, until the head of the log says otherwise (leases_start_at_proof).

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -71,8 +71,8 @@
         :param site_keys: A :class:`radishlanding.store.PrefixWatch` of the
             site's keys.
         :param registration: A :class:`SiteRegistration`.
-        :param make_leader: Callable that takes ``log``, ``registry`` and
-            ``grants_ended_s`` and returns a :class:`Leader`.
+        :param make_leader: Callable that takes ``log`` and ``registry`` and
+            returns a :class:`Leader`.
         :param on_change: Coroutine function called when this process becomes
             the leader.
         :param counters: Metrics counters of the process.
@@ -151,16 +151,12 @@
         _log.info(
             "leading",
             epoch=log.epoch,
+            replaces=log.predecessors[0] or "none",
             workflows=len(registry.workflows),
             log_bytes=log.size_bytes,
             took_s=f"{boot_clock_s() - began_s:.3f}",
         )
-        grants_ended_s = self._probe.grants_ended_s(
-            log.predecessors, grace_s=self._grace_s
-        )
-        leader = self._make_leader(
-            log=log, registry=registry, grants_ended_s=grants_ended_s
-        )
+        leader = self._make_leader(log=log, registry=registry)
         await leader.prepare(self._store)
         return leader
 
@@ -177,6 +173,7 @@
             store=self._store,
             link_mbps=self._link_mbps,
             compresses=self._compresses_log,
+            grace_s=self._grace_s,
         )
         try:
             leader = await self._claim(log)
--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -55,12 +55,15 @@
     ``predecessors`` are the identities of the last leader and the one before
     it, empty if unknown. ``inherited_leases_s`` holds the remaining leases by
     VM that the last leader handed over, in seconds, None if it did not resign.
+    ``earlier_leases_start_s`` is the latest time at which a lease that an
+    earlier leader has granted begins, in seconds on the boot clock.
     """
 
     __slots__ = (
         "_abandoned",
         "_compresses",
         "_fence",
+        "_grace_s",
         "_last_number",
         "_obsolete",
         "_max_parallel",
@@ -68,6 +71,7 @@
         "_store",
         "_unfinished",
         "claimed_s",
+        "earlier_leases_start_s",
         "failing_since_s",
         "failures",
         "inherited_leases_s",
@@ -75,7 +79,14 @@
         "predecessors",
     )
 
-    def __init__(self, *, store, link_mbps=DEFAULT_LINK_MBPS, compresses=True):
+    def __init__(
+        self,
+        *,
+        store,
+        link_mbps=DEFAULT_LINK_MBPS,
+        compresses=True,
+        grace_s=0.0,
+    ):
         """Initialise an unclaimed log; :meth:`claim` takes it over.
 
         :param store: A :class:`radishlanding.store.TransactionalStore`.
@@ -83,12 +94,15 @@
             second.
         :param compresses: Whether to compress what is written, and to keep
             done tasks as ranges; otherwise builds from before can read it.
+        :param grace_s: How long leaders extend leases after their last proof
+            of leadership, in seconds.
         """
         # Keys of snapshots that failed; later writes to them may be executed
         # until the next snapshot is complete.
         self._abandoned = []
         self._compresses = compresses
         self._fence = LogFence(store=store)
+        self._grace_s = grace_s
         self._last_number = 0
         # Keys that the snapshot replaces; appends remove them.
         self._obsolete = []
@@ -101,6 +115,7 @@
         # The Snapshot that was begun last, None once its head is written.
         self._unfinished = None
         self.claimed_s = 0.0
+        self.earlier_leases_start_s = 0.0
         self.failures = 0
         self.inherited_leases_s = None
         self.failing_since_s = 0.0
@@ -147,6 +162,9 @@
         head = self._fence.head
         self.predecessors = (old.process_id, old.predecessor)
         self.inherited_leases_s = old.leases_s if old.has_resigned else None
+        self.earlier_leases_start_s = self._fence.claimed_s
+        if not head.leases_start_at_proof:
+            self.earlier_leases_start_s += self._grace_s
         contents = await read_log(
             self._store, head, max_parallel=self._max_parallel
         )
@@ -385,6 +403,9 @@
                 keys.entry_number(remaining) if remaining else head.number + 1
             ),
             snapshot_epoch=head.epoch,
+            leases_start_at_proof=(
+                boot_clock_s() > self.earlier_leases_start_s
+            ),
             replaced_number=head.number,
             replaced_epoch=head.snapshot_epoch,
             replaced_chunks=head.chunks,
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -52,7 +52,7 @@
         vm_trust=None,
         counters=None,
         inherited_leases_s=None,
-        grants_ended_s=None,
+        earlier_leases_start_s=None,
     ):
         """Initialise a fleet without VMs.
 
@@ -67,7 +67,7 @@
             new one.
         :param counters: Metrics counters of the process, None for new ones.
         :param inherited_leases_s: See :class:`LeaseTable`.
-        :param grants_ended_s: See :class:`LeaseTable`.
+        :param earlier_leases_start_s: See :class:`LeaseTable`.
         """
         self._registry = registry
         self._checkpoints = CheckpointTable()
@@ -85,7 +85,7 @@
         self._leases = LeaseTable(
             timing=timing,
             inherited_leases_s=inherited_leases_s,
-            grants_ended_s=grants_ended_s,
+            earlier_start_s=earlier_leases_start_s,
         )
         self._loads = FleetLoads(
             registry=registry,
@@ -123,7 +123,7 @@
             self._vm_trust_monitor.observe_boot(session, hello.state.boot)
             session.state = hello.state
             session.advance_clock(hello.clock_ms)
-        self._leases.grant(hello.vm)
+        self._leases.record_hello(hello.vm)
         boot = hello.state.boot
         self._leases.record_boot(
             hello.vm,
@@ -141,6 +141,7 @@
             clock_ms=hello.clock_ms,
             fence=self._epoch * FENCES_PER_EPOCH + self._fences_issued,
             reads_specs=hello.reads_specs,
+            reads_proof_age=hello.reads_proof_age,
         )
         _log.info(
             "vm_followed",
@@ -169,9 +170,13 @@
         session = self.sessions.get(vm)
         return session if session and session.conn is conn else None
 
-    def grant(self, session):
-        """Record that the lease of a VM is being extended."""
-        self._leases.grant(session.vm)
+    def grant(self, session, *, start_s):
+        """Record that the lease of a VM is being extended.
+
+        :param session: :class:`VmSession` of the VM.
+        :param start_s: When the lease begins, on the boot clock, in seconds.
+        """
+        self._leases.grant(session.vm, start_s=start_s)
 
     def update(self, session, report):
         """Apply a report to its session and return the task ends in it.
--- a/src/radishlanding/dispatch/head.py
+++ b/src/radishlanding/dispatch/head.py
@@ -24,6 +24,9 @@
     :param replaced_epoch: Its ``snapshot_epoch``.
     :param replaced_chunks: Number of its keys.
     :param has_resigned: Whether the leader has resigned.
+    :param leases_start_at_proof: Whether every lease that an earlier leader
+        has granted begins with a proof of its leadership. Otherwise one of an
+        earlier build may have extended leases for a grace period after it.
     :param leases_s: Remaining lease of each busy VM when the leader
         resigned, in seconds.
     """
@@ -40,4 +43,5 @@
     replaced_epoch: int = 0
     replaced_chunks: int = 0
     has_resigned: bool = False
+    leases_start_at_proof: bool = False
     leases_s: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -1,6 +1,7 @@
 """Leads the workflows of a site."""
 
 import functools
+import math
 
 import trio
 
@@ -39,6 +40,7 @@
 from radishlanding.policy import SendWindow
 from radishlanding.policy import VmTrust
 from radishlanding.store import StoreUnavailable
+from radishlanding.vm import boot_clock_s
 from radishlanding.workflow import WorkflowOutcome
 
 # Interval at which due times, leases and quarantines are checked.
@@ -103,7 +105,6 @@
         run_times=None,
         tickets=None,
         advisor=None,
-        grants_ended_s=None,
         link_mbps=DEFAULT_LINK_MBPS,
         listening_s=None,
     ):
@@ -125,7 +126,6 @@
         :param tickets: The :class:`radishlanding.policy.TicketCache` of the
             planner, None if the site has no advisor.
         :param advisor: A :class:`radishlanding.worker.Advisor`, or None.
-        :param grants_ended_s: See :class:`LeaseTable`.
         :param link_mbps: Bandwidth of this process's link, in megabits per
             second.
         :param listening_s: See :class:`RecoveryMonitor`.
@@ -158,7 +158,7 @@
             vm_trust=vm_trust,
             counters=counters,
             inherited_leases_s=log.inherited_leases_s,
-            grants_ended_s=grants_ended_s,
+            earlier_leases_start_s=log.earlier_leases_start_s,
         )
         self._recovery = RecoveryMonitor(
             registry=registry,
@@ -340,11 +340,22 @@
         """Open a session for a VM; see :meth:`Fleet.open_session`."""
         return self.fleet.open_session(hello, conn)
 
-    def report(self, session, report):
+    async def prove_leadership(self):
+        """Renew the proof of leadership, if the store answers."""
+        try:
+            await self._log.confirm()
+        except (StoreUnavailable, Fenced) as exc:
+            _log.info("proof_not_renewed", epoch=self.epoch, reason=exc)
+
+    def report(self, session, report, *, arrived_s=None):
         """Handle a report of a VM.
 
         :param session: :class:`VmSession` of the VM.
         :param report: A :class:`radishlanding.message.VmReport`.
+        :param arrived_s: When the report arrived, on the boot clock, in
+            seconds; None for now. The lease of an agent that does not read
+            the age of the proof begins with its report, so that it is
+            granted only on a later proof; see :meth:`prove_leadership`.
         :returns: A :class:`radishlanding.message.VmReportAck`.
         """
         had_full_report = session.has_full_report
@@ -356,11 +367,19 @@
         self._order_sender.stop(session, self.fleet.unwanted_attempts(session))
         if session.has_full_report != had_full_report:
             self._recorder.wake()
-        granted = self._leadership.proof_age_s < self._timing.owner_grace_s
-        if granted:
-            self.fleet.grant(session)
+        proved_s, now_s = self._log.confirmed_s, boot_clock_s()
+        proof_age_s = now_s - proved_s
+        if not session.reads_proof_age:
+            is_current = proved_s >= (
+                now_s if arrived_s is None else arrived_s
+            )
+        else:
+            is_current = proof_age_s < self._timing.owner_grace_s
+        if is_current:
+            self.fleet.grant(session, start_s=proved_s)
         return VmReportAck(
-            granted=granted,
+            granted=is_current,
+            proof_age_ms=math.ceil(proof_age_s * 1000),
             weights=self.fleet.image_weights(session),
             orders=self._order_sender.missing_orders(session),
             precedence=self._ranker.precedence(session),
--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -11,12 +11,9 @@
 from radishlanding.peer import Connection
 from radishlanding.peer import ConnectionLost
 from radishlanding.peer import dial
-from radishlanding.vm import boot_clock_s
 
 CALL_TIMEOUT_S = 1.0
 REDIAL_DELAY_S = 0.1
-# Shorter than a claim, so that the next leader knows of the death.
-CONFIRM_DELAY_S = 0.03
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -28,16 +25,16 @@
 
     A leader is gone if its address refuses connections, if another process
     answers there, or if it reports that it has lost the store. A timeout
-    proves nothing; the lease of the leader's key covers that case. A leader
-    is dead if another process answers at its address, or if the address
-    refuses two connections in a row.
+    proves nothing; the lease of the leader's key covers that case.
+
+    That a leader is gone permits a claim, as the store decides who leads. It
+    does not prove that the leader is dead: whatever lies on the way may refuse
+    the connection, and the leader may still grant leases.
     """
 
     __slots__ = (
         "_changed",
         "_counters",
-        "_deaths_s",
-        "_followed_s",
         "_gone",
         "_member",
         "_version",
@@ -51,8 +48,6 @@
         """
         self._changed = trio.Event()
         self._counters = counters
-        self._deaths_s = {}
-        self._followed_s = 0.0
         self._gone = set()
         self._member = None
         self._version = 0
@@ -68,7 +63,6 @@
         if (member, version) != (self._member, self._version):
             self._member = member
             self._version = version
-            self._followed_s = boot_clock_s()
             self._changed.set()
             self._changed = trio.Event()
 
@@ -81,33 +75,6 @@
         """Return whether a process has surely stopped leading."""
         return (member.process_id, version) in self._gone
 
-    def grants_ended_s(self, predecessors, *, grace_s):
-        """Return the time after which earlier leaders granted no lease.
-
-        A dead process grants none, and its own predecessors stopped at the
-        latest one grace period after this probe first saw it lead, or earlier
-        if the one before it is dead as well. Only a proved death counts: a
-        process that is merely gone may still grant leases.
-
-        :param predecessors: Identities of the last leader and of the one
-            that it replaced, empty if unknown.
-        :param grace_s: How long a leader extends leases after its last
-            proof of leadership, in seconds.
-        :returns: Time on the boot clock in seconds, or None if the last
-            leader was not proved dead.
-        """
-        last, before = predecessors
-        if last not in self._deaths_s:
-            return None
-        followed_s, died_s = self._deaths_s[last]
-        earlier_s = followed_s + grace_s
-        if before in self._deaths_s:
-            followed_s, before_died_s = self._deaths_s[before]
-            earlier_s = min(
-                earlier_s, max(before_died_s, followed_s + grace_s)
-            )
-        return max(died_s, earlier_s)
-
     async def run(self):
         """Probe until cancelled."""
         while True:
@@ -119,7 +86,6 @@
             except ConnectionLost as exc:
                 if exc.was_refused:
                     self._mark_gone(member, "connection refused")
-                    await self._confirm_death(member)
             except CallRefused as exc:
                 _log.info("probe_refused", reason=exc)
             await trio.sleep(REDIAL_DELAY_S)
@@ -127,24 +93,6 @@
     def _is_current_gone(self):
         return self.is_gone(self._member, version=self._version)
 
-    async def _confirm_death(self, member):
-        """Dial again: one refusal may be a delayed connection reset."""
-        await trio.sleep(CONFIRM_DELAY_S)
-        try:
-            stream = await dial(address=member.address)
-        except ConnectionLost as exc:
-            if exc.was_refused:
-                self._record_death(member)
-        else:
-            await trio.aclose_forcefully(stream)
-
-    def _record_death(self, member):
-        if member == self._member:
-            self._deaths_s[member.process_id] = (
-                self._followed_s,
-                boot_clock_s(),
-            )
-
     def _mark_gone(self, member, reason):
         self._gone.add((member.process_id, self._version))
         _log.info("process_gone", process=member.process_id, reason=reason)
@@ -176,7 +124,6 @@
             return
         found = [summary.process_id for summary in answer.processes]
         if member.process_id not in found:
-            self._record_death(member)
             self._mark_gone(member, f"its address is now {','.join(found)}'s")
             conn.abort()
         else:
--- a/src/radishlanding/dispatch/lease_table.py
+++ b/src/radishlanding/dispatch/lease_table.py
@@ -4,21 +4,26 @@
 
 
 class LeaseTable:
-    """Hold when the lease of each VM was last granted."""
+    """Hold when the newest lease of each VM began.
+
+    A lease begins with the proof of leadership on which it was granted, so
+    that none of an earlier leader begins after it was replaced, whether or
+    not that leader knows of it.
+    """
 
     __slots__ = (
         "_boots",
-        "_granted_s",
-        "_grants_ended_s",
+        "_earlier_start_s",
         "_heard_s",
         "_hold_until_s",
         "_inherited_leases_s",
         "_opened_s",
+        "_started_s",
         "_timing",
     )
 
     def __init__(
-        self, *, timing, inherited_leases_s=None, grants_ended_s=None
+        self, *, timing, inherited_leases_s=None, earlier_start_s=None
     ):
         """Initialise a table without grants.
 
@@ -27,34 +32,46 @@
             handed over by a leader that resigned; a VM without an entry
             counts with a full lease. None if the last leader did not resign
             and may still extend leases.
-        :param grants_ended_s: Time on the boot clock, in seconds, after which
-            earlier leaders granted no lease; None if it is unknown, which
-            counts as one grace period from now.
+        :param earlier_start_s: Latest time on the boot clock, in seconds, at
+            which a lease of an earlier leader begins; None if it is unknown,
+            which counts as one grace period from now.
         """
         self._boots = {}
         self._inherited_leases_s = inherited_leases_s
-        self._granted_s = {}
         self._heard_s = {}
         self._hold_until_s = {}
         self._opened_s = boot_clock_s()
-        if grants_ended_s is None:
-            grants_ended_s = self._opened_s + timing.owner_grace_s
-        self._grants_ended_s = grants_ended_s
+        if earlier_start_s is None:
+            earlier_start_s = self._opened_s + timing.owner_grace_s
+        self._earlier_start_s = earlier_start_s
+        self._started_s = {}
         self._timing = timing
 
-    def grant(self, vm):
-        """Record that the lease of a VM is being extended."""
-        self._granted_s[vm] = boot_clock_s()
+    def record_hello(self, vm):
+        """Record that a VM has introduced itself.
+
+        It gets a lease soon, and is not lost before. It counts only once the
+        VM has reported, as the answer may be lost.
+        """
+        self.grant(vm, start_s=boot_clock_s())
+
+    def grant(self, vm, *, start_s):
+        """Record that the lease of a VM is being extended.
+
+        :param vm: Identity of the VM.
+        :param start_s: When the lease begins, on the boot clock, in seconds.
+        """
+        self._started_s[vm] = max(start_s, self._started_s.get(vm, 0.0))
 
     def record_report(self, vm):
         """Record that a VM has reported, whether or not a lease is granted.
 
         Its agent carries out orders that were sent after the report, even if
-        it gets the lease for them from a later grant. Until its first report
-        it may have followed an earlier leader, and got leases from it.
+        it gets the lease for them from a later grant. Orders may follow its
+        first report, even if that is answered without a lease.
         """
         if vm not in self._heard_s:
-            self.grant(vm)
+            self.grant(vm, start_s=boot_clock_s())
         self._heard_s[vm] = boot_clock_s()
 
     def record_boot(self, vm, boot, *, is_new=False):
@@ -82,19 +99,16 @@
     def remaining_s(self, vm):
         """Return an upper bound of a VM's remaining lease, in seconds.
 
-        A VM that has not reported to this leader may hold a lease from an
-        earlier one, also if it has introduced itself, as the answer may be
-        lost. That leader may have extended it for a whole grace period
-        unless it resigned or was proved dead.
+        A VM may hold a lease from an earlier leader, also if it has
+        introduced itself to this one.
         """
         lease_s = self._timing.vm_lease_s + self._timing.drift_s
-        if vm in self._heard_s:
-            end_s = self._granted_s[vm] + lease_s
-        elif self._inherited_leases_s is not None:
+        if self._inherited_leases_s is not None:
             end_s = self._opened_s + self._inherited_leases_s.get(vm, lease_s)
         else:
-            end_s = self._grants_ended_s + lease_s
+            end_s = self._earlier_start_s + lease_s
         if vm in self._heard_s:
+            end_s = max(end_s, self._started_s[vm] + lease_s)
             window_s = self._timing.start_window_s + self._timing.drift_s
             end_s = max(end_s, self._heard_s[vm] + window_s)
         hold_until_s = self._hold_until_s.get(vm, 0.0)
--- a/src/radishlanding/dispatch/log_fence.py
+++ b/src/radishlanding/dispatch/log_fence.py
@@ -17,10 +17,12 @@
     """Hold the log's head and write only while it is unchanged.
 
     ``confirmed_s`` is the time of the last proof of leadership, in seconds on
-    the boot clock. ``head`` is the :class:`Head` that this process wrote last.
+    the boot clock. ``claimed_s`` is when the claim was known to be in force;
+    no earlier leader has a later proof. ``head`` is the :class:`Head` that
+    this process wrote last.
     """
 
-    __slots__ = ("_store", "_version", "confirmed_s", "head")
+    __slots__ = ("_store", "_version", "claimed_s", "confirmed_s", "head")
 
     def __init__(self, *, store):
         """Initialise a fence without a claim.
@@ -29,6 +31,7 @@
         """
         self._store = store
         self._version = 0
+        self.claimed_s = 0.0
         self.confirmed_s = 0.0
         self.head = Head()
 
@@ -53,6 +56,7 @@
             process_id=process_id,
             predecessor=old.process_id,
             has_resigned=False,
+            leases_start_at_proof=kv is None or old.leases_start_at_proof,
             leases_s={},
         )
         sent_s = boot_clock_s()
@@ -69,6 +73,7 @@
             )
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
+        self.claimed_s = boot_clock_s()
         self.confirmed_s = sent_s
         self.head = head
         return old
--- a/src/radishlanding/dispatch/vm_session.py
+++ b/src/radishlanding/dispatch/vm_session.py
@@ -23,6 +23,8 @@
     :param fence: Fencing token of the agent.
     :param reads_specs: Whether the agent reads the specifications of
         :class:`radishlanding.message.StartOrders`.
+    :param reads_proof_age: Whether the agent's leases begin with the proof of
+        leadership, and not with the report that is answered.
     :param has_full_report: Whether a full report has arrived.
     :param running: Running attempts by task.
     :param orders_in_flight: Start orders that reports may not show yet.
@@ -39,6 +41,7 @@
     clock_ms: int
     fence: int = 0
     reads_specs: bool = False
+    reads_proof_age: bool = False
     has_full_report: bool = False
     running: dict[str, RunningTask] = dataclasses.field(default_factory=dict)
     orders_in_flight: OrdersInFlight = dataclasses.field(
--- a/src/radishlanding/dispatcher/handler.py
+++ b/src/radishlanding/dispatcher/handler.py
@@ -10,6 +10,7 @@
 from radishlanding.message import VmReport
 from radishlanding.message import VmWelcome
 from radishlanding.peer import CallRefused
+from radishlanding.vm import boot_clock_s
 
 
 class DispatcherHandler:
@@ -61,12 +62,19 @@
                 raise CallRefused("the VM has followed a newer leader")
             return leader.hello(message, conn)
         if isinstance(message, VmReport):
-            session = leader.fleet.find(message.vm, conn)
-            if session is None:
-                raise CallRefused("no hello from this VM on this connection")
-            return leader.report(session, message)
+            return await self._report(leader, message, conn)
         return await handle_locally(leader, message)
 
+    async def _report(self, leader, report, conn):
+        arrived_s = boot_clock_s()
+        session = leader.fleet.find(report.vm, conn)
+        if session is not None and not session.reads_proof_age:
+            await leader.prove_leadership()
+            session = leader.fleet.find(report.vm, conn)
+        if session is None or self._candidate.leader is not leader:
+            raise CallRefused("no hello from this VM on this connection")
+        return leader.report(session, report, arrived_s=arrived_s)
+
     def _redirect(self, hello):
         """Return the reply to a VM that has to follow another process.
 
--- a/src/radishlanding/dispatcher/program.py
+++ b/src/radishlanding/dispatcher/program.py
@@ -184,7 +184,7 @@
             counters=self._counters,
         )
 
-    def _make_leader(self, *, log, registry, grants_ended_s):
+    def _make_leader(self, *, log, registry):
         advisor = None
         if self._cfg.advisor:
             advisor = PlatformAdvisor(address=self._cfg.advisor)
@@ -215,7 +215,6 @@
             run_times=run_times,
             tickets=tickets,
             advisor=advisor,
-            grants_ended_s=grants_ended_s,
             link_mbps=self._cfg.link_mbps,
             listening_s=self._listening_s,
         )
--- a/src/radishlanding/message/vm_hello.py
+++ b/src/radishlanding/message/vm_hello.py
@@ -20,6 +20,8 @@
     :param state: State of the VM and its worker.
     :param reads_specs: Whether the agent reads the specs of
         :class:`StartOrders`; earlier builds do not.
+    :param reads_proof_age: Whether the agent reads the age of the proof in
+        :class:`VmReportAck`; earlier builds do not.
     """
 
     vm: str
@@ -27,3 +29,4 @@
     clock_ms: int
     state: VmState
     reads_specs: bool = False
+    reads_proof_age: bool = False
--- a/src/radishlanding/message/vm_report_ack.py
+++ b/src/radishlanding/message/vm_report_ack.py
@@ -11,7 +11,8 @@
 class VmReportAck:
     """Answer a report of a VM, and extend its lease if it is granted.
 
-    An extended lease counts from the time at which the report was sent.
+    An extended lease begins with the leader's last proof of leadership, so
+    that the next leader knows when the leases of all earlier ones end.
 
     :param granted: Whether the lease is extended.
     :param weights: Weights of the images of the VM's best-effort tasks.
@@ -19,9 +20,12 @@
         agent must not start them again.
     :param precedence: Ranks of the VM's best-effort tasks; empty from a
         leader that does not rank them.
+    :param proof_age_ms: Age of the proof when the answer was made, in
+        milliseconds; 0 from a leader of an earlier build.
     """
 
     granted: bool
     weights: list[ImageWeight] = dataclasses.field(default_factory=list)
     orders: list[TaskOrder] = dataclasses.field(default_factory=list)
     precedence: list[TaskPrecedence] = dataclasses.field(default_factory=list)
+    proof_age_ms: int = 0
--- a/src/radishlanding/vm/lease.py
+++ b/src/radishlanding/vm/lease.py
@@ -30,7 +30,8 @@
     def extend(self, *, sent_s):
         """Extend the lease after an acknowledgement.
 
-        :param sent_s: When the heartbeat was sent, in seconds of the clock.
+        :param sent_s: When the heartbeat was sent, or an earlier time from
+            which the lease counts, in seconds of the clock.
         """
         self._expires_s = max(self._expires_s, sent_s + self._duration_s)
 
--- a/src/radishlanding/vmagent/dispatcher_links.py
+++ b/src/radishlanding/vmagent/dispatcher_links.py
@@ -189,6 +189,7 @@
             clock_ms=clock_ms(),
             state=supervisor.state(),
             reads_specs=True,
+            reads_proof_age=True,
         )
         try:
             welcome = await conn.call(hello, timeout_s=HELLO_TIMEOUT_S)
--- a/src/radishlanding/vmagent/report_sender.py
+++ b/src/radishlanding/vmagent/report_sender.py
@@ -82,7 +82,8 @@
         supervisor.pacer.update_precedence(ack.precedence)
         if ack.granted and conn is self._links.leader_conn:
             was_held = supervisor.lease.remaining_s() > 0
-            supervisor.lease.extend(sent_s=sent_s)
+            start_s = sent_s - ack.proof_age_ms / 1000
+            supervisor.lease.extend(sent_s=start_s)
             if not was_held:
                 supervisor.table.notify()
         elif not ack.granted:
--- a/src/radishlanding/wire/peer.capnp
+++ b/src/radishlanding/wire/peer.capnp
@@ -342,6 +342,7 @@
   clockMs @2 :Int64;
   state @3 :VmState;
   readsSpecs @4 :Bool;
+  readsProofAge @5 :Bool;
 }
 
 struct VmWelcome {
@@ -366,6 +367,7 @@
   weights @1 :List(ImageWeight);
   orders @2 :List(TaskOrder);
   precedence @3 :List(TaskPrecedence);
+  proofAgeMs @4 :Int64;
 }
 
 struct TaskPrecedence {
--- a/tests/dispatch/entry_log.feature
+++ b/tests/dispatch/entry_log.feature
@@ -161,6 +161,22 @@
     And B inherits the leases of A when it claims the log
     And C inherits no leases when it claims the log afterwards
 
+  # Until a site has been replaced machine by machine, a leader of an earlier
+  # build may go on granting leases for its grace period after a claim.
+  Scenario Outline: <head>, so that a grace period of <grace_s> s counts
+    Given a log with a grace period of 0.4 s that A leads
+    When <head>
+    And B claims the log
+    Then leases of earlier leaders begin up to <grace_s> s after the claim of B
+
+    Examples:
+      | head                                                      | grace_s |
+      | A has written the head                                    | 0       |
+      | an earlier build has written the head                     | 0.4     |
+      | an earlier build has, and C has claimed the log           | 0.4     |
+      | an earlier build has, and C has taken a snapshot at once  | 0.4     |
+      | an earlier build has, and C has taken one 0.5 s later     | 0       |
+
   Scenario: entries and snapshots are compressed on record
     Given a log that A leads with 0 workflows
     When A appends 40 workflows in one entry
--- a/tests/dispatch/entry_log_steps.py
+++ b/tests/dispatch/entry_log_steps.py
@@ -51,6 +51,8 @@
 FIRST_LATER_NUMBER = 1000
 # Ended workflows are forgotten by then.
 LONG_AFTER_MS = 1_000_000
+# Longer than a claim takes.
+CLAIM_S = 0.3
 # Random bytes in a large workflow.
 LARGE_BYTES = 26_000
 
@@ -371,6 +373,54 @@
     context.platform_store.put_json(keys.HEAD, head)
 
 
+@given("a log with a grace period of {grace_s:g} s that A leads")
+def _graceful(context, grace_s):
+    _no_leader(context)
+    context.link = {"grace_s": grace_s}
+    _claims(context, "A")
+    context.bridge.call(_claimant(context, "A").append, 0)
+
+
+@when("A has written the head")
+def _head_written(context):
+    assert json.loads(context.platform_store.get(keys.HEAD))
+
+
+@when("an earlier build has written the head")
+def _head_of_earlier_build(context):
+    head = json.loads(context.platform_store.get(keys.HEAD))
+    del head["leases_start_at_proof"]
+    context.platform_store.put_json(keys.HEAD, head)
+
+
+@when("an earlier build has, and C has claimed the log")
+def _claimed_after(context):
+    _head_of_earlier_build(context)
+    _claims(context, "C")
+
+
+@when("an earlier build has, and C has taken a snapshot at once")
+def _snapshot_at_once(context):
+    _claimed_after(context)
+    _snapshot(context, "C")
+
+
+@when("an earlier build has, and C has taken one {wait_s:g} s later")
+def _snapshot_later(context, wait_s):
+    _claimed_after(context)
+    context.bridge.call(trio.sleep, wait_s)
+    _snapshot(context, "C")
+
+
+@then(
+    "leases of earlier leaders begin up to {grace_s:g} s after the claim of B"
+)
+def _earlier_leases(context, grace_s):
+    log = _claimant(context, "B").log
+    late_s = log.earlier_leases_start_s - log.claimed_s
+    assert grace_s < late_s < grace_s + CLAIM_S, late_s
+
+
 @then("{count:d} log entry was listed")
 def _listed(context, count):
     found = context.platform_store.listed_items
