Let a sign that a leader is gone count only while it is recent

Callers saw: a front that had been cut off for 12 s took the leadership from a leader that was well, and tasks that ran were started again elsewhere. Cause: a refused connection was remembered for as long as the leader's key had the same version, and not tested again when the store could be reached again. What had cut the front off from the store had refused the connections, too. Change: the probe goes on dialling a leader that is gone, for as long as the process asks. A sign counts for 1 s, only if it is newer than the store's return (PrefixWatch.regained_s), and not after the leader has answered; a leader that has refused a connection is dialled once more right before the claim.

--- a/src/radishlanding/dispatch/candidate.py
+++ b/src/radishlanding/dispatch/candidate.py
@@ -167,7 +167,7 @@
         await trio.sleep(YIELD_DELAY_S)
 
     async def _lead(self):
-        if self._leader_watch.is_claimed():
+        if await self._leader_watch.is_claimed():
             return
         log = EntryLog(
             store=self._store,
--- a/src/radishlanding/dispatch/leader_probe.py
+++ b/src/radishlanding/dispatch/leader_probe.py
@@ -11,9 +11,14 @@
 from radishlanding.peer import Connection
 from radishlanding.peer import ConnectionLost
 from radishlanding.peer import dial
+from radishlanding.vm import boot_clock_s
 
 CALL_TIMEOUT_S = 1.0
 REDIAL_DELAY_S = 0.1
+# A leader that cannot reach the store says so every 0.8 s.
+MAX_SIGN_AGE_S = 1.0
+# Several times the interval at which a process that may claim asks.
+IDLE_S = 0.5
 
 _log = EventLog("radishlanding.dispatch")
 
@@ -29,13 +34,16 @@
 
     That a leader is gone permits a claim, as the store decides who leads. It
     does not prove that the leader is dead: whatever lies on the way may refuse
-    the connection, and the leader may still grant leases.
+    the connection, and the leader may still grant leases. A leader that is
+    gone is probed on, and the sign of it has to be recent.
     """
 
     __slots__ = (
         "_changed",
         "_counters",
-        "_gone",
+        "_followed_s",
+        "_gone_s",
+        "_is_refusing",
         "_member",
         "_version",
         "conn",
@@ -48,21 +56,29 @@
         """
         self._changed = trio.Event()
         self._counters = counters
-        self._gone = set()
+        self._followed_s = 0.0
+        # Time of the newest sign that the process is gone, 0 for none.
+        self._gone_s = 0.0
+        self._is_refusing = False
         self._member = None
         self._version = 0
         self.conn = None
 
     def follow(self, member, *, version):
-        """Probe a process from now on.
+        """Probe a process; to be called as long as it matters.
 
         :param member: A :class:`radishlanding.membership.Member`.
         :param version: Version of the leader's key that names the process;
-            with a new version, one that was gone is probed again.
+            with a new version, no earlier sign counts.
         """
-        if (member, version) != (self._member, self._version):
+        is_new = (member, version) != (self._member, self._version)
+        must_wake = is_new or self._is_idle()
+        self._followed_s = boot_clock_s()
+        if is_new:
+            self._gone_s = 0.0
             self._member = member
             self._version = version
+        if must_wake:
             self._changed.set()
             self._changed = trio.Event()
 
@@ -71,31 +87,67 @@
         if self.conn is not None:
             await self.conn.notify(message)
 
-    def is_gone(self, member, *, version):
-        """Return whether a process has surely stopped leading."""
-        return (member.process_id, version) in self._gone
+    def is_gone(self, member, *, version, since_s=0.0):
+        """Return whether a process seems to have stopped leading.
+
+        :param member: A :class:`radishlanding.membership.Member`.
+        :param version: Version of the leader's key that names the process.
+        :param since_s: Time on the boot clock, in seconds, before which no
+            sign counts.
+        """
+        return (
+            (member, version) == (self._member, self._version)
+            and self._gone_s > since_s
+            and self._has_recent_sign()
+        )
+
+    async def is_still_gone(self, member):
+        """Return whether a process that :meth:`is_gone` is so right now.
+
+        One that has refused a connection is dialled once more.
+
+        :param member: A :class:`radishlanding.membership.Member`.
+        """
+        if not self._is_refusing:
+            return True
+        try:
+            stream = await dial(address=member.address)
+        except ConnectionLost as exc:
+            return exc.was_refused
+        await trio.aclose_forcefully(stream)
+        return False
+
+    def _has_recent_sign(self):
+        return boot_clock_s() - self._gone_s < MAX_SIGN_AGE_S
+
+    def _is_idle(self):
+        """Return whether there is no need to dial a process that is gone."""
+        return self._gone_s > 0 and boot_clock_s() - self._followed_s > IDLE_S
 
     async def run(self):
         """Probe until cancelled."""
         while True:
-            if self._member is None or self._is_current_gone():
+            if self._member is None or self._is_idle():
                 await self._changed.wait()
             member = self._member
             try:
                 await self._monitor(member)
             except ConnectionLost as exc:
                 if exc.was_refused:
-                    self._mark_gone(member, "connection refused")
+                    self._mark_gone(
+                        member, "connection refused", is_refusing=True
+                    )
             except CallRefused as exc:
                 _log.info("probe_refused", reason=exc)
             await trio.sleep(REDIAL_DELAY_S)
 
-    def _is_current_gone(self):
-        return self.is_gone(self._member, version=self._version)
-
-    def _mark_gone(self, member, reason):
-        self._gone.add((member.process_id, self._version))
-        _log.info("process_gone", process=member.process_id, reason=reason)
+    def _mark_gone(self, member, reason, *, is_refusing=False):
+        if member != self._member:
+            return
+        if not self._has_recent_sign():
+            _log.info("process_gone", process=member.process_id, reason=reason)
+        self._gone_s = boot_clock_s()
+        self._is_refusing = is_refusing
 
     async def _monitor(self, member):
         stream = await dial(address=member.address)
@@ -126,8 +178,12 @@
         if member.process_id not in found:
             self._mark_gone(member, f"its address is now {','.join(found)}'s")
             conn.abort()
-        else:
-            self.conn = conn
+            return
+        if self._has_recent_sign():
+            _log.info("process_answers", process=member.process_id)
+        if member == self._member:
+            self._gone_s = 0.0
+        self.conn = conn
 
     async def _abort_on_change(self, conn, member):
         """Abort the connection once another process is probed."""
--- a/src/radishlanding/dispatch/leader_watch.py
+++ b/src/radishlanding/dispatch/leader_watch.py
@@ -124,14 +124,25 @@
 
     def _is_gone(self, member):
         """Probe the leader and return whether it has surely stopped."""
-        version = self.leader_version()
-        self._probe.follow(member, version=version)
+        self._probe.follow(member, version=self.leader_version())
         return (
-            self._probe.is_gone(member, version=version)
+            self._has_gone(member)
             and boot_clock_s() - self._led_until_s > TAKEOVER_COOLDOWN_S
             and not self._site_keys.is_lost
         )
 
+    def _has_gone(self, member):
+        """Return whether there is a sign of it that counts.
+
+        One from before the store could be reached again does not: what cut
+        this process off from the store may have cut it off from the leader.
+        """
+        return self._probe.is_gone(
+            member,
+            version=self.leader_version(),
+            since_s=self._site_keys.regained_s,
+        )
+
     async def _wait_registered(self):
         while not self._registration.lease:
             with trio.move_on_after(POLL_INTERVAL_S):
@@ -140,11 +151,11 @@
             with trio.move_on_after(POLL_INTERVAL_S):
                 await self._site_keys.wait_changed()
 
-    def is_claimed(self):
+    async def is_claimed(self):
         """Return whether another process leads by now."""
         member = self.leader_member()
-        return (
-            member is not None
-            and member.address != self._member.address
-            and not self._probe.is_gone(member, version=self.leader_version())
-        )
+        if member is None or member.address == self._member.address:
+            return False
+        if not self._has_gone(member):
+            return True
+        return not await self._probe.is_still_gone(member)
--- a/src/radishlanding/store/prefix_watch.py
+++ b/src/radishlanding/store/prefix_watch.py
@@ -18,7 +18,12 @@
 
 
 class PrefixWatch:
-    """A local copy of the keys of a prefix, kept in sync with the store."""
+    """A local copy of the keys of a prefix, kept in sync with the store.
+
+    ``synced_s`` is when the last successful call was sent, and ``regained_s``
+    when the store answered again after it had not, both in seconds on the
+    boot clock.
+    """
 
     __slots__ = (
         "_changed",
@@ -28,6 +33,7 @@
         "_store",
         "is_lost",
         "items",
+        "regained_s",
         "synced_s",
     )
 
@@ -44,6 +50,7 @@
         self._store = store
         self.is_lost = True
         self.items = {}
+        self.regained_s = 0.0
         self.synced_s = 0.0
 
     @property
@@ -87,6 +94,7 @@
                 revision=self._revision,
                 age_s=f"{sent_s - self.synced_s:.2f}",
             )
+            self.regained_s = boot_clock_s()
         self.is_lost = False
         self.synced_s = sent_s
         self._retry_delay_s = MIN_RETRY_DELAY_S
--- a/tests/dispatch/candidate_steps.py
+++ b/tests/dispatch/candidate_steps.py
@@ -55,11 +55,12 @@
 class FakeKeys(FakeSource):
     """A watch that is in sync late and finds no keys."""
 
-    __slots__ = ("items",)
+    __slots__ = ("items", "regained_s")
 
     def __init__(self):
         """Initialise it without keys."""
         super().__init__()
+        self.regained_s = 0.0
         self.items = {}
 
     @property
--- a/tests/dispatch/takeover_steps.py
+++ b/tests/dispatch/takeover_steps.py
@@ -27,6 +27,7 @@
 from radishlanding.vm import VmLease
 from radishlanding.vmagent.report_sender import ReportSender
 from tests.dispatch.entry_log_steps import make_store
+from tests.dispatch.leader_probe_steps import FakeLeader
 from tests.dispatch.leader_steps import make_leader
 from tests.standin.open_platform import open_platform_store
 
@@ -39,12 +40,14 @@
 REFUSING_ADDRESS = "127.0.0.1:9"
 STORE_LEASE_S = 20
 TIMEOUT_S = 5.0
+# A process has read the leader's key by then.
+CUT_AFTER_S = 0.05
 
 
 class CuttableStore:
     """A store that cannot be reached while it is cut off."""
 
-    __slots__ = ("_store", "is_cut")
+    __slots__ = ("_store", "answers_reads", "is_cut")
 
     def __init__(self, store):
         """Initialise it as reachable.
@@ -52,18 +55,23 @@
         :param store: A :class:`radishlanding.store.TransactionalStore`.
         """
         self._store = store
+        # Whether keys can be read and watched nevertheless.
+        self.answers_reads = False
         self.is_cut = False
 
     def __getattr__(self, name):
         """Return a method of the store that fails while it is cut off."""
         method = getattr(self._store, name)
 
-        async def call(*args, **kwargs):
-            if self.is_cut:
+        def check():
+            is_read = self.answers_reads and name != "transact"
+            if self.is_cut and not is_read:
                 raise StoreUnavailable("cut off", was_sent=False)
+
+        async def call(*args, **kwargs):
+            check()
             answer = await method(*args, **kwargs)
-            if self.is_cut:
-                raise StoreUnavailable("cut off", was_sent=True)
+            check()
             return answer
 
         return call
@@ -243,38 +251,24 @@
 
 
 async def _claim(context, wait_s):
-    nursery = context.bridge.nursery
     await trio.sleep(wait_s)
-    store = make_store(context.store_address)
-    site_keys = PrefixWatch(store=store, prefix=keys.SITE)
-    nursery.start_soon(site_keys.run)
-    context.next = open_candidate(
-        context,
-        store=store,
-        site_keys=site_keys,
-        lease=await store.grant(ttl_s=STORE_LEASE_S),
-    )
-    nursery.start_soon(context.next.run)
-    with trio.fail_after(TIMEOUT_S):
-        while context.next.leader is None:
-            await trio.sleep(0.002)
+    await _open_next(context, make_store(context.store_address))
+    await _until_leads(context)
     context.claimed_s = boot_clock_s()
 
 
-def open_candidate(context, *, store, site_keys, lease):
-    """Return a process that claims the log once nobody leads.
-
-    :param context: The behave context.
-    :param store: The store of the process.
-    :param site_keys: Its :class:`radishlanding.store.PrefixWatch`.
-    :param lease: Lease of the store for its keys.
-    """
+async def _open_next(context, store):
+    """Start a process that claims the log once nobody leads."""
+    nursery = context.bridge.nursery
+    site_keys = PrefixWatch(store=store, prefix=keys.SITE)
+    nursery.start_soon(site_keys.run)
+    lease = await store.grant(ttl_s=STORE_LEASE_S)
 
     def make(**recovered):
         return make_leader(context, timing=TIMING, **recovered)
 
     member = _member("b", "127.0.0.1:10")
-    return Candidate(
+    context.next = Candidate(
         store=store,
         member=member,
         site_keys=site_keys,
@@ -290,6 +284,7 @@
             counters=Counters(),
         ),
     )
+    nursery.start_soon(context.next.run)
 
 
 @then("it takes the VM for lost after the last lease of the agent has ended")
@@ -310,3 +305,85 @@
 def _lost_soon(context, limit_s):
     waited_s = context.lost_s - context.claimed_s
     assert waited_s <= limit_s, waited_s
+
+
+@given("a leader that refuses connections for {refuses_s:g} s")
+def _refusing(context, refuses_s):
+    context.interference = Interference()
+    context.refuses_s = refuses_s
+    context.bridge.call(_open_refusing, context)
+
+
+async def _open_refusing(context):
+    nursery = context.bridge.nursery
+    _, context.store_address = await open_platform_store(nursery)
+    fake = FakeLeader("a")
+    await nursery.start(fake.run, 0)
+    address = f"127.0.0.1:{fake.port}"
+    store = make_store(context.store_address)
+    context.log = EntryLog(store=store)
+    await context.log.claim(
+        process_id="a",
+        leader_write=Write(
+            key=keys.LEADER, value=pack(_member("a", address)), lease=0
+        ),
+        leader_version=0,
+    )
+    context.refusing_port = fake.port
+    fake.end()
+
+
+@when("a process that is cut off from the store as long competes for {_}")
+def _cut_as_long(context, _):
+    context.bridge.call(_compete, context)
+
+
+@when("a process that is cut off from the store longer competes for {_}")
+def _cut_longer(context, _):
+    context.bridge.call(_compete, context, longer_s=0.2)
+
+
+@when("a process whose claims get no answer as long competes for {_}")
+def _claims_unanswered(context, _):
+    context.bridge.call(_compete, context, answers_reads=True)
+
+
+async def _compete(context, *, longer_s=0.0, answers_reads=False):
+    """Start a process that is cut off once it knows the leader."""
+    store = CuttableStore(make_store(context.store_address))
+    store.answers_reads = store.is_cut = True
+    await _open_next(context, store)
+    await trio.sleep(CUT_AFTER_S)
+    store.answers_reads = answers_reads
+    await trio.sleep(context.refuses_s)
+    await context.bridge.nursery.start(
+        FakeLeader("a").run, context.refusing_port
+    )
+    await trio.sleep(longer_s)
+    store.is_cut = False
+
+
+@when("a process that reaches the store competes for the leadership")
+def _competes(context):
+    store = make_store(context.store_address)
+    context.began_s = boot_clock_s()
+    context.bridge.call(_open_next, context, store)
+
+
+@then("the leader has not been replaced {wait_s:g} s later")
+def _not_replaced(context, wait_s):
+    context.bridge.call(trio.sleep, wait_s)
+    context.bridge.call(context.log.confirm)
+
+
+@then("it leads within {limit_s:g} s")
+def _leads(context, limit_s):
+    context.bridge.call(_until_leads, context)
+    waited_s = boot_clock_s() - context.began_s
+    assert waited_s <= limit_s, waited_s
+
+
+async def _until_leads(context):
+    with trio.fail_after(TIMEOUT_S):
+        while context.next.leader is None:
+            await trio.sleep(0.005)
