--- a/src/radishlanding/dispatch/log_fence.py
+++ b/src/radishlanding/dispatch/log_fence.py
@@ -3,6 +3,8 @@
 import dataclasses
 import uuid
 
+import trio
+
 from radishlanding.dispatch import keys
 from radishlanding.dispatch.head import Head
 from radishlanding.journal import Fenced
@@ -22,13 +24,24 @@
     this process wrote last.
     """
 
-    __slots__ = ("_store", "_version", "claimed_s", "confirmed_s", "head")
+    __slots__ = (
+        "_replaced",
+        "_store",
+        "_version",
+        "claimed_s",
+        "confirmed_s",
+        "head",
+    )
 
     def __init__(self, *, store):
         """Initialise a fence without a claim.
 
         :param store: A :class:`radishlanding.store.TransactionalStore`.
         """
+        # Set unless a replacement of the head is unanswered. Until then the
+        # version in the store may be a newer one of this process.
+        self._replaced = trio.Event()
+        self._replaced.set()
         self._store = store
         self._version = 0
         self.claimed_s = 0.0
@@ -84,10 +97,14 @@
         :raises Fenced: Another process leads now.
         :raises StoreUnavailable: The store did not answer.
         """
-        sent_s = boot_clock_s()
-        kv = await self._store.get(keys.HEAD)
-        if kv is None or kv.version != self._version:
-            raise Fenced("the head was replaced")
+        while True:
+            sent_s, version = boot_clock_s(), self._version
+            kv = await self._store.get(keys.HEAD)
+            await self._replaced.wait()
+            if kv is not None and kv.version in (version, self._version):
+                break
+            if version == self._version:
+                raise Fenced("the head was replaced")
         self.confirmed_s = max(self.confirmed_s, sent_s)
 
     async def create(self, write, *, removes=()):
@@ -114,14 +131,18 @@
         :raises Fenced: Another process leads now.
         :raises StoreUnavailable: The store did not answer.
         """
-        try:
-            return await self._store.transact(
-                expected={keys.HEAD: self._version},
-                writes=writes,
-                removes=removes,
-            )
-        except Conflict as exc:
-            raise Fenced("the head was replaced") from exc
+        while True:
+            version = self._version
+            try:
+                return await self._store.transact(
+                    expected={keys.HEAD: version},
+                    writes=writes,
+                    removes=removes,
+                )
+            except Conflict as exc:
+                await self._replaced.wait()
+                if version == self._version:
+                    raise Fenced("the head was replaced") from exc
 
     async def replace_head(self, head):
         """Replace the head of this leadership.
@@ -130,7 +151,14 @@
         :raises Fenced: Another process leads now.
         :raises StoreUnavailable: The store did not answer.
         """
-        self._version = await self.transact(
-            writes=[Write(key=keys.HEAD, value=pack(head))]
-        )
+        self._replaced = trio.Event()
+        try:
+            self._version = await self._store.transact(
+                expected={keys.HEAD: self._version},
+                writes=[Write(key=keys.HEAD, value=pack(head))],
+            )
+        except Conflict as exc:
+            raise Fenced("the head was replaced") from exc
+        finally:
+            self._replaced.set()
         self.head = head
--- a/tests/dispatch/entry_log.feature
+++ b/tests/dispatch/entry_log.feature
@@ -48,6 +48,28 @@
     And an append by A is fenced
     And C recovers 6 workflows
 
+  # A leader that was well gave up its leadership after a snapshot of its own.
+  Scenario Outline: <call> is not fenced by the leader's own snapshot
+    Given a log that A leads with 3 workflows
+    When A takes a snapshot whose last answer is late, beside <call>
+    Then A is not fenced
+    And an append by A is not fenced
+
+    Examples:
+      | call                      |
+      | a confirmation            |
+      | a write of learned values |
+
+  Scenario Outline: <call> is fenced by another leader during a snapshot
+    Given a log that A leads with 3 workflows
+    When B claims the log before A takes a snapshot beside <call>
+    Then A is fenced
+
+    Examples:
+      | call                      |
+      | a confirmation            |
+      | a write of learned values |
+
   Scenario: a leader knows the last two leaders, also after a snapshot
     Given a log that A leads with 1 workflow
     When B claims the log
--- a/tests/dispatch/entry_log_steps.py
+++ b/tests/dispatch/entry_log_steps.py
@@ -51,6 +51,7 @@
 FIRST_LATER_NUMBER = 1000
 # Ended workflows are forgotten by then.
 LONG_AFTER_MS = 1_000_000
+LATE_ANSWER_S = 0.2
 # Longer than a claim takes.
 CLAIM_S = 0.3
 # Random bytes in a large workflow.
@@ -294,6 +295,87 @@
         return await self._store.transact(writes=writes, **options)
 
 
+class SlowAnswers:
+    """Pass calls on, and hold the answers to writes of heads back."""
+
+    __slots__ = ("_store", "executed")
+
+    def __init__(self, store):
+        """Start with the store to pass calls on to."""
+        self._store = store
+        self.executed = trio.Event()
+
+    async def get(self, key):
+        """Return a key."""
+        return await self._store.get(key)
+
+    async def transact(self, *, writes=(), **options):
+        """Write, and answer late if a head is among the writes."""
+        try:
+            return await self._store.transact(writes=writes, **options)
+        finally:
+            if any(write.key == keys.HEAD for write in writes):
+                self.executed.set()
+                await trio.sleep(LATE_ANSWER_S)
+
+
+CALLS = {
+    "a confirmation": lambda log: log.confirm(),
+    "a write of learned values": lambda log: log.put(
+        Write(key=keys.IMAGES, value=b"learned")
+    ),
+}
+
+
+@when("{name:w} takes a snapshot whose last answer is late, beside {call}")
+def _snapshot_beside(context, name, call):
+    claimant = _claimant(context, name)
+    store = SlowAnswers(claimant.store)
+    claimant.log._fence._store = store
+    context.fenced = 0
+
+    async def take():
+        try:
+            await claimant.log.snapshot(claimant.registry, now_ms=1000)
+        except Fenced:
+            context.fenced += 1
+            store.executed.set()
+
+    async def both():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(take)
+            await store.executed.wait()
+            try:
+                await CALLS[call](claimant.log)
+            except Fenced:
+                context.fenced += 1
+
+    context.bridge.call(both)
+
+
+@when(
+    "{other:w} claims the log before {name:w} takes a snapshot beside {call}"
+)
+def _fenced_snapshot_beside(context, other, name, call):
+    _claims(context, other)
+    _snapshot_beside(context, name, call)
+
+
+@then("{name:w} is not fenced")
+def _not_fenced(context, name):
+    assert context.fenced == 0, context.fenced
+
+
+@then("{name:w} is fenced")
+def _both_fenced(context, name):
+    assert context.fenced == 2, context.fenced
+
+
+@then("an append by {name:w} is not fenced")
+def _can_append(context, name):
+    context.bridge.call(_claimant(context, name).append, FIRST_LATER_NUMBER)
+
+
 @when("{name:w} writes a snapshot, but not its head")
 def _writes_chunks_only(context, name):
     def refuse():
