Name what two clocks of a claim measure

Cause: claimed_s was the begin of a claim in EntryLog and its end in LogFence, and one parameter had two names. Change: LogFence.led_since_s; earlier_leases_start_s everywhere; is_granted.

--- a/src/radishlanding/dispatch/entry_log.py
+++ b/src/radishlanding/dispatch/entry_log.py
@@ -162,7 +162,7 @@
         head = self._fence.head
         self.predecessors = (old.process_id, old.predecessor)
         self.inherited_leases_s = old.leases_s if old.has_resigned else None
-        self.earlier_leases_start_s = self._fence.claimed_s
+        self.earlier_leases_start_s = self._fence.led_since_s
         if not head.leases_start_at_proof:
             self.earlier_leases_start_s += self._grace_s
         contents = await read_log(
--- a/src/radishlanding/dispatch/fleet.py
+++ b/src/radishlanding/dispatch/fleet.py
@@ -85,7 +85,7 @@
         self._leases = LeaseTable(
             timing=timing,
             inherited_leases_s=inherited_leases_s,
-            earlier_start_s=earlier_leases_start_s,
+            earlier_leases_start_s=earlier_leases_start_s,
         )
         self._loads = FleetLoads(
             registry=registry,
--- a/src/radishlanding/dispatch/leader.py
+++ b/src/radishlanding/dispatch/leader.py
@@ -370,15 +370,15 @@
         proved_s, now_s = self._log.confirmed_s, boot_clock_s()
         proof_age_s = now_s - proved_s
         if not session.reads_proof_age:
-            is_current = proved_s >= (
+            is_granted = proved_s >= (
                 now_s if arrived_s is None else arrived_s
             )
         else:
-            is_current = proof_age_s < self._timing.owner_grace_s
-        if is_current:
+            is_granted = proof_age_s < self._timing.owner_grace_s
+        if is_granted:
             self.fleet.grant(session, start_s=proved_s)
         return VmReportAck(
-            granted=is_current,
+            granted=is_granted,
             proof_age_ms=math.ceil(proof_age_s * 1000),
             weights=self.fleet.image_weights(session),
             orders=self._order_sender.missing_orders(session),
--- a/src/radishlanding/dispatch/lease_table.py
+++ b/src/radishlanding/dispatch/lease_table.py
@@ -13,7 +13,7 @@
 
     __slots__ = (
         "_boots",
-        "_earlier_start_s",
+        "_earlier_leases_start_s",
         "_heard_s",
         "_hold_until_s",
         "_inherited_leases_s",
@@ -23,7 +23,7 @@
     )
 
     def __init__(
-        self, *, timing, inherited_leases_s=None, earlier_start_s=None
+        self, *, timing, inherited_leases_s=None, earlier_leases_start_s=None
     ):
         """Initialise a table without grants.
 
@@ -32,18 +32,18 @@
             handed over by a leader that resigned; a VM without an entry
             counts with a full lease. None if the last leader did not resign
             and may still extend leases.
-        :param earlier_start_s: Latest time on the boot clock, in seconds, at
-            which a lease of an earlier leader begins; None if it is unknown,
-            which counts as one grace period from now.
+        :param earlier_leases_start_s: Latest time on the boot clock, in
+            seconds, at which a lease of an earlier leader begins; None if it
+            is unknown, which counts as one grace period from now.
         """
         self._boots = {}
         self._inherited_leases_s = inherited_leases_s
         self._heard_s = {}
         self._hold_until_s = {}
         self._opened_s = boot_clock_s()
-        if earlier_start_s is None:
-            earlier_start_s = self._opened_s + timing.owner_grace_s
-        self._earlier_start_s = earlier_start_s
+        if earlier_leases_start_s is None:
+            earlier_leases_start_s = self._opened_s + timing.owner_grace_s
+        self._earlier_leases_start_s = earlier_leases_start_s
         self._started_s = {}
         self._timing = timing
 
@@ -106,7 +106,7 @@
         if self._inherited_leases_s is not None:
             end_s = self._opened_s + self._inherited_leases_s.get(vm, lease_s)
         else:
-            end_s = self._earlier_start_s + lease_s
+            end_s = self._earlier_leases_start_s + lease_s
         if vm in self._heard_s:
             end_s = max(end_s, self._started_s[vm] + lease_s)
             window_s = self._timing.start_window_s + self._timing.drift_s
--- a/src/radishlanding/dispatch/log_fence.py
+++ b/src/radishlanding/dispatch/log_fence.py
@@ -19,7 +19,7 @@
     """Hold the log's head and write only while it is unchanged.
 
     ``confirmed_s`` is the time of the last proof of leadership, in seconds on
-    the boot clock. ``claimed_s`` is when the claim was known to be in force;
+    the boot clock. ``led_since_s`` is when the claim was known to be in force;
     no earlier leader has a later proof. ``head`` is the :class:`Head` that
     this process wrote last.
     """
@@ -28,9 +28,9 @@
         "_replaced",
         "_store",
         "_version",
-        "claimed_s",
         "confirmed_s",
         "head",
+        "led_since_s",
     )
 
     def __init__(self, *, store):
@@ -44,7 +44,7 @@
         self._replaced.set()
         self._store = store
         self._version = 0
-        self.claimed_s = 0.0
+        self.led_since_s = 0.0
         self.confirmed_s = 0.0
         self.head = Head()
 
@@ -86,7 +86,7 @@
             )
         except Conflict as exc:
             raise Fenced("the head was replaced") from exc
-        self.claimed_s = boot_clock_s()
+        self.led_since_s = boot_clock_s()
         self.confirmed_s = sent_s
         self.head = head
         return old
--- a/tests/dispatch/leader_steps.py
+++ b/tests/dispatch/leader_steps.py
@@ -948,7 +948,7 @@
     context.leases = LeaseTable(
         timing=timing,
         inherited_leases_s=inherited_leases_s,
-        earlier_start_s=replaced_s,
+        earlier_leases_start_s=replaced_s,
     )
 
 
